Mend the example of parse_settings

Cause: the docstring became a raw string, so its doubled backslash no longer meant a line break; the example failed in 'make test'. Change: one backslash. Before: 1 of 27 tests failed. After: all pass.

--- a/greengagerock/settings/checker.py
+++ b/greengagerock/settings/checker.py
@@ -68,7 +68,7 @@
         SettingsError: With all faults at once.
 
     Examples:
-        >>> parse_settings("host: h1\\navailability_zone: z1").host
+        >>> parse_settings("host: h1\navailability_zone: z1").host
         'h1'
     """
     try:
