--- a/greengagerock/agent/announcer.py
+++ b/greengagerock/agent/announcer.py
@@ -11,6 +11,7 @@
 
 ANNOUNCE_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.1
+NEWS_INTERVAL_S = 0.005
 
 
 class Announcer:
@@ -20,7 +21,8 @@
         entry_addresses: ``IP:PORT`` of the endpoint ports of the zone's entry hosts;
             the next one is tried when one does not answer.
         make_announcement: Callable that returns the ``Announcement`` to send.
-        take_reply: Called with the ``AnnouncementReply`` and the time of sending.
+        take_reply: Called with the ``AnnouncementReply`` and the time of sending;
+            returns whether there is news to announce at once.
     """
 
     def __init__(self, entry_addresses, make_announcement, take_reply):
@@ -45,7 +47,7 @@
         """Announce once.
 
         Returns:
-            Whether an entry host answered with a lease.
+            Seconds until the next announcement is due.
         """
         address = self.entry_addresses[self._turn % len(self.entry_addresses)]
         body = msgspec.json.encode(self.make_announcement())
@@ -63,14 +65,14 @@
             reply = msgspec.json.decode(response.data, type=AnnouncementReply)
         except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
             self._turn += 1
-            return False
-        self.take_reply(reply, sent_s)
-        return reply.lease_s > 0
+            return RETRY_INTERVAL_S
+        if self.take_reply(reply, sent_s):
+            return NEWS_INTERVAL_S
+        return ANNOUNCE_INTERVAL_S if reply.lease_s > 0 else RETRY_INTERVAL_S
 
     def _run(self):
         while not self._stopped.is_set():
             if self.paused.is_set():
                 time.sleep(RETRY_INTERVAL_S)
                 continue
-            settled = self.announce_once()
-            self._stopped.wait(ANNOUNCE_INTERVAL_S if settled else RETRY_INTERVAL_S)
+            self._stopped.wait(self.announce_once())
--- a/greengagerock/control/commands/entries.py
+++ b/greengagerock/control/commands/entries.py
@@ -104,10 +104,18 @@
 
 
 class KeeperAppointed(msgspec.Struct, frozen=True, tag="keeper-appointed"):
-    """A host became keeper of its availability zone; the epoch rises each time."""
+    """A host became keeper of its availability zone; the epoch rises each time.
+
+    Attributes:
+        zone: The zone.
+        host: The host.
+        incarnation: Incarnation of the host; after a restart it has forgotten what it
+            lent, so it needs another appointment.
+    """
 
     zone: str
     host: str
+    incarnation: str
 
 
 Command = (
--- a/greengagerock/control/controller.py
+++ b/greengagerock/control/controller.py
@@ -143,8 +143,13 @@
 
     def _on_applied(self, command, index):
         self.planner.on_applied(command)
-        if self.voter.is_leader:
-            self.desk.on_applied(command, index)
+        if not self.voter.is_leader:
+            return
+        self.desk.on_applied(command, index)
+        if isinstance(command, KeeperAppointed):
+            host = self.state.hosts.get(command.host)
+            if host is not None:
+                self.outbox.send(host.address, self._hello_reply(host))
 
     # --- Hosts and keepers ---------------------------------------------------------
 
@@ -159,14 +164,12 @@
             return
         watch = self.watch(host.zone)
         watch.candidates[host.name] = self.timers.now_s
-        self._reappoint_restarted(watch, host)
-        self.outbox.send(address, self._hello_reply(host))
-
-    def _reappoint_restarted(self, watch, host):
-        """Appoint anew a keeper that says hello: it has forgotten what it lent."""
         keeper = self.state.keepers.get(host.zone)
-        if keeper and keeper.host == host.name and watch.epoch == keeper.epoch:
+        if keeper and keeper.host == host.name and keeper.incarnation != host.incarnation:
+            # A restarted keeper has forgotten what it lent.
             self._appoint(host.zone, host.name)
+            return
+        self.outbox.send(address, self._hello_reply(host))
 
     def _hello_reply(self, host):
         own = self._own_address()
@@ -197,7 +200,8 @@
         keeper = self.state.keepers.get(zone)
         epoch = keeper.epoch + 1 if keeper else 1
         self.watch(zone).beat_s = self.timers.now_s
-        self.propose_once(("keeper", zone, epoch), KeeperAppointed(zone, host))
+        incarnation = self.state.hosts[host].incarnation
+        self.propose_once(("keeper", zone, epoch), KeeperAppointed(zone, host, incarnation))
         self.timeline.record("keeper-appointed", detail=f"zone={zone} host={host} epoch={epoch}")
         self.outbox.log("keeper-appointed", zone=zone, keeper=host, epoch=epoch)
 
--- a/greengagerock/control/machine.py
+++ b/greengagerock/control/machine.py
@@ -87,9 +87,10 @@
                 self.state.hosts[host.name] = host
             case HostForgotten(name):
                 self.state.hosts.pop(name, None)
-            case KeeperAppointed(zone, host):
-                previous = self.state.keepers.get(zone, Keeper("", 0))
-                self.state.keepers[zone] = Keeper(host, previous.epoch + 1)
+            case KeeperAppointed(zone, host, incarnation):
+                previous = self.state.keepers.get(zone)
+                epoch = previous.epoch + 1 if previous else 1
+                self.state.keepers[zone] = Keeper(host, incarnation, epoch)
 
     def dump(self):
         """Return the encoded state."""
--- a/greengagerock/control/state.py
+++ b/greengagerock/control/state.py
@@ -34,6 +34,7 @@
     """Who keeps an availability zone, and since which epoch."""
 
     host: str
+    incarnation: str
     epoch: int
 
 
--- a/greengagerock/membership/follower.py
+++ b/greengagerock/membership/follower.py
@@ -29,6 +29,8 @@
         epoch: Highest keeper epoch seen; lower ones are ignored.
         keeper_address: Link address of the keeper, or the empty string.
         leader: Link address of the leader as last heard, or the empty string.
+        keeper_lacks_leader: Callable that returns whether this host keeps the zone and
+            its leader does not answer.
         on_appointed: Called with epoch and zone hosts if this host is to keep the zone.
         on_routes: Called after the routes have changed.
     """
@@ -44,6 +46,7 @@
         self.epoch = 0
         self.keeper_address = ""
         self.leader = ""
+        self.keeper_lacks_leader = lambda: False
         self.on_appointed = lambda epoch, zone_hosts: None
         self.on_routes = lambda: None
         self._granted_s = float("-inf")
@@ -96,7 +99,7 @@
 
     def _hello(self):
         self.timers.subscribe(HELLO_INTERVAL_S, self._hello)
-        if self.has_keeper():
+        if self.has_keeper() and not self.keeper_lacks_leader():
             self._leader_missed = 0
             return
         hello = Hello(self.record, self.history.version)
--- a/greengagerock/membership/keeper.py
+++ b/greengagerock/membership/keeper.py
@@ -24,6 +24,7 @@
 )
 
 RETRY_LEASE_S = 0.0
+LEADER_PATIENCE_S = 2 * KEEPER_BEAT_INTERVAL_S + 0.05
 
 
 class RouterLease:
@@ -111,6 +112,11 @@
         )
         return live >= len(self.leases) // 2 + 1
 
+    def lacks_leader(self):
+        """Return whether the leader has not answered several beats."""
+        since_s = max(self.contact_s, self.appointed_s)
+        return self.timers.now_s - since_s > LEADER_PATIENCE_S
+
     def longest_hold_s(self):
         """Return the longest ``cut_hold_s`` of all services, in seconds."""
         holds = [s.cut_hold_s for s in self.routes.services.values() if s.keyed]
@@ -205,8 +211,15 @@
         if lease_s <= 0:
             return refused
         session.renew(now_s, lease_s)
+        self._report_soon(session)
         return AnnouncementReply(lease_s, self.routes.version, self._grants_for(announcement))
 
+    def _report_soon(self, session):
+        """Report at once what a transfer may be waiting for."""
+        if session.applied_version > max(session.reported_version, session.beaten_version):
+            session.beaten_version = session.applied_version
+            self._send_beat()
+
     def _session_for(self, announcement):
         """Return the session of an announcement, or ``None`` if it has to wait."""
         now_s = self.timers.now_s
@@ -260,15 +273,18 @@
         if not self.active:
             return
         self._expire_sessions()
-        leader = self.leader()
-        if leader:
-            self.outbox.send(leader, self._make_beat())
+        self._send_beat()
         if self.timers.now_s - self.appointed_s < FOREIGN_LEASE_S:
             for host, address in self.routers.items():
                 if host != self.host:
                     self.outbox.send(address, KeeperHere(self.epoch))
         self.timers.subscribe(KEEPER_BEAT_INTERVAL_S, self._beat)
 
+    def _send_beat(self):
+        leader = self.leader()
+        if leader:
+            self.outbox.send(leader, self._make_beat())
+
     def _make_beat(self):
         now_s = self.timers.now_s
         reports = self._reports()
--- a/greengagerock/membership/sessions.py
+++ b/greengagerock/membership/sessions.py
@@ -17,10 +17,12 @@
         expires_s: Keeper's time at which the lease has surely run out.
         lost: Whether the lease ran out and the leader has yet to take note.
         reported_version: Applied version that the leader is known to have.
+        beaten_version: Applied version of the newest beat that was sent early.
     """
 
     __slots__ = (
         "announcement",
+        "beaten_version",
         "expires_s",
         "heard_s",
         "incarnation",
@@ -35,6 +37,7 @@
         self.expires_s = NEVER_S
         self.lost = False
         self.reported_version = 0
+        self.beaten_version = 0
 
     def renew(self, now_s, lease_s):
         """Extend the lease and return its duration for the endpoint."""
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -99,6 +99,9 @@
             self.random,
         )
         self.follower.on_appointed = self._on_appointed
+        self.follower.keeper_lacks_leader = lambda: (
+            self.keeper is not None and self.keeper.lacks_leader()
+        )
         self.follower.on_routes = self.router.on_routes
         self.relays = RelayDesk(self.timers, self.outbox)
         self.stop_sequence = StopSequence(self)
--- /dev/null
+++ b/greengagerock/testing/fakes.py
@@ -0,0 +1,471 @@
+"""Small fakes at the seam of the decision core, in virtual time.
+
+``FakeSystem`` feeds nodes with events and carries out their effects: messages
+with a delay, records on a fake disk, requests at fake endpoints. It has no
+policy of its own and is meant for focused tests of failures.
+"""
+
+import heapq
+import itertools
+from random import Random
+
+import msgspec
+
+from greengagerock.agent import GrantBook
+from greengagerock.agent.announcer import NEWS_INTERVAL_S
+from greengagerock.control.operators import OperatorRequest
+from greengagerock.core.seam import (
+    Answer,
+    AttemptFailed,
+    EndpointAnnounced,
+    Forward,
+    MessageReceived,
+    OperatorAsked,
+    Persist,
+    Persisted,
+    PersistFailed,
+    ReplyAnnouncement,
+    ReplyOperator,
+    RequestArrived,
+    RequestEnded,
+    SendMessage,
+    StopProcess,
+    TimePassed,
+)
+from greengagerock.model.timing import ANNOUNCE_INTERVAL_S
+from greengagerock.node import Node
+from greengagerock.replication import DurableState
+
+MESSAGE_DELAY_S = (0.0005, 0.002)
+SYNC_DELAY_S = (0.0005, 0.003)
+REQUEST_DELAY_S = 0.001
+ANNOUNCE_RETRY_S = 0.1
+
+
+class FakeDisk:
+    """Records of one voter; those not yet synced are lost in a crash.
+
+    Attributes:
+        synced: Records that last.
+        fails: Whether writes fail.
+    """
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.synced = []
+        self.fails = False
+
+    def read(self):
+        """Return what a restarted voter finds."""
+        durable = DurableState(self.identity)
+        for record in self.synced:
+            durable.apply(record)
+        return durable
+
+
+class FakeHost:
+    """One host with its node.
+
+    Attributes:
+        config: The node's configuration.
+        node: The node, or ``None`` while the process is down.
+        disk: The fake disk of a voter, or ``None``.
+        paused_events: Events kept back while the process is paused, or ``None``.
+        life: Rises with each start, so that effects of an earlier life are dropped.
+    """
+
+    def __init__(self, config, disk):
+        self.config = config
+        self.disk = disk
+        self.node = None
+        self.paused_events = None
+        self.life = 0
+
+
+class FakeEndpoint:
+    """An endpoint that holds grants and records its runs.
+
+    Attributes:
+        announcement: Template of its announcements.
+        book: Its grants.
+        up: Whether the process lives.
+        frozen: Whether it neither runs nor announces, keeping its state.
+        service_s: Time that a request takes.
+        runs: Tuples of unit label, request id, start and end time.
+    """
+
+    def __init__(self, announcement, service_s=0.0):
+        self.announcement = announcement
+        self.book = GrantBook()
+        self.up = True
+        self.frozen = False
+        self.service_s = service_s
+        self.runs = []
+        self.held = []
+
+    @property
+    def name(self):
+        """Its name."""
+        return self.announcement.name
+
+
+class FakeSystem:
+    """Nodes, endpoints and a network in virtual time.
+
+    Args:
+        seed: Seed of delays and of the nodes.
+        loss: Share of messages that are lost.
+        duplication: Share of messages that arrive twice, the second one late.
+    """
+
+    def __init__(self, seed=1, loss=0.0, duplication=0.0):
+        self.random = Random(seed)
+        self.loss = loss
+        self.duplication = duplication
+        self.now_s = 100.0
+        self.hosts = {}
+        self.by_address = {}
+        self.endpoints = {}
+        self.cuts = set()
+        self.answers = {}
+        self.operator_answers = {}
+        self.request_times = {}
+        self.sent_messages = 0
+        self.after_step = lambda: None
+        self._queue = []
+        self._sequence = itertools.count()
+        self._tokens = itertools.count(1)
+        self._announcing = {}
+
+    # --- Setting up ----------------------------------------------------------------
+
+    def add_host(self, config, voter=False):
+        """Add a host and start it."""
+        disk = FakeDisk(f"{config.host.name}#1") if voter else None
+        host = FakeHost(config, disk)
+        self.hosts[config.host.name] = host
+        self.by_address[config.host.address] = host
+        self.start_host(config.host.name)
+        return host
+
+    def start_host(self, name):
+        """Start a host's process, after a crash with a new incarnation."""
+        host = self.hosts[name]
+        host.life += 1
+        record = msgspec.structs.replace(host.config.host, incarnation=f"{name}-{host.life}")
+        seed = self.random.randrange(1 << 60)
+        host.config = msgspec.structs.replace(host.config, host=record, seed=seed)
+        durable = host.disk.read() if host.disk else None
+        host.paused_events = None
+        host.node = Node(host.config, durable, self.now_s, lambda: int(self.now_s * 1e6))
+        self._carry_out(host, host.node.start())
+
+    def crash_host(self, name):
+        """Kill a host's process; unsynced records are lost."""
+        host = self.hosts[name]
+        host.life += 1
+        host.node = None
+
+    def lose_disk(self, name, identity):
+        """Replace a voter's disk by an empty one."""
+        self.hosts[name].disk = FakeDisk(identity)
+
+    def pause_host(self, name):
+        """Pause a host's process: it keeps its state and handles nothing."""
+        self.hosts[name].paused_events = []
+
+    def resume_host(self, name):
+        """Resume a paused process; what arrived meanwhile is handled first."""
+        host = self.hosts[name]
+        events, host.paused_events = host.paused_events, None
+        for event in events:
+            self._feed(host, event)
+        self._feed(host, TimePassed())
+
+    def add_endpoint(self, announcement, service_s=0.0):
+        """Add an endpoint, which begins to announce itself."""
+        endpoint = FakeEndpoint(announcement, service_s)
+        self.endpoints[endpoint.name] = endpoint
+        self.at(self.random.uniform(0, ANNOUNCE_INTERVAL_S), lambda: self._announce(endpoint))
+        return endpoint
+
+    def thaw(self, name):
+        """Let a frozen endpoint go on as though nothing had happened."""
+        endpoint = self.endpoints[name]
+        endpoint.frozen = False
+        held, endpoint.held = endpoint.held, []
+        for action in held:
+            action()
+
+    # --- Cuts ----------------------------------------------------------------------
+
+    def cut(self, from_hosts, to_hosts):
+        """Drop messages from some hosts to others, in this direction only."""
+        self.cuts.update(itertools.product(from_hosts, to_hosts))
+
+    def cut_zone(self, zone):
+        """Separate an availability zone from all others."""
+        inside = [n for n, h in self.hosts.items() if h.config.host.zone == zone]
+        outside = [n for n in self.hosts if n not in inside]
+        self.cut(inside, outside)
+        self.cut(outside, inside)
+
+    def heal(self):
+        """End all cuts."""
+        self.cuts.clear()
+
+    def zone_of(self, host_name):
+        """Return a host's availability zone."""
+        return self.hosts[host_name].config.host.zone
+
+    def is_cut(self, sender, receiver):
+        """Return whether messages between two hosts are dropped."""
+        return (sender, receiver) in self.cuts
+
+    # --- Time ----------------------------------------------------------------------
+
+    def at(self, delay_s, action):
+        """Call ``action`` after a delay."""
+        entry = (self.now_s + delay_s, next(self._sequence), action)
+        heapq.heappush(self._queue, entry)
+
+    def run_for(self, seconds):
+        """Let virtual time pass."""
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, condition, limit_s):
+        """Let virtual time pass until a condition holds.
+
+        Returns:
+            The seconds that passed, or ``None`` if the limit was reached first.
+        """
+        start_s = self.now_s
+        end_s = start_s + limit_s
+        while not condition():
+            if not self._queue or self._queue[0][0] > end_s:
+                self.now_s = end_s
+                return None
+            due_s, _, action = heapq.heappop(self._queue)
+            self.now_s = max(self.now_s, due_s)
+            action()
+            self.after_step()
+        return self.now_s - start_s
+
+    # --- Requests ------------------------------------------------------------------
+
+    def request(self, host_name, service, path, method="GET", headers=None, request_id=None):
+        """Send a caller's request to a host; returns its token."""
+        token = next(self._tokens)
+        request_id = request_id or f"r{token}"
+        event = RequestArrived(token, request_id, service, method, path, "", headers or {})
+        self.request_times[token] = self.now_s
+        self._feed(self.hosts[host_name], event)
+        return token
+
+    def ask(self, host_name, text, request_id="", base_version=None, wait_s=4.0):
+        """Send an operator's statement to a host; returns its token."""
+        token = next(self._tokens)
+        request = OperatorRequest(text, request_id, "test", base_version, False, wait_s)
+        self._feed(self.hosts[host_name], OperatorAsked(token, request))
+        return token
+
+    def ask_and_wait(self, host_name, text, request_id="", base_version=None):
+        """Send a statement and return its answer, or ``None`` without one in 8 s."""
+        token = self.ask(host_name, text, request_id, base_version)
+        self.run_until(lambda: token in self.operator_answers, 8.0)
+        return self.operator_answers.get(token)
+
+    def outcome(self, token):
+        """Return ``ok``, an error code, or ``None`` while the request is open."""
+        answer = self.answers.get(token)
+        return answer.code if isinstance(answer, Answer) else answer
+
+    def try_request(self, host_name, service, path, limit_s=2.0, **options):
+        """Send a request, wait for its end and return the outcome."""
+        token = self.request(host_name, service, path, **options)
+        self.run_until(lambda: token in self.answers, limit_s)
+        return self.outcome(token)
+
+    # --- Effects -------------------------------------------------------------------
+
+    def _feed(self, host, event):
+        if host.node is None:
+            return
+        if host.paused_events is not None:
+            host.paused_events.append(event)
+            return
+        self._carry_out(host, host.node.handle(event, self.now_s))
+
+    def _carry_out(self, host, effects):
+        for effect in effects:
+            match effect:
+                case SendMessage(address, message):
+                    self._send(host, address, message)
+                case Persist(sequence, records):
+                    self._persist(host, sequence, records)
+                case Forward():
+                    self._forward(host, effect)
+                case Answer(token):
+                    self.answers[token] = effect
+                case ReplyAnnouncement(token, reply):
+                    self._on_announcement_reply(token, reply)
+                case ReplyOperator(token, reply):
+                    self.operator_answers[token] = reply
+                case StopProcess():
+                    host.node = None
+        self._arm(host)
+
+    def _arm(self, host):
+        if host.node is None:
+            return
+        due_s = host.node.next_due_s()
+        if due_s is not None:
+            life = host.life
+            self.at(max(0.0, due_s - self.now_s), lambda: self._on_due(host, life))
+
+    def _on_due(self, host, life):
+        if host.life != life or host.node is None or host.paused_events is not None:
+            return
+        due_s = host.node.next_due_s()
+        if due_s is not None and due_s <= self.now_s:
+            self._feed(host, TimePassed())
+
+    def _send(self, host, address, message):
+        self.sent_messages += 1
+        target = self.by_address.get(address)
+        if target is None or self.random.random() < self.loss:
+            return
+        sender = host.config.host
+        event = MessageReceived(sender.name, sender.address, message)
+        copies = 2 if self.random.random() < self.duplication else 1
+        for copy in range(copies):
+            delay_s = self.random.uniform(*MESSAGE_DELAY_S) + copy * self.random.uniform(0, 3)
+            self.at(delay_s, lambda: self._deliver(sender.name, target, event))
+
+    def _deliver(self, sender_name, target, event):
+        if not self.is_cut(sender_name, target.config.host.name):
+            self._feed(target, event)
+
+    def _persist(self, host, sequence, records):
+        life = host.life
+        disk = host.disk
+
+        def sync():
+            if host.life != life:
+                return
+            if disk.fails:
+                self._feed(host, PersistFailed("no space left"))
+                return
+            disk.synced.extend(records)
+            self._feed(host, Persisted(sequence))
+
+        # One disk syncs in order: the constant delay keeps the order of writes.
+        self.at(SYNC_DELAY_S[0], sync)
+
+    # --- Endpoints -----------------------------------------------------------------
+
+    def _announce(self, endpoint):
+        if not endpoint.up:
+            return
+        host = self._entry_host(endpoint)
+        if endpoint.frozen or host is None:
+            self.at(ANNOUNCE_RETRY_S, lambda: self._announce(endpoint))
+            return
+        endpoint.book.expire(self.now_s)
+        announcement = msgspec.structs.replace(
+            endpoint.announcement, applied_version=endpoint.book.applied_version
+        )
+        token = next(self._tokens)
+        self._announcing[token] = (endpoint, self.now_s)
+        self.at(1.2, lambda: self._on_announcement_reply(token, None))
+        self._feed(host, EndpointAnnounced(token, announcement))
+
+    def _entry_host(self, endpoint):
+        alive = [
+            host
+            for host in self.hosts.values()
+            if host.node is not None
+            and host.paused_events is None
+            and host.config.host.zone == endpoint.announcement.zone
+        ]
+        return self.random.choice(alive) if alive else None
+
+    def _on_announcement_reply(self, token, reply):
+        endpoint, sent_s = self._announcing.pop(token, (None, 0.0))
+        if endpoint is None:
+            return
+        if reply is not None:
+            self._when_thawed(endpoint, lambda: endpoint.book.take(reply, sent_s, self.now_s))
+        if reply is None or reply.lease_s <= 0:
+            delay_s = ANNOUNCE_RETRY_S
+        elif reply.grants is not None and endpoint.book.applied_version == reply.version:
+            delay_s = NEWS_INTERVAL_S
+        else:
+            delay_s = ANNOUNCE_INTERVAL_S
+        self.at(delay_s, lambda: self._announce(endpoint))
+
+    def _when_thawed(self, endpoint, action):
+        if endpoint.frozen:
+            endpoint.held.append(action)
+        else:
+            action()
+
+    def _forward(self, host, effect):
+        life = host.life
+        endpoint = next(
+            (e for e in self.endpoints.values() if e.name == effect.endpoint and e.up), None
+        )
+        delay_s = min(REQUEST_DELAY_S, effect.timeout_s)
+        if endpoint is None:
+            failure = AttemptFailed(effect.token, "connect", False, False)
+            self.at(delay_s, lambda: self._feed_life(host, life, failure))
+            return
+        timeout = AttemptFailed(effect.token, "timeout", True, False)
+        self.at(effect.timeout_s, lambda: self._end(host, life, effect.token, timeout))
+        self.at(
+            delay_s,
+            lambda: self._when_thawed(endpoint, lambda: self._begin(host, life, effect, endpoint)),
+        )
+
+    def _begin(self, host, life, effect, endpoint):
+        if not endpoint.up:
+            failure = AttemptFailed(effect.token, "lost", True, False)
+            self._end(host, life, effect.token, failure)
+            return
+        unit = effect.headers.get("Greengage-Unit")
+        fence = int(effect.headers.get("Greengage-Fence", "0"))
+        checks = endpoint.announcement.checks_orders and unit is not None
+        if checks and not self._admits(endpoint, effect, unit, fence):
+            failure = AttemptFailed(effect.token, "refused", False, False)
+            self._end(host, life, effect.token, failure)
+            return
+        start_s = self.now_s
+        request_id = effect.headers["Greengage-Request-Id"]
+
+        def complete():
+            valid = not checks or endpoint.book.still_owns(unit, fence, self.now_s)
+            if checks:
+                endpoint.book.finish(unit)
+            if not valid or not endpoint.up:
+                failure = AttemptFailed(effect.token, "lost", True, False)
+                self._end(host, life, effect.token, failure)
+                return
+            endpoint.runs.append((unit, request_id, start_s, self.now_s))
+            self._end(host, life, effect.token, RequestEnded(effect.token, True))
+
+        self.at(endpoint.service_s, lambda: self._when_thawed(endpoint, complete))
+
+    def _admits(self, endpoint, effect, unit, fence):
+        same = effect.headers["Greengage-Incarnation"] == endpoint.announcement.incarnation
+        return same and endpoint.book.admit(unit, fence, self.now_s)
+
+    def _end(self, host, life, token, event):
+        if token in self.answers:
+            return
+        if isinstance(event, RequestEnded):
+            self.answers[token] = "ok"
+        self._feed_life(host, life, event)
+
+    def _feed_life(self, host, life, event):
+        if host.life == life:
+            self._feed(host, event)
--- a/greengagerock/testing/stand_in.py
+++ b/greengagerock/testing/stand_in.py
@@ -119,9 +119,10 @@
         )
 
     def take_reply(self, reply, sent_s):
-        """Take in the answer to an announcement."""
+        """Take in the answer to an announcement; returns whether grants changed."""
         with self.lock:
             self.book.take(reply, sent_s, time.monotonic())
+            return reply.grants is not None and self.book.applied_version == reply.version
 
     def admit(self, unit, fence, incarnation):
         """Check an order; see ``GrantBook.admit``."""
@@ -138,12 +139,20 @@
             with self.lock:
                 self.book.finish(unit)
 
-    def count_run(self, request_id, idempotency_key):
-        """Count one run."""
+    def commit(self, unit, fence, headers):
+        """Let a request take effect, unless its order has become outdated.
+
+        Returns:
+            Whether it took effect; if so the run is counted.
+        """
         with self.lock:
-            self.runs[request_id] += 1
-            if idempotency_key:
-                self.keys_run[idempotency_key] += 1
+            checks = self.checks_orders and unit is not None
+            if checks and not self.book.still_owns(unit, fence, time.monotonic()):
+                return False
+            self.runs[headers.get("Greengage-Request-Id", "")] += 1
+            if headers.get("Idempotency-Key"):
+                self.keys_run[headers["Idempotency-Key"]] += 1
+            return True
 
     def crash(self):
         """End as a process that dies."""
@@ -252,11 +261,11 @@
             self.refuse("outdated-order")
             return
         try:
-            self.run(switches, body)
+            self.run(switches, body, unit, fence)
         finally:
             stand_in.finish(unit)
 
-    def run(self, switches, body):
+    def run(self, switches, body, unit, fence):
         """Run the request in one of the slots, then answer."""
         stand_in = self.server.stand_in
         stand_in.in_flight += 1
@@ -265,8 +274,9 @@
                 self.wait_while_frozen()
                 if switches.delay_s:
                     time.sleep(switches.delay_s)
-                request_id = self.headers.get("Greengage-Request-Id", "")
-                stand_in.count_run(request_id, self.headers.get("Idempotency-Key", ""))
+                if not stand_in.commit(unit, fence, self.headers):
+                    self.refuse("outdated-order")
+                    return
         finally:
             stand_in.in_flight -= 1
         if switches.drops_answers:
