Relay operators' requests until the leader answers

Change: the entry host resends the request every 0.5 s within the operator's waiting time; the request id makes that safe.

--- a/greengagerock/control/desk.py
+++ b/greengagerock/control/desk.py
@@ -139,6 +139,9 @@
         wait_s = min(relay.request.wait_s, OPERATOR_RELAY_TIMEOUT_S)
         deadline_s = self.controller.timers.now_s + wait_s
         item = WaitingChange(address, relay.token, change.request_id, fingerprint, deadline_s)
+        resent = any((w.address, w.token) == (address, relay.token) for w in self.waiting)
+        if resent:
+            return
         self.waiting.append(item)
         if known is None:
             # A second proposal of the same id is harmless: the state machine
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -103,7 +103,7 @@
             self.keeper is not None and self.keeper.lacks_leader()
         )
         self.follower.on_routes = self.router.on_routes
-        self.relays = RelayDesk(self.timers, self.outbox)
+        self.relays = RelayDesk(self.timers, self.outbox, self._leader_address)
         self.stop_sequence = StopSequence(self)
         self.timeline.record("started", detail=f"incarnation={config.host.incarnation}")
 
@@ -153,7 +153,7 @@
             case EndpointAnnounced():
                 self._on_announced(event)
             case OperatorAsked():
-                self._on_operator(event)
+                self.relays.relay_operator(event)
             case ReadinessAsked(token):
                 self.outbox.add(ReplyReadiness(token, self.router.readiness()))
             case StopRequested():
@@ -278,6 +278,3 @@
             self.relays.reply_announcement(event.token, reply)
         else:
             self.relays.relay_announcement(event, self.follower.keeper_address)
-
-    def _on_operator(self, event):
-        self.relays.relay_operator(event, self._leader_address())
--- a/greengagerock/node/relays.py
+++ b/greengagerock/node/relays.py
@@ -7,6 +7,26 @@
 
 ANNOUNCEMENT_TIMEOUT_S = 1.0
 OPERATOR_GRACE_S = 1.0
+OPERATOR_RESEND_S = 0.5
+
+
+class OperatorWait:
+    """An operator's request that waits for the leader's answer.
+
+    Attributes:
+        event: The ``OperatorAsked`` event.
+        deadline_s: When to give up.
+        last_answer: The newest answer, kept in case no better one comes.
+        timer: The next resend.
+    """
+
+    __slots__ = ("deadline_s", "event", "last_answer", "timer")
+
+    def __init__(self, event, deadline_s):
+        self.event = event
+        self.deadline_s = deadline_s
+        self.last_answer = refuse("no-leader", "no controller leader is known yet")
+        self.timer = None
 
 
 class RelayDesk:
@@ -15,11 +35,14 @@
     Args:
         timers: The timer service.
         outbox: Receives effects.
+        leader_address: Callable that returns the leader's link address, or the
+            empty string.
     """
 
-    def __init__(self, timers, outbox):
+    def __init__(self, timers, outbox, leader_address):
         self.timers = timers
         self.outbox = outbox
+        self.leader_address = leader_address
         self.announcements = {}
         self.operators = {}
 
@@ -45,24 +68,40 @@
             timer.cancel()
             self.outbox.add(ReplyAnnouncement(token, reply))
 
-    def relay_operator(self, event, leader_address):
-        """Pass an operator's request to the leader, if one is known."""
-        if not leader_address:
-            answer = refuse("no-leader", "no controller leader is known yet")
-            self.outbox.add(ReplyOperator(event.token, answer))
-            return
-        timeout_s = OPERATOR_RELAY_TIMEOUT_S + OPERATOR_GRACE_S
-        timer = self.timers.subscribe(timeout_s, lambda: self._on_operator_timeout(event.token))
-        self.operators[event.token] = timer
-        self.outbox.send(leader_address, OperatorRelay(event.token, event.request))
+    def relay_operator(self, event):
+        """Pass an operator's request to the leader, again and again until it answers.
+
+        The leader may change or a message get lost meanwhile. Resending is safe: a
+        change is applied once for its request id.
+        """
+        limit_s = min(event.request.wait_s, OPERATOR_RELAY_TIMEOUT_S) + OPERATOR_GRACE_S
+        wait = OperatorWait(event, self.timers.now_s + limit_s)
+        self.operators[event.token] = wait
+        self._send_operator(wait)
 
     def on_operator_answer(self, token, answer):
         """Pass the leader's answer on; a second answer is ignored."""
-        timer = self.operators.pop(token, None)
-        if timer is not None:
-            timer.cancel()
-            self.outbox.add(ReplyOperator(token, answer))
+        wait = self.operators.get(token)
+        if wait is None:
+            return
+        if answer.code == "no-leader":
+            wait.last_answer = answer
+            return
+        self._finish_operator(wait, answer)
+
+    def _send_operator(self, wait):
+        if self.timers.now_s >= wait.deadline_s:
+            self._finish_operator(wait, wait.last_answer)
+            return
+        leader = self.leader_address()
+        if leader:
+            wait.last_answer = refuse(
+                "no-leader", "the leader did not answer; a change may have been accepted"
+            )
+            self.outbox.send(leader, OperatorRelay(wait.event.token, wait.event.request))
+        wait.timer = self.timers.subscribe(OPERATOR_RESEND_S, lambda: self._send_operator(wait))
 
-    def _on_operator_timeout(self, token):
-        detail = "the leader did not answer; a change may or may not have been accepted"
-        self.on_operator_answer(token, refuse("no-leader", detail))
+    def _finish_operator(self, wait, answer):
+        del self.operators[wait.event.token]
+        wait.timer.cancel()
+        self.outbox.add(ReplyOperator(wait.event.token, answer))
--- a/greengagerock/testing/systems.py
+++ b/greengagerock/testing/systems.py
@@ -59,8 +59,8 @@
 
 def create_until_accepted(system, host, statement):
     """Carry out a first change, which has to wait for the first leader."""
-    for attempt in range(40):
-        answer = system.ask_and_wait(host, statement, f"setup-{attempt}")
+    for _ in range(40):
+        answer = system.ask_and_wait(host, statement, "setup")
         if answer is not None and answer.accepted:
             return
         system.run_for(0.25)
