Voter changes, planned hand-over, and tests of losses, cuts and changes

Found by the new tests, shown failing first: - a resent voter change was refused as already done (checked before its id); - merged deltas lost a service dropped and created in one change; - a leader that also kept its zone told itself to find a successor after it had stopped leading, so endpoint leases ran out in the gap.

--- a/greengagerock/control/commands/__init__.py
+++ b/greengagerock/control/commands/__init__.py
@@ -3,6 +3,7 @@
 from greengagerock.control.commands.actions import (
     Action,
     AlterService,
+    CancelVoterChange,
     CreateService,
     DrainEndpoint,
     DropService,
@@ -23,12 +24,14 @@
     KeeperAppointed,
     OperatorChange,
     RevokeUnits,
+    VoterChangeEnded,
 )
 
 __all__ = [
     "Action",
     "AlterService",
     "Assignment",
+    "CancelVoterChange",
     "Command",
     "CreateService",
     "DrainEndpoint",
@@ -46,4 +49,5 @@
     "ResumeEndpoint",
     "RevokeUnits",
     "UnpinKey",
+    "VoterChangeEnded",
 ]
--- a/greengagerock/control/commands/actions.py
+++ b/greengagerock/control/commands/actions.py
@@ -65,13 +65,17 @@
 
     Attributes:
         old: Host name of the voter to remove, or the empty string to add only.
-        new: Host name of the voter to add.
+        new: Host name of the voter to add, or the empty string to remove only.
     """
 
     old: str
     new: str
 
 
+class CancelVoterChange(msgspec.Struct, frozen=True, tag="cancel-voter-change"):
+    """Give up the replacement or addition of a voter that is under way."""
+
+
 Action = (
     CreateService
     | AlterService
@@ -81,4 +85,5 @@
     | PinKey
     | UnpinKey
     | ReplaceVoter
+    | CancelVoterChange
 )
--- a/greengagerock/control/commands/entries.py
+++ b/greengagerock/control/commands/entries.py
@@ -118,6 +118,10 @@
     incarnation: str
 
 
+class VoterChangeEnded(msgspec.Struct, frozen=True, tag="voter-change-ended"):
+    """The leader has carried out the last step of a voter change."""
+
+
 Command = (
     OperatorChange
     | EndpointReported
@@ -127,4 +131,5 @@
     | HostReported
     | HostForgotten
     | KeeperAppointed
+    | VoterChangeEnded
 )
--- a/greengagerock/control/controller.py
+++ b/greengagerock/control/controller.py
@@ -12,6 +12,7 @@
 from greengagerock.control.machine import encode_command
 from greengagerock.control.operators import OperatorRelay
 from greengagerock.control.owners import OwnershipPlanner
+from greengagerock.control.voters import VoterChanger
 from greengagerock.control.zones import ZoneWatch
 from greengagerock.membership.messages import (
     Hello,
@@ -19,6 +20,7 @@
     KeeperBeat,
     KeeperDismissed,
     KeeperGrant,
+    KeeperLeaving,
     ZoneHost,
 )
 from greengagerock.model import STATE_LOST
@@ -54,6 +56,7 @@
         self.lost_since_s = {}
         self.proposed = {}
         self.planner = OwnershipPlanner(self)
+        self.voter_changer = VoterChanger(self)
         self.desk = OperatorDesk(self)
         self._tick_timer = None
         voter.on_leadership = self._on_leadership
@@ -108,6 +111,8 @@
                 self._on_hello(message, address)
             case KeeperBeat():
                 self._on_keeper_beat(message, address)
+            case KeeperLeaving():
+                self._on_keeper_leaving(message)
             case OperatorRelay():
                 self.desk.on_relay(message, address)
 
@@ -138,6 +143,7 @@
             self._check_keeper(watch)
         self._declare_lost_zones()
         self._forget_lost_endpoints()
+        self.voter_changer.advance()
         self.planner.plan()
         self.desk.check_waiting()
 
@@ -190,6 +196,7 @@
             self._zone_hosts(host.zone),
             keeper.electorate,
             keeper.rivals,
+            tuple(member.address for member in self.voter.membership.voters),
         )
 
     def _own_address(self):
@@ -218,6 +225,17 @@
         self.timeline.record("keeper-appointed", detail=f"zone={zone} host={host} epoch={epoch}")
         self.outbox.log("keeper-appointed", zone=zone, keeper=host, epoch=epoch)
 
+    def _on_keeper_leaving(self, message):
+        keeper = self.state.keepers.get(message.zone)
+        if not self.leads or keeper is None:
+            return
+        if (keeper.host, keeper.epoch) != (message.host, message.epoch):
+            return
+        others = [h.name for h in self.state.hosts_of_zone(message.zone) if h.name != keeper.host]
+        if others:
+            self.watch(message.zone).candidates.pop(keeper.host, None)
+            self._appoint(message.zone, others[0])
+
     def _on_keeper_beat(self, beat, address):
         if not self.leads:
             return
--- a/greengagerock/control/desk.py
+++ b/greengagerock/control/desk.py
@@ -123,10 +123,25 @@
         if request.dry_run:
             self._reply(address, relay.token, self._dry_run(change))
             return
-        if any(isinstance(action, ReplaceVoter) for action in actions):
-            raise GreengageError("invalid-value", "voter changes are not available yet")
+        if request.request_id not in self.controller.state.results:
+            for action in actions:
+                self._check_voters(action)
         self._queue_change(change, relay, address)
 
+    def _check_voters(self, action):
+        """Refuse a voter change that the present voters contradict."""
+        if not isinstance(action, ReplaceVoter):
+            return
+        voters = self.controller.voter.membership.voters
+        hosts = {member.host for member in voters}
+        if action.old and action.old not in hosts:
+            raise GreengageError("unknown-name", f"no voter runs on {action.old!r}")
+        if not action.new and len(voters) == 1:
+            raise GreengageError("invalid-value", "the last voter cannot be removed")
+        host = self.controller.state.hosts.get(action.new)
+        if host and any(member.identity == host.identity for member in voters):
+            raise GreengageError("already-exists", f"{action.new!r} is a voter")
+
     def _queue_change(self, change, relay, address):
         if len(self.waiting) >= MAX_WAITING:
             raise GreengageError("queue-full", "too many changes are waiting")
--- a/greengagerock/control/draft.py
+++ b/greengagerock/control/draft.py
@@ -4,6 +4,7 @@
 
 from greengagerock.control.commands import (
     AlterService,
+    CancelVoterChange,
     CreateService,
     DrainEndpoint,
     DropService,
@@ -12,6 +13,7 @@
     ResumeEndpoint,
     UnpinKey,
 )
+from greengagerock.control.state import VoterChange
 from greengagerock.core import GreengageError
 from greengagerock.model import (
     MAX_SLOTS,
@@ -57,6 +59,7 @@
         self.unpinned = set()
         self.unpinning = set(state.unpinning)
         self.new_transfers = {}
+        self.voter_change = state.voter_change
 
     def add(self, action):
         """Take in one action.
@@ -79,8 +82,12 @@
                 self._pin(service, key)
             case UnpinKey(service, key):
                 self._unpin(service, key)
-            case ReplaceVoter():
-                raise GreengageError("invalid-value", "replace a voter by a change of its own")
+            case ReplaceVoter(old, new):
+                self._replace_voter(old, new)
+            case CancelVoterChange():
+                if self.voter_change is None:
+                    raise GreengageError("invalid-value", "no voter change is under way")
+                self.voter_change = None
 
     def delta(self):
         """Return the route delta of the whole batch."""
@@ -142,6 +149,14 @@
             endpoint, drained_by_operator=drain, state=state, since=self.index
         )
 
+    def _replace_voter(self, old, new):
+        if self.voter_change is not None:
+            raise GreengageError("invalid-value", "another voter change is under way")
+        host = self.state.hosts.get(new)
+        if new and (host is None or not host.identity):
+            raise GreengageError("unknown-name", f"no running host with a data folder is {new!r}")
+        self.voter_change = VoterChange(old, new, host.identity if host else "")
+
     def _keyed_slot(self, service_name, key):
         service = self._service(service_name)
         if not service.keyed:
--- a/greengagerock/control/machine.py
+++ b/greengagerock/control/machine.py
@@ -13,6 +13,7 @@
     KeeperAppointed,
     OperatorChange,
     RevokeUnits,
+    VoterChangeEnded,
 )
 from greengagerock.control.draft import ChangeDraft, can_unpin
 from greengagerock.control.state import (
@@ -87,6 +88,8 @@
                 self.state.hosts[host.name] = host
             case HostForgotten(name):
                 self.state.hosts.pop(name, None)
+            case VoterChangeEnded():
+                self.state.voter_change = None
             case KeeperAppointed(zone, host, incarnation):
                 self.state.appoint_keeper(zone, host, incarnation)
 
@@ -127,6 +130,7 @@
         self._publish(draft.delta())
         state.transfers.update(draft.new_transfers)
         state.unpinning = draft.unpinning
+        state.voter_change = draft.voter_change
         self._forget_dropped(draft.dropped_services)
         state.config_version = index
         state.remember_change(ChangeRecord(index, change.at_us, change.author, change.text))
--- a/greengagerock/control/state.py
+++ b/greengagerock/control/state.py
@@ -50,6 +50,20 @@
     rivals: tuple[tuple[str, ...], ...] = ()
 
 
+class VoterChange(msgspec.Struct, frozen=True):
+    """A voter change that is under way.
+
+    Attributes:
+        old: Host of the voter to remove, or the empty string.
+        new: Host of the voter to add, or the empty string.
+        new_identity: Identity of the new voter's data folder.
+    """
+
+    old: str
+    new: str
+    new_identity: str
+
+
 class ChangeResult(msgspec.Struct, frozen=True):
     """What became of an operator's change.
 
@@ -100,6 +114,7 @@
     moves: tuple[MoveRecord, ...]
     config_version: int
     move_count: int
+    voter_change: VoterChange | None
 
 
 class ControlState:
@@ -116,6 +131,7 @@
         moves: History of moved units.
         config_version: Version of the last accepted operator change.
         move_count: Number of units that changed owner so far.
+        voter_change: The voter change under way, or ``None``.
     """
 
     __slots__ = (
@@ -129,6 +145,7 @@
         "routes",
         "transfers",
         "unpinning",
+        "voter_change",
     )
 
     def __init__(self):
@@ -142,6 +159,7 @@
         self.moves = []
         self.config_version = 0
         self.move_count = 0
+        self.voter_change = None
 
     def to_image(self):
         """Return the state as an immutable image."""
@@ -156,6 +174,7 @@
             moves=tuple(self.moves),
             config_version=self.config_version,
             move_count=self.move_count,
+            voter_change=self.voter_change,
         )
 
     @classmethod
@@ -172,6 +191,7 @@
         state.moves = list(image.moves)
         state.config_version = image.config_version
         state.move_count = image.move_count
+        state.voter_change = image.voter_change
         return state
 
     def hosts_of_zone(self, zone):
--- /dev/null
+++ b/greengagerock/control/tests/test_machine_differential.py
@@ -0,0 +1,93 @@
+"""Differential test: the state machine against a naive one."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagerock.control.commands import (
+    Assignment,
+    EndpointReported,
+    GrantUnits,
+    OperatorChange,
+    RevokeUnits,
+)
+from greengagerock.control.machine import ControlMachine
+from greengagerock.language import parse_statement
+from greengagerock.model import STATE_LOST, STATE_READY, Unit
+from greengagerock.testing.builders import build_endpoint
+
+SLOTS = 3
+NAMES = ("a", "b", "c")
+CREATE = f"create service till keyed by path segment 2 slots {SLOTS}"
+
+grants = st.tuples(st.just("grant"), st.integers(0, SLOTS - 1), st.sampled_from(NAMES))
+revokes = st.tuples(st.just("revoke"), st.integers(0, SLOTS - 1), st.sampled_from(NAMES))
+reports = st.tuples(st.just("report"), st.sampled_from(NAMES), st.booleans())
+changes = st.tuples(st.just("drain"), st.sampled_from(NAMES), st.integers(0, 3))
+
+
+class NaiveModel:
+    """Owners in a dictionary, with the rules written out plainly."""
+
+    def __init__(self):
+        self.owner = dict.fromkeys(range(SLOTS), "")
+        self.moving = set()
+        self.state = {}
+        self.drained = set()
+        self.answered = set()
+
+    def step(self, step):
+        match step:
+            case ("grant", slot, name):
+                free = slot in self.moving or self.state.get(self.owner[slot]) in (None, "lost")
+                if name in self.state and free:
+                    self.owner[slot] = name
+                    self.moving.discard(slot)
+            case ("revoke", slot, _):
+                if self.owner[slot] and slot not in self.moving:
+                    self.owner[slot] = ""
+                    self.moving.add(slot)
+            case ("report", name, lost):
+                self.state[name] = "lost" if lost else "ready"
+            case ("drain", name, number):
+                if number not in self.answered:
+                    self.answered.add(number)
+                    if name in self.state:
+                        self.drained.add(name)
+
+
+def apply_step(machine, step, index):
+    match step:
+        case ("grant", slot, name):
+            command = GrantUnits((Assignment(Unit("till", slot), name),), "test", 0)
+        case ("revoke", slot, name):
+            command = RevokeUnits((Assignment(Unit("till", slot), name),), "test", 0)
+        case ("report", name, lost):
+            known = machine.state.routes.endpoints.get(name)
+            state = STATE_LOST if lost else STATE_READY
+            since = known.since if known else 0
+            command = EndpointReported(build_endpoint(name, state=state, since=since), 0)
+        case ("drain", name, number):
+            text = f"drain endpoint {name}"
+            command = OperatorChange(f"r{number}", "t", text, None, parse_statement(text), 0)
+    machine.apply_command(command, index)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(st.one_of(grants, revokes, reports, changes), max_size=40))
+def test_state_machine_agrees_with_the_naive_one(steps):
+    machine = ControlMachine()
+    machine.apply_command(OperatorChange("c", "t", CREATE, None, parse_statement(CREATE), 0), 1)
+    naive = NaiveModel()
+    fences = dict.fromkeys(range(SLOTS), 0)
+    for index, step in enumerate(steps, 2):
+        apply_step(machine, step, index)
+        naive.step(step)
+        owners = machine.state.routes.owners["till"]
+        assert {slot: owner.endpoint for slot, owner in enumerate(owners)} == naive.owner
+        drained = {
+            e.name for e in machine.state.routes.endpoints.values() if e.drained_by_operator
+        }
+        assert drained == naive.drained
+        for slot, owner in enumerate(owners):
+            assert owner.fence >= fences[slot]
+            fences[slot] = owner.fence
--- a/greengagerock/language/parser.py
+++ b/greengagerock/language/parser.py
@@ -7,6 +7,7 @@
 
 from greengagerock.control.commands import (
     AlterService,
+    CancelVoterChange,
     CreateService,
     DrainEndpoint,
     DropService,
@@ -78,6 +79,12 @@
     def add_voter(self, new):
         return ReplaceVoter("", new)
 
+    def remove_voter(self, old):
+        return ReplaceVoter(old, "")
+
+    def cancel_voter_change(self):
+        return CancelVoterChange()
+
     def without_key(self):
         return NoKey()
 
--- a/greengagerock/membership/follower.py
+++ b/greengagerock/membership/follower.py
@@ -32,6 +32,7 @@
         keeper_lacks_leader: Callable that returns whether this host keeps the zone and
             its leader does not answer.
         on_appointed: Called with the ``HelloReply`` if this host is to keep the zone.
+        leaving: Whether this host is stopping.
         on_routes: Called after the routes have changed.
     """
 
@@ -49,6 +50,7 @@
         self.keeper_lacks_leader = lambda: False
         self.on_appointed = lambda reply: None
         self.on_routes = lambda: None
+        self.leaving = False
         self._granted_s = float("-inf")
         self._voter_turn = 0
         self._leader_missed = 0
@@ -102,6 +104,9 @@
 
     def _hello(self):
         self.timers.subscribe(HELLO_INTERVAL_S, self._hello)
+        if self.leaving:
+            # A hello would offer this host as a keeper.
+            return
         if self.has_keeper() and not self.keeper_lacks_leader():
             self._leader_missed = 0
             return
@@ -123,6 +128,8 @@
             if reply.leader != self.leader:
                 self._leader_missed = 0
             self.leader = reply.leader
+        if reply.voters:
+            self.voters = reply.voters
         if not reply.keeper:
             return
         if reply.keeper == self.record.name and reply.epoch > self.epoch:
@@ -135,5 +142,6 @@
         if grant.leader:
             self.leader = grant.leader
         self.apply_delta(grant.delta)
+        self.leaving = False
         self._granted_s = self.timers.now_s
         self.lease.renew(grant)
--- a/greengagerock/membership/keeper.py
+++ b/greengagerock/membership/keeper.py
@@ -6,6 +6,7 @@
     EndpointReport,
     KeeperBeat,
     KeeperHere,
+    KeeperLeaving,
     RouterGrant,
 )
 from greengagerock.membership.sessions import NEVER_S, Session, endpoint_lease_s, is_settled
@@ -85,6 +86,7 @@
         self.appointed_s = timers.now_s
         self.contact_s = NEVER_S
         self.active = True
+        self.leaving = False
         self.leases = {}
         self.sessions = {}
         self._reported = {}
@@ -95,6 +97,16 @@
         """End this appointment."""
         self.active = False
 
+    def leave(self):
+        """Ask the leader for a successor, and go on until there is one."""
+        self.leaving = True
+        self._ask_for_successor()
+
+    def _ask_for_successor(self):
+        leader = self.leader()
+        if leader:
+            self.outbox.send(leader, KeeperLeaving(self.zone, self.host, self.epoch))
+
     # --- Lending -------------------------------------------------------------------
 
     def may_lend(self):
@@ -287,6 +299,8 @@
             return
         self._expire_sessions()
         self._send_beat()
+        if self.leaving:
+            self._ask_for_successor()
         if self.timers.now_s - self.appointed_s < FOREIGN_LEASE_S:
             for host, address in self.routers.items():
                 if host != self.host:
--- a/greengagerock/membership/messages.py
+++ b/greengagerock/membership/messages.py
@@ -37,6 +37,7 @@
         zone_hosts: All hosts of the zone.
         electorate: Hosts whose majority lets the keeper lend without the leader.
         rivals: Electorates of earlier keepers.
+        voters: Link addresses of the present voters.
     """
 
     leader: str
@@ -47,6 +48,7 @@
     zone_hosts: tuple[ZoneHost, ...] = ()
     electorate: tuple[str, ...] = ()
     rivals: tuple[tuple[str, ...], ...] = ()
+    voters: tuple[str, ...] = ()
 
 
 class EndpointReport(msgspec.Struct, frozen=True):
@@ -111,6 +113,14 @@
     epoch: int
 
 
+class KeeperLeaving(msgspec.Struct, frozen=True, tag="keeper-leaving"):
+    """A keeper that stops asks the leader for a successor."""
+
+    zone: str
+    host: str
+    epoch: int
+
+
 class RouterBeat(msgspec.Struct, frozen=True, tag="router-beat"):
     """A router's periodic report to its keeper.
 
--- a/greengagerock/model/routes.py
+++ b/greengagerock/model/routes.py
@@ -187,18 +187,18 @@
     services, endpoints, owners = {}, {}, {}
     dropped_services, dropped_endpoints, unpinned = set(), set(), set()
     for delta in deltas:
-        for service in delta.services:
-            services[service.name] = service
         for name in delta.dropped_services:
             services.pop(name, None)
             dropped_services.add(name)
             owners = {unit: owned for unit, owned in owners.items() if unit.service != name}
-        for endpoint in delta.endpoints:
-            endpoints[endpoint.name] = endpoint
-            dropped_endpoints.discard(endpoint.name)
+            unpinned = {unit for unit in unpinned if unit.service != name}
+        for service in delta.services:
+            services[service.name] = service
         for name in delta.dropped_endpoints:
             endpoints.pop(name, None)
             dropped_endpoints.add(name)
+        for endpoint in delta.endpoints:
+            endpoints[endpoint.name] = endpoint
         for owned in delta.owners:
             owners[owned.unit] = owned
             unpinned.discard(owned.unit)
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -33,6 +33,7 @@
     KeeperDismissed,
     KeeperGrant,
     KeeperHere,
+    KeeperLeaving,
     RouterBeat,
     RouterGrant,
     ZoneFollower,
@@ -46,6 +47,7 @@
     Found,
     Founding,
     FoundingHello,
+    LeadNow,
     SnapshotRequest,
     Voter,
     VoteReply,
@@ -204,13 +206,20 @@
         match message:
             case VoteRequest() | VoteReply() | AppendRequest() | AppendReply():
                 self.voter.handle(message, address)
-            case SnapshotRequest():
+            case SnapshotRequest() | LeadNow():
                 self.voter.handle(message, address)
             case FoundingHello() | Found():
                 self.founding.handle(message, address)
-            case Hello() | KeeperBeat() | OperatorRelay():
+            case Hello() | KeeperBeat() | KeeperLeaving() | OperatorRelay():
                 self.controller.handle(message, address)
 
+    def hand_over_roles(self):
+        """Let other hosts take over what this one leads or keeps."""
+        if self.voter:
+            self.voter.hand_over()
+        if self.keeper:
+            self.keeper.leave()
+
     # --- Voter ---------------------------------------------------------------------
 
     def _start_voter(self, durable):
--- a/greengagerock/node/stopping.py
+++ b/greengagerock/node/stopping.py
@@ -10,9 +10,10 @@
 class StopSequence:
     """Stops a node in steps.
 
-    First the host is reported unready, so that the balancer sends no further
-    callers, while requests are still served. Then new requests are refused,
-    those in flight are finished, and the process ends.
+    First the host hands over what it leads and keeps, and is reported unready,
+    so that the balancer sends no further callers, while requests are still
+    served. Then new requests are refused, those in flight are finished, and the
+    process ends.
 
     Args:
         node: The node.
@@ -31,8 +32,9 @@
         self.node.router.closing = True
         self.node.timeline.record("stopping")
         self.node.outbox.log("stopping", in_flight=len(self.node.router.registry))
-        wait_s = UNREADY_PERIOD_S
-        self.node.timers.subscribe(wait_s, self._refuse_new)
+        self.node.follower.leaving = True
+        self.node.hand_over_roles()
+        self.node.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new)
         self.node.timers.subscribe(STOP_LIMIT_S, self._finish)
 
     def check(self):
--- /dev/null
+++ b/greengagerock/node/tests/test_changes.py
@@ -0,0 +1,179 @@
+"""Operators' changes: races, resends, catch-up, voters."""
+
+from greengagerock.testing.invariants import InvariantWatch
+from greengagerock.testing.systems import (
+    build_fake_system,
+    leader_of,
+    leader_state,
+    settle,
+)
+
+
+def test_change_is_in_force_everywhere_within_five_seconds():
+    system = build_fake_system()
+    start_s = system.now_s
+    answer = system.ask_and_wait("host-3-2", "alter service till set timeout_s 3", "c1")
+    assert (answer.accepted, answer.in_force, answer.waiting) == (True, True, ())
+    assert system.now_s - start_s < 5.0
+    for host in system.hosts.values():
+        assert host.node.history.routes.services["till"].timeout_s == 3.0
+
+
+def test_change_names_the_zone_that_it_waits_for():
+    system = build_fake_system(hosts_per_zone=3, voters=5, rules="set cut_hold_s 60")
+    leader = leader_of(system).config.host
+    zone = next(z for z in ("zone-1", "zone-2", "zone-3") if z != leader.zone)
+    system.cut_zone(zone)
+    answer = system.ask_and_wait(leader.name, "alter service till set timeout_s 3", "c1")
+    assert (answer.accepted, answer.in_force, answer.waiting) == (True, False, (zone,))
+    system.heal()
+    settle(system)
+    again = system.ask_and_wait(leader.name, "alter service till set timeout_s 3", "c1")
+    assert (again.in_force, again.version) == (True, answer.version)
+
+
+def test_operators_race_with_equal_versions():
+    system = build_fake_system()
+    base = leader_state(system).config_version
+    tokens = [
+        system.ask(f"host-{zone}-1", f"alter service till set timeout_s {zone}", f"r{zone}", base)
+        for zone in (1, 2, 3)
+    ]
+    system.run_for(2.0)
+    codes = sorted(system.operator_answers[token].code for token in tokens)
+    assert codes == ["", "version-conflict", "version-conflict"]
+    assert len([c for c in leader_state(system).changes if c.text.startswith("alter")]) == 1
+
+
+def test_resent_change_gets_its_first_answer_after_leader_loss_and_restart():
+    system = build_fake_system()
+    text = "drain endpoint till-1-1; resume endpoint till-1-1"
+    first = system.ask_and_wait("host-1-2", text, "resend-me")
+    for name in [n for n, h in system.hosts.items() if h.node.voter]:
+        system.crash_host(name)
+    for name in [n for n, h in system.hosts.items() if h.node is None]:
+        system.start_host(name)
+    settle(system)
+    again = system.ask_and_wait("host-3-2", text, "resend-me")
+    assert (again.version, again.accepted) == (first.version, True)
+    other = system.ask_and_wait("host-3-2", "drain endpoint till-1-1", "resend-me")
+    assert other.code == "request-id-reused"
+    assert len([c for c in leader_state(system).changes if c.text == text]) == 1
+
+
+def test_restart_after_hundreds_of_changes_catches_up_by_log_and_by_snapshot():
+    system = build_fake_system()
+    watch = InvariantWatch(system)
+    leader = leader_of(system).config.host.name
+    behind = next(n for n, h in system.hosts.items() if h.node.voter and n != leader)
+    plain = next(n for n, h in system.hosts.items() if not h.node.voter)
+    for count in (300, 1200):
+        system.crash_host(behind)
+        system.crash_host(plain)
+        tokens = {}
+        for number in range(count):
+            request_id = f"{count}-{number}"
+            text = f"alter service till set timeout_s {1 + number % 9}"
+            tokens[request_id] = system.ask(leader, text, request_id, wait_s=0.01)
+            system.run_for(0.02)
+        system.run_for(1.0)
+        for request_id, token in tokens.items():
+            watch.note_accepted(request_id, system.operator_answers[token])
+        system.start_host(behind)
+        system.start_host(plain)
+        settle(system)
+        voter = system.hosts[behind].node.voter
+        assert voter.commit_index == system.hosts[leader].node.voter.commit_index
+        watch.check_changes(system.hosts[behind].node.controller.state)
+    assert len(watch.accepted) == 1500
+    assert system.hosts[behind].node.voter.log.snapshot.index > 0
+
+
+def voter_hosts(system):
+    """Return the hosts of the present voters."""
+    membership = leader_of(system).node.voter.membership
+    return sorted(member.host for member in membership.voters)
+
+
+def test_lost_disk_never_votes_under_its_old_identity_and_is_replaced():
+    system = build_fake_system(voters=3)
+    InvariantWatch(system)
+    leader = leader_of(system).config.host.name
+    lost = next(n for n, h in system.hosts.items() if h.node.voter and n != leader)
+    system.crash_host(lost)
+    system.lose_disk(lost, f"{lost}#2")
+    system.start_host(lost)
+    system.run_for(10.0)
+    blank = system.hosts[lost].node.voter
+    assert blank.log.last_index == 0
+    assert not blank.membership.voters
+    answer = system.ask_and_wait(leader, f"replace voter {lost} with {lost}", "replace")
+    assert answer.accepted
+    done = system.run_until(lambda: identities(system) >= {f"{lost}#2"}, 10.0)
+    assert done is not None
+    system.run_until(lambda: leader_state(system).voter_change is None, 10.0)
+    assert identities(system) == {f"{n}#1" for n in voter_hosts(system) if n != lost} | {
+        f"{lost}#2"
+    }
+
+
+def identities(system):
+    """Return the identities of the present voters."""
+    return {member.identity for member in leader_of(system).node.voter.membership.voters}
+
+
+def test_second_host_fails_right_after_the_first_was_replaced():
+    system = build_fake_system(voters=3, hosts_per_zone=2)
+    watch = InvariantWatch(system)
+    leader = leader_of(system).config.host.name
+    others = [n for n, h in system.hosts.items() if h.node.voter and n != leader]
+    system.crash_host(others[0])
+    spare = next(n for n, h in system.hosts.items() if h.disk is None)
+    give_disk(system, spare)
+    settle(system)
+    answer = system.ask_and_wait(leader, f"replace voter {others[0]} with {spare}", "replace")
+    watch.note_accepted("replace", answer)
+    wanted = sorted([leader, others[1], spare])
+    assert system.run_until(lambda: voter_hosts(system) == wanted, 15.0) is not None
+    system.crash_host(others[1])
+    late = system.ask_and_wait(leader, "alter service till set timeout_s 4", "after")
+    assert late.accepted
+    watch.note_accepted("after", late)
+    watch.check_changes(leader_state(system))
+
+
+def give_disk(system, name):
+    """Restart a host with a disk, so that it can become a voter."""
+    system.crash_host(name)
+    system.lose_disk(name, f"{name}#1")
+    system.start_host(name)
+
+
+def test_full_disk_of_the_leader_loses_nothing():
+    system = build_fake_system(voters=3)
+    watch = InvariantWatch(system)
+    leader = leader_of(system)
+    leader.disk.fails = True
+    host = next(n for n in system.hosts if n != leader.config.host.name)
+    answer = system.ask_and_wait(host, "alter service till set timeout_s 4", "full")
+    watch.note_accepted("full", answer)
+    assert answer.accepted
+    assert leader_of(system) is not leader
+    watch.check_changes(leader_state(system))
+
+
+def test_cancelled_replacement_leaves_the_voters_as_they_were():
+    system = build_fake_system(voters=3)
+    before = voter_hosts(system)
+    leader = leader_of(system).config.host.name
+    spare = next(n for n, h in system.hosts.items() if h.disk is None)
+    give_disk(system, spare)
+    settle(system)
+    system.cut([leader], [spare])
+    assert system.ask_and_wait(leader, f"add voter {spare}", "add").accepted
+    system.run_for(2.0)
+    assert voter_hosts(system) == before
+    assert system.ask_and_wait(leader, "cancel voter change", "cancel").accepted
+    system.heal()
+    system.run_for(3.0)
+    assert voter_hosts(system) == before
--- /dev/null
+++ b/greengagerock/node/tests/test_cuts.py
@@ -0,0 +1,160 @@
+"""Availability zones cut off from each other, isolated hosts, and healing."""
+
+import pytest
+
+from greengagerock.model import slot_of_key
+from greengagerock.testing.invariants import InvariantWatch
+from greengagerock.testing.systems import (
+    all_owned,
+    build_fake_system,
+    leader_of,
+    leader_state,
+    settle,
+)
+
+SLOTS = 16
+
+# Longer than every lease, timeout and interval between the processes.
+ISOLATION_S = 400.0
+HOSTS = {"hosts_per_zone": 3, "voters": 5}
+
+
+def owner_zone(system, key):
+    """Return the availability zone of a key's owner."""
+    routes = leader_state(system).routes
+    return routes.endpoints[routes.owners["till"][slot_of_key(key, SLOTS)].endpoint].zone
+
+
+def key_of_zone(system, zone):
+    """Return a key whose owner is in a zone."""
+    return next(k for k in map(str, range(1000)) if owner_zone(system, k) == zone)
+
+
+def cut_zone_of_no_leader(system):
+    """Return a zone without the leader, after cutting it off."""
+    leader_zone = leader_of(system).config.host.zone
+    zone = next(z for z in ("zone-1", "zone-2", "zone-3") if z != leader_zone)
+    return zone
+
+
+@pytest.mark.parametrize("checks_orders", [True, False])
+def test_short_cut_moves_nothing_and_the_zone_serves_its_own_keys(checks_orders):
+    rules = "set cut_hold_s 60, timeout_s 1"
+    system = build_fake_system(checks_orders=checks_orders, rules=rules, **HOSTS)
+    InvariantWatch(system)
+    zone = cut_zone_of_no_leader(system)
+    home, foreign = key_of_zone(system, zone), key_of_zone(system, leader_zone(system))
+    inside = f"host-{zone[5:]}-1"
+    system.cut_zone(zone)
+    moves = leader_state(system).move_count
+    for _ in range(40):
+        system.run_for(0.5)
+        assert system.try_request(inside, "till", f"/cards/{home}") == "ok"
+    assert system.try_request(inside, "till", f"/cards/{foreign}") == "no-route-lease"
+    system.heal()
+    settle(system)
+    assert leader_state(system).move_count == moves
+    assert system.try_request(inside, "till", f"/cards/{foreign}") == "ok"
+
+
+def leader_zone(system):
+    """Return the zone of the leader."""
+    return leader_of(system).config.host.zone
+
+
+@pytest.mark.parametrize("checks_orders", [True, False])
+def test_long_cut_moves_the_keys_and_silences_the_zone(checks_orders):
+    rules = "set cut_hold_s 5, timeout_s 1"
+    system = build_fake_system(checks_orders=checks_orders, rules=rules, **HOSTS)
+    InvariantWatch(system)
+    zone = cut_zone_of_no_leader(system)
+    key = key_of_zone(system, zone)
+    outside = f"host-{leader_zone(system)[5:]}-1"
+    system.cut_zone(zone)
+    system.run_for(12.0)
+    assert system.try_request(outside, "till", f"/cards/{key}") == "ok"
+    assert system.try_request(f"host-{zone[5:]}-1", "till", f"/cards/{key}") == "no-route-lease"
+    system.heal()
+    settle(system)
+    assert all_owned(system)
+
+
+def test_zone_whose_keeper_dies_during_the_cut_stops_within_its_leases():
+    system = build_fake_system(rules="set cut_hold_s 60", **HOSTS)
+    InvariantWatch(system)
+    zone = cut_zone_of_no_leader(system)
+    key = key_of_zone(system, zone)
+    system.cut_zone(zone)
+    system.run_for(3.0)
+    inside = [n for n in system.hosts if system.zone_of(n) == zone]
+    keeper = next(n for n in inside if system.hosts[n].node.keeper)
+    system.crash_host(keeper)
+    system.run_for(2.0)
+    other = next(n for n in inside if n != keeper)
+    assert system.try_request(other, "till", f"/cards/{key}") == "no-route-lease"
+    system.heal()
+    settle(system)
+
+
+def test_leader_isolated_for_long_does_nothing_and_comes_back():
+    system = build_fake_system(rules="set cut_hold_s 4", **HOSTS)
+    watch = InvariantWatch(system)
+    old = leader_of(system).config.host.name
+    others = [name for name in system.hosts if name != old]
+    system.cut([old], others)
+    system.cut(others, [old])
+    assert system.run_until(lambda: leader_of(system) not in (None, system.hosts[old]), 10.0)
+    host = next(n for n in others if system.zone_of(n) != system.zone_of(old))
+    answer = system.ask_and_wait(host, "alter service till set timeout_s 3", "during")
+    watch.note_accepted("during", answer)
+    assert answer.accepted
+    lost = system.ask_and_wait(old, "alter service till set timeout_s 7", "isolated")
+    assert not lost.accepted
+    system.run_for(ISOLATION_S)
+    system.heal()
+    settle(system)
+    watch.check_changes(leader_state(system))
+    assert leader_state(system).routes.services["till"].timeout_s == 3.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_one_way_cut_of_the_leader(seed):
+    system = build_fake_system(seed=seed, rules="set cut_hold_s 4", **HOSTS)
+    InvariantWatch(system)
+    old = leader_of(system).config.host.name
+    others = [name for name in system.hosts if name != old]
+    system.cut(others, [old])
+    system.run_for(8.0)
+    assert leader_of(system) is not None
+    assert leader_of(system).config.host.name != old
+    system.heal()
+    settle(system)
+
+
+def test_any_one_zone_lost_leaves_a_quorum():
+    for zone in ("zone-1", "zone-2", "zone-3"):
+        system = build_fake_system(rules="set cut_hold_s 3", **HOSTS)
+        InvariantWatch(system)
+        for name, host in system.hosts.items():
+            if host.config.host.zone == zone:
+                system.crash_host(name)
+        for endpoint in system.endpoints.values():
+            endpoint.up = endpoint.up and endpoint.announcement.zone != zone
+        system.run_for(10.0)
+        assert all_owned(system)
+
+
+def test_paused_router_does_not_send_by_outdated_routes():
+    system = build_fake_system(checks_orders=False, rules="set timeout_s 1", **HOSTS)
+    InvariantWatch(system)
+    key = next(k for k in map(str, range(99)) if owner_zone(system, k) == "zone-1")
+    system.pause_host("host-3-3")
+    old = leader_state(system).routes.owners["till"][slot_of_key(key, SLOTS)].endpoint
+    assert system.ask_and_wait("host-2-2", f"drain endpoint {old}", "drain").accepted
+    system.run_for(5.0)
+    runs = len(system.endpoints[old].runs)
+    token = system.request("host-3-3", "till", f"/cards/{key}")
+    system.resume_host("host-3-3")
+    system.run_for(0.05)
+    assert system.outcome(token) == "no-route-lease"
+    assert len(system.endpoints[old].runs) == runs
--- /dev/null
+++ b/greengagerock/node/tests/test_losses.py
@@ -0,0 +1,204 @@
+"""A key is served again within 4 s after each kind of loss, and nothing acts twice."""
+
+import pytest
+
+from greengagerock.core.seam import StopRequested
+from greengagerock.model import slot_of_key
+from greengagerock.testing.invariants import InvariantWatch
+from greengagerock.testing.systems import (
+    build_fake_system,
+    leader_of,
+    leader_state,
+    settle,
+)
+
+SERVED_AGAIN_LIMIT_S = 4.0
+PROBE_INTERVAL_S = 0.05
+SLOTS = 16
+
+
+def key_owned_by(system, endpoint):
+    """Return a key whose owner is ``endpoint``."""
+    owners = leader_state(system).routes.owners["till"]
+    for number in range(1000):
+        key = f"card-{number}"
+        if owners[slot_of_key(key, SLOTS)].endpoint == endpoint:
+            return key
+    raise AssertionError(f"{endpoint} owns nothing")
+
+
+def time_until_served(system, host, key, limit_s=30.0):
+    """Return the seconds until a request for ``key`` is answered by an endpoint."""
+    start_s = system.now_s
+    while system.now_s - start_s < limit_s:
+        if system.try_request(host, "till", f"/cards/{key}", limit_s=1.0) == "ok":
+            return system.now_s - start_s
+        system.run_for(PROBE_INTERVAL_S)
+    raise AssertionError(f"not served within {limit_s} s")
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("checks_orders", [True, False])
+def test_loss_of_an_endpoint(seed, checks_orders):
+    system = build_fake_system(seed=seed, checks_orders=checks_orders, rules="set timeout_s 1")
+    InvariantWatch(system)
+    key = key_owned_by(system, "till-1-1")
+    system.endpoints["till-1-1"].up = False
+    assert time_until_served(system, "host-2-2", key) < SERVED_AGAIN_LIMIT_S
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("checks_orders", [True, False])
+def test_freeze_of_an_endpoint_and_its_return(seed, checks_orders):
+    system = build_fake_system(seed=seed, checks_orders=checks_orders, rules="set timeout_s 1")
+    InvariantWatch(system)
+    key = key_owned_by(system, "till-1-1")
+    system.endpoints["till-1-1"].frozen = True
+    assert time_until_served(system, "host-2-2", key) < SERVED_AGAIN_LIMIT_S
+    system.run_for(3.0)
+    system.thaw("till-1-1")
+    system.run_for(0.01)
+    assert system.try_request("host-2-2", "till", f"/cards/{key}") == "ok"
+    settle(system)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_the_leader(seed):
+    system = build_fake_system(seed=seed)
+    InvariantWatch(system)
+    leader = leader_of(system).config.host.name
+    other = next(name for name in system.hosts if system.zone_of(name) != system.zone_of(leader))
+    system.crash_host(leader)
+    assert time_until_served(system, other, "card-1") < 0.1
+    assert system.run_until(lambda: leader_of(system) is not None, 4.0) is not None
+    settle(system)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_the_leader_and_an_endpoint_together(seed):
+    system = build_fake_system(seed=seed)
+    InvariantWatch(system)
+    leader = leader_of(system).config.host.name
+    key = key_owned_by(system, "till-2-1")
+    other = next(n for n in system.hosts if system.zone_of(n) != system.zone_of(leader))
+    system.crash_host(leader)
+    system.endpoints["till-2-1"].up = False
+    assert time_until_served(system, other, key) < SERVED_AGAIN_LIMIT_S
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_a_keeper(seed):
+    system = build_fake_system(seed=seed, hosts_per_zone=3)
+    InvariantWatch(system)
+    leader = leader_of(system).config.host.name
+    zone = next(z for z in ("zone-1", "zone-2", "zone-3") if z != system.zone_of(leader))
+    keeper = next(
+        n for n, h in system.hosts.items() if h.node.keeper and system.zone_of(n) == zone
+    )
+    other = next(n for n in system.hosts if system.zone_of(n) == zone and n != keeper)
+    system.crash_host(keeper)
+    worst_s = 0.0
+    for _ in range(80):
+        worst_s = max(worst_s, time_until_served(system, other, "card-1"))
+        system.run_for(PROBE_INTERVAL_S)
+    assert worst_s < SERVED_AGAIN_LIMIT_S
+    assert any(h.node and h.node.keeper for n, h in system.hosts.items() if n != keeper)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_an_entry_host_does_not_delay_a_transfer(seed):
+    system = build_fake_system(
+        seed=seed, hosts_per_zone=3, checks_orders=False, rules="set timeout_s 1"
+    )
+    InvariantWatch(system)
+    key = key_owned_by(system, "till-1-1")
+    plain = next(n for n, h in system.hosts.items() if not h.node.keeper and h.node.voter is None)
+    other = next(n for n in system.hosts if n != plain)
+    system.crash_host(plain)
+    system.endpoints["till-1-1"].up = False
+    assert time_until_served(system, other, key) < SERVED_AGAIN_LIMIT_S
+
+
+def test_restarted_keeper_is_appointed_anew():
+    system = build_fake_system()
+    keeper = next(n for n, h in system.hosts.items() if h.node.keeper and n.startswith("host-2"))
+    epoch = leader_state(system).keepers["zone-2"].epoch
+    system.crash_host(keeper)
+    system.start_host(keeper)
+    settle(system)
+    assert leader_state(system).keepers["zone-2"].epoch > epoch
+
+
+def test_frozen_endpoint_does_not_run_an_order_after_its_lease():
+    system = build_fake_system()
+    key = key_owned_by(system, "till-1-1")
+    endpoint = system.endpoints["till-1-1"]
+    endpoint.frozen = True
+    token = system.request("host-1-1", "till", f"/cards/{key}", method="POST", request_id="held")
+    system.run_for(6.0)
+    runs_before = [run for e in system.endpoints.values() for run in e.runs]
+    system.thaw("till-1-1")
+    system.run_for(1.0)
+    runs = [run for e in system.endpoints.values() for run in e.runs if run[1] == "held"]
+    assert runs == []
+    assert runs_before == []
+    assert system.outcome(token) != "ok"
+
+
+def test_planned_stop_of_leader_and_keeper_leaves_no_gap():
+    system = build_fake_system(hosts_per_zone=3)
+    watch = InvariantWatch(system)
+    name = leader_of(system).config.host.name
+    stop_politely(system, name)
+    other = next(n for n in system.hosts if n != name)
+    for _ in range(60):
+        assert system.try_request(other, "till", "/cards/card-1") == "ok"
+        system.run_for(PROBE_INTERVAL_S)
+    assert leader_of(system) is not None
+    assert watch.checks > 0
+
+
+def test_planned_stop_finishes_requests_in_progress():
+    system = build_fake_system()
+    for endpoint in system.endpoints.values():
+        endpoint.service_s = 2.5
+    token = system.request("host-1-2", "till", "/cards/card-1")
+    system.run_for(0.1)
+    stop_politely(system, "host-1-2")
+    system.run_for(1.5)
+    late = system.request("host-1-2", "till", "/cards/card-1")
+    assert system.outcome(late) == "stopping"
+    system.run_for(2.0)
+    assert system.outcome(token) == "ok"
+    assert system.hosts["host-1-2"].node is None
+
+
+def stop_politely(system, name):
+    """Tell a host to stop."""
+    system.feed(name, StopRequested())
+
+
+def test_repeated_losses_at_every_moment_of_a_transfer():
+    """Kill the source, the target or the leader at each step of a drain."""
+    for step in range(12):
+        for victim in ("source", "target", "leader"):
+            system = build_fake_system(seed=100 + step)
+            watch = InvariantWatch(system)
+            system.ask("host-2-2", "drain endpoint till-1-1", "drain")
+            system.run_for(0.03 * step)
+            kill(system, victim)
+            system.run_for(6.0)
+            settle(system)
+            watch.check_changes(leader_state(system))
+
+
+def kill(system, victim):
+    """Kill one of the parties of a drain."""
+    if victim == "source":
+        system.endpoints["till-1-1"].up = False
+    elif victim == "target":
+        system.endpoints["till-2-1"].up = False
+    else:
+        leader = leader_of(system)
+        if leader is not None:
+            system.crash_host(leader.config.host.name)
--- /dev/null
+++ b/greengagerock/node/tests/test_schedules.py
@@ -0,0 +1,36 @@
+"""Seeded schedules of faults, with every invariant checked after each step."""
+
+import pytest
+
+from greengagerock.testing.invariants import InvariantWatch
+from greengagerock.testing.schedules import FaultSchedule
+from greengagerock.testing.systems import build_fake_system, leader_state, settle
+
+STEPS = 100
+RULES = "set cut_hold_s 4, timeout_s 2"
+
+
+@pytest.mark.parametrize("checks_orders", [True, False])
+@pytest.mark.parametrize("seed", range(6))
+def test_schedule(seed, checks_orders):
+    system = build_fake_system(
+        voters=3 + 2 * (seed % 2), seed=seed, checks_orders=checks_orders, rules=RULES
+    )
+    run_schedule(system, seed)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_schedule_with_lost_and_doubled_messages(seed):
+    system = build_fake_system(seed=seed, loss=0.05, duplication=0.05, rules=RULES)
+    run_schedule(system, seed)
+
+
+def run_schedule(system, seed):
+    """Run a schedule, end all faults, and check that the system settles."""
+    watch = InvariantWatch(system)
+    schedule = FaultSchedule(system, watch, seed)
+    schedule.run(STEPS)
+    schedule.repair_everything()
+    settle(system, 60.0)
+    watch.check_changes(leader_state(system))
+    assert watch.checks > 1000
--- a/greengagerock/replication/founding.py
+++ b/greengagerock/replication/founding.py
@@ -4,6 +4,9 @@
 from greengagerock.replication.messages import Found, FoundingHello
 from greengagerock.replication.records import Member, Membership
 
+INTERVAL_GROWTH = 1.2
+FOUNDING_INTERVAL_MAX_S = 5.0
+
 
 class Founding:
     """Forms the first membership from the voters named in the settings.
@@ -29,6 +32,7 @@
         self.timers = timers
         self.outbox = outbox
         self.heard = {host: self.member}
+        self.interval_s = FOUNDING_INTERVAL_S
         self._introduce()
 
     @property
@@ -51,7 +55,8 @@
             if host != self.member.host:
                 self.outbox.send(address, FoundingHello(self.member))
         self._found_if_complete()
-        self.timers.subscribe(FOUNDING_INTERVAL_S, self._introduce)
+        self.timers.subscribe(self.interval_s, self._introduce)
+        self.interval_s = min(self.interval_s * INTERVAL_GROWTH, FOUNDING_INTERVAL_MAX_S)
 
     def _on_hello(self, member, address):
         if self.is_open and member.host in self.initial:
--- a/greengagerock/replication/messages.py
+++ b/greengagerock/replication/messages.py
@@ -14,6 +14,8 @@
         last_index: Index of its last entry.
         last_term: Term of its last entry.
         trial: Whether this is a pre-vote, which changes no state.
+        handed_over: Whether the leader itself asked the candidate to stand, having
+            given up its lease; voters that still hear the leader then vote too.
     """
 
     term: int
@@ -21,6 +23,7 @@
     last_index: int
     last_term: int
     trial: bool
+    handed_over: bool = False
 
 
 class VoteReply(msgspec.Struct, frozen=True, tag="vote-reply"):
@@ -86,6 +89,18 @@
     target: str
 
 
+class LeadNow(msgspec.Struct, frozen=True, tag="lead-now"):
+    """A leader that stops asks another voter to stand for election at once.
+
+    Attributes:
+        term: The term that ends.
+        target: Identity of the voter that shall lead.
+    """
+
+    term: int
+    target: str
+
+
 class FoundingHello(msgspec.Struct, frozen=True, tag="founding-hello"):
     """A voter with an empty data folder introduces itself."""
 
--- a/greengagerock/replication/voter.py
+++ b/greengagerock/replication/voter.py
@@ -12,6 +12,7 @@
 from greengagerock.replication.messages import (
     AppendReply,
     AppendRequest,
+    LeadNow,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -77,6 +78,7 @@
         self.leader_since_s = 0.0
         self.failed = False
         self.trial = False
+        self.handed_over = False
         self.on_leadership = lambda: None
         self._writes = {}
         self._write_sequence = 0
@@ -109,6 +111,25 @@
         """Return the leader as a ``Member``, or ``None`` if it is not known."""
         return self.membership.find(self.leader)
 
+    def membership_pending(self):
+        """Return whether the newest membership is not committed yet."""
+        newest = max((e.index for e in self.log.entries if e.membership is not None), default=0)
+        return newest > self.commit_index
+
+    def match_index_of(self, member):
+        """Return the last entry that a member is known to have stored, or 0."""
+        return self._progress_of(member).match_index
+
+    def hand_over(self):
+        """Stop leading in favour of the voter that has the most entries."""
+        others = [m for m in self.membership.voters if m.identity != self.identity]
+        if not self.is_leader or not others:
+            return
+        successor = max(others, key=lambda member: self._progress_of(member).match_index)
+        term = self.term
+        self._become_follower(self.term, "")
+        self.outbox.send(successor.address, LeadNow(term, successor.identity))
+
     def found(self, membership):
         """Start a new log with its first membership."""
         self._append_new(Entry(1, 0, b"", membership))
@@ -154,6 +175,8 @@
                 self._on_append_reply(message)
             case SnapshotRequest():
                 self._on_snapshot_request(message, address)
+            case LeadNow():
+                self._on_lead_now(message)
 
     def on_persisted(self, sequence):
         """Continue with what waited for the write ``sequence`` and those before it."""
@@ -223,7 +246,10 @@
             self._ask_for_votes(term, False)
 
     def _ask_for_votes(self, term, trial):
-        request = VoteRequest(term, self.identity, self.log.last_index, self.log.last_term, trial)
+        handed_over, self.handed_over = self.handed_over, False
+        request = VoteRequest(
+            term, self.identity, self.log.last_index, self.log.last_term, trial, handed_over
+        )
         for member in self.membership.voters:
             if member.identity != self.identity:
                 self.outbox.send(member.address, request)
@@ -233,7 +259,7 @@
         member = self.membership.find(request.candidate)
         if member is None or not self.membership.has_voter(self.identity):
             return
-        if self._hears_leader():
+        if self._hears_leader() and not request.handed_over:
             return
         if request.trial:
             granted = request.term > self.term and self._is_up_to_date(request)
@@ -312,6 +338,13 @@
             self.outbox.log("leader-stepped-down", term=self.term, voter=self.identity)
             self.on_leadership()
 
+    def _on_lead_now(self, message):
+        if message.target != self.identity or message.term != self.term or self.is_leader:
+            return
+        if self.membership.has_voter(self.identity):
+            self.handed_over = True
+            self._start_election(trial=False)
+
     # --- Leader --------------------------------------------------------------------
 
     def _on_heartbeat_due(self):
@@ -405,6 +438,8 @@
         if candidate > self.commit_index and self.log.term_at(candidate) == self.term:
             self._commit_to(candidate)
             self._replicate_to_all()
+            if not self.membership.has_voter(self.identity) and not self.membership_pending():
+                self._become_follower(self.term, "")
 
     # --- Follower ------------------------------------------------------------------
 
--- a/greengagerock/testing/fakes.py
+++ b/greengagerock/testing/fakes.py
@@ -153,7 +153,11 @@
         """Start a host's process, after a crash with a new incarnation."""
         host = self.hosts[name]
         host.life += 1
-        record = msgspec.structs.replace(host.config.host, incarnation=f"{name}-{host.life}")
+        record = msgspec.structs.replace(
+            host.config.host,
+            incarnation=f"{name}-{host.life}",
+            identity=host.disk.identity if host.disk else "",
+        )
         seed = self.random.randrange(1 << 60)
         host.config = msgspec.structs.replace(host.config, host=record, seed=seed)
         durable = host.disk.read() if host.disk else None
@@ -263,6 +267,10 @@
         self._feed(self.hosts[host_name], event)
         return token
 
+    def feed(self, host_name, event):
+        """Hand an event to a host's node."""
+        self._feed(self.hosts[host_name], event)
+
     def ask(self, host_name, text, request_id="", base_version=None, wait_s=4.0):
         """Send an operator's statement to a host; returns its token."""
         token = next(self._tokens)
--- a/greengagerock/testing/systems.py
+++ b/greengagerock/testing/systems.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from greengagerock.model.timing import FOREIGN_LEASE_S
 from greengagerock.testing.builders import build_announcement, build_config
 from greengagerock.testing.fakes import FakeSystem
 
@@ -95,7 +96,7 @@
 
 
 def all_current(system):
-    """Return whether every running host has the leader's routes and a lease."""
+    """Return whether every running host has the leader's routes and a full lease."""
     state = leader_state(system)
     if state is None:
         return False
@@ -103,6 +104,7 @@
     return all(
         node.history.version == state.routes.version
         and node.follower.lease.expires_s > system.now_s
+        and node.follower.lease.age_s(system.now_s) < FOREIGN_LEASE_S
         for node in nodes
     )
 
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -13,6 +13,7 @@
     KeeperDismissed,
     KeeperGrant,
     KeeperHere,
+    KeeperLeaving,
     RouterBeat,
     RouterGrant,
 )
@@ -21,6 +22,7 @@
     AppendRequest,
     Found,
     FoundingHello,
+    LeadNow,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -33,6 +35,7 @@
     | KeeperGrant
     | KeeperDismissed
     | KeeperHere
+    | KeeperLeaving
     | RouterBeat
     | RouterGrant
     | AnnouncementRelay
@@ -44,6 +47,7 @@
     | AppendRequest
     | AppendReply
     | SnapshotRequest
+    | LeadNow
     | FoundingHello
     | Found
 )
