Recover from the loss of leader and endpoint together within 4 s

The keepers looked for the new leader longer than it waited for them, so it appointed others, which must wait out what their predecessors lent. The first keeper of a zone was also usually the leader's own host.

Change: a new leader greets all keepers; a keeper without a leader asks every voter; hosts without a voter are preferred as keepers; a new keeper counts its predecessor's leases from the leader's last renewal, not from its appointment.

Golden session, bad-input and kill tests on real processes come with it.

--- /dev/null
+++ b/bench/unavailable_time.py
@@ -0,0 +1,146 @@
+"""Unavailable time for each kind of loss, over many seeds, in virtual time.
+
+Run with ``python -m bench.unavailable_time [SEEDS]``.
+
+"""
+
+import statistics
+import sys
+
+from bench.report import write_report
+from greengagerock.testing.systems import build_fake_system, leader_of, leader_state, settle
+
+SEEDS = 60
+PROBE_INTERVAL_S = 0.02
+WATCH_S = 12.0
+KEYS = [f"card-{number}" for number in range(24)]
+RULES = "set cut_hold_s 3, timeout_s 1"
+
+
+def lose_endpoint(system):
+    """Kill one endpoint."""
+    system.endpoints["till-1-1"].up = False
+
+
+def freeze_endpoint(system):
+    """Freeze one endpoint."""
+    system.endpoints["till-1-1"].frozen = True
+
+
+def lose_leader(system):
+    """Kill the leader's host."""
+    system.crash_host(leader_of(system).config.host.name)
+
+
+def lose_keeper(system):
+    """Kill the keeper of a zone that does not hold the leader."""
+    leader = leader_of(system).config.host
+    name = next(
+        n for n, h in system.hosts.items() if h.node.keeper and h.config.host.zone != leader.zone
+    )
+    system.crash_host(name)
+
+
+def lose_leader_and_endpoint(system):
+    """Kill the leader's host and an endpoint together."""
+    lose_leader(system)
+    lose_endpoint(system)
+
+
+def lose_entry_host(system):
+    """Kill a host that neither votes nor keeps a zone."""
+    name = next(n for n, h in system.hosts.items() if not h.node.keeper and h.node.voter is None)
+    system.crash_host(name)
+
+
+def lose_zone(system):
+    """Kill everything in a zone that does not hold the leader."""
+    leader = leader_of(system).config.host
+    zone = next(z for z in ("zone-1", "zone-2", "zone-3") if z != leader.zone)
+    for name, host in system.hosts.items():
+        if host.config.host.zone == zone:
+            system.crash_host(name)
+    for endpoint in system.endpoints.values():
+        endpoint.up = endpoint.up and endpoint.announcement.zone != zone
+
+
+def drain_endpoint(system):
+    """Drain one endpoint by an operator's change."""
+    host = leader_of(system).config.host.name
+    system.ask(host, "drain endpoint till-1-1", "drain")
+
+
+LOSSES = (
+    lose_endpoint,
+    freeze_endpoint,
+    lose_leader,
+    lose_keeper,
+    lose_leader_and_endpoint,
+    lose_entry_host,
+    lose_zone,
+    drain_endpoint,
+)
+
+
+def longest_gaps(system, hosts):
+    """Return for each key the longest time without an answer, in seconds.
+
+    A key counts as served once any surviving entry host gets an answer for it.
+    """
+    last_s = dict.fromkeys(KEYS, system.now_s)
+    gap_s = dict.fromkeys(KEYS, 0.0)
+    end_s = system.now_s + WATCH_S
+    while system.now_s < end_s:
+        tokens = {
+            key: system.request(system.random.choice(hosts), "till", f"/cards/{key}")
+            for key in KEYS
+        }
+        system.run_for(PROBE_INTERVAL_S)
+        for key, token in tokens.items():
+            if system.outcome(token) == "ok":
+                gap_s[key] = max(gap_s[key], system.now_s - last_s[key])
+                last_s[key] = system.now_s
+    for key in KEYS:
+        gap_s[key] = max(gap_s[key], system.now_s - last_s[key])
+    return gap_s
+
+
+def measure(loss, seed, checks_orders):
+    """Return the longest gap of any key and the number of moved units."""
+    system = build_fake_system(
+        hosts_per_zone=3, voters=5, seed=seed, checks_orders=checks_orders, rules=RULES
+    )
+    system.run_for(system.random.uniform(0, 1))
+    moves = leader_state(system).move_count
+    loss(system)
+    hosts = [name for name, host in system.hosts.items() if host.node is not None]
+    gaps = longest_gaps(system, hosts)
+    settle(system)
+    return max(gaps.values()), leader_state(system).move_count - moves
+
+
+def main(arguments):
+    """Measure all losses and write the report."""
+    seeds = int(arguments[0]) if arguments else SEEDS
+    rows = []
+    for checks_orders in (True, False):
+        for loss in LOSSES:
+            results = [measure(loss, seed, checks_orders) for seed in range(seeds)]
+            gaps = sorted(gap for gap, _ in results)
+            rows.append(
+                {
+                    "loss": loss.__name__,
+                    "checks_orders": checks_orders,
+                    "seeds": seeds,
+                    "median_s": round(statistics.median(gaps), 2),
+                    "p95_s": round(gaps[int(len(gaps) * 0.95) - 1], 2),
+                    "max_s": round(gaps[-1], 2),
+                    "within_4_s": sum(1 for gap in gaps if gap <= 4.0),
+                    "mean_moves": round(statistics.mean(moves for _, moves in results), 1),
+                }
+            )
+    write_report("unavailable_time", rows)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/greengagerock/control/controller.py
+++ b/greengagerock/control/controller.py
@@ -131,8 +131,16 @@
             self.timeline.record("leader-elected", detail=f"term={self.voter.term}")
             # Zones that exist now may hold leases lent by the previous leader.
             self.all_watches()
+            self._greet_keepers()
             self._tick()
 
+    def _greet_keepers(self):
+        """Tell every keeper who leads now, before it has to look for the leader."""
+        for keeper in self.state.keepers.values():
+            host = self.state.hosts.get(keeper.host)
+            if host is not None:
+                self.outbox.send(host.address, self._hello_reply(host))
+
     def _tick(self):
         if not self.voter.is_leader:
             return
@@ -171,9 +179,9 @@
             self.propose_once(("host", host), HostReported(host))
             return
         watch = self.watch(host.zone)
-        if host.name not in watch.candidates:
+        if (bool(host.identity), host.name) not in watch.candidates:
             watch.changed_s = self.timers.now_s
-        watch.candidates[host.name] = self.timers.now_s
+        watch.candidates[(bool(host.identity), host.name)] = self.timers.now_s
         keeper = self.state.keepers.get(host.zone)
         if keeper and keeper.host == host.name and keeper.incarnation != host.incarnation:
             # A restarted keeper has forgotten what it lent.
@@ -197,6 +205,7 @@
             keeper.electorate,
             keeper.rivals,
             tuple(member.address for member in self.voter.membership.voters),
+            self.timers.now_s - self.watch(host.zone).granted_s,
         )
 
     def _own_address(self):
@@ -233,7 +242,6 @@
             return
         others = [h.name for h in self.state.hosts_of_zone(message.zone) if h.name != keeper.host]
         if others:
-            self.watch(message.zone).candidates.pop(keeper.host, None)
             self._appoint(message.zone, others[0])
 
     def _on_keeper_beat(self, beat, address):
--- a/greengagerock/control/owners.py
+++ b/greengagerock/control/owners.py
@@ -14,6 +14,7 @@
 MAX_UNITS_PER_COMMAND = 4096
 REPLAN_INTERVAL_S = 5.0
 MAX_BALANCE_MOVES_AT_ONCE = 16
+START_SETTLE_S = 0.6
 SECONDS_PER_HOUR = 3600.0
 
 
@@ -66,9 +67,12 @@
         self.planned_s = float("-inf")
         self.pending_index = 0
         self.released_at_s = {}
+        self.joined_s = {}
 
     def on_applied(self, command):
         """Plan again soon if a command changed what placement depends on."""
+        if isinstance(command, EndpointReported):
+            self.joined_s[command.endpoint.service] = self.controller.timers.now_s
         if isinstance(command, (OperatorChange, EndpointReported, GrantUnits)):
             self.planned_version = -1
 
@@ -86,9 +90,25 @@
         self.planned_version = version
         self.planned_s = now_s
         for service in list(self.controller.state.routes.services.values()):
-            if service.keyed:
+            if not service.keyed:
+                continue
+            if self._is_starting(service):
+                self.planned_version = -1
+            else:
                 self._plan_service(service)
 
+    def _is_starting(self, service):
+        """Return whether a service has no owners yet and endpoints are still joining.
+
+        Endpoints that start together should share the units from the beginning,
+        instead of the first one getting them all and giving most of them back.
+        """
+        owners = self.controller.state.routes.owners.get(service.name, ())
+        if any(owner.fence for owner in owners):
+            return False
+        joined_s = self.joined_s.get(service.name, float("-inf"))
+        return self.controller.timers.now_s - joined_s < START_SETTLE_S
+
     # --- New moves -----------------------------------------------------------------
 
     def planned_moves(self, service, routes, budget):
--- a/greengagerock/control/zones.py
+++ b/greengagerock/control/zones.py
@@ -20,7 +20,8 @@
         beat_sent_s: The keeper's own time of that beat.
         epoch: Epoch of the keeper that sent it.
         acknowledged: Version in force at every router of the zone with a lease.
-        candidates: Times of the newest hello by host, for the choice of a keeper.
+        candidates: Times of the newest hello by host, for the choice of a keeper; the
+            hosts are pairs of whether they have a voter, and name.
         changed_s: Leader's time at which a host was first heard.
     """
 
@@ -73,9 +74,13 @@
         return now_s - self.changed_s > ZONE_SETTLE_S
 
     def best_candidate(self, now_s):
-        """Return the name of a host that was heard recently, or ``None``."""
-        recent = [h for h, s in self.candidates.items() if now_s - s < KEEPER_SILENCE_LIMIT_S]
-        return min(recent, default=None)
+        """Return the name of a host that was heard recently, or ``None``.
+
+        Hosts without a voter come first, so that the loss of one host seldom takes
+        leader and keeper together.
+        """
+        recent = [c for c, s in self.candidates.items() if now_s - s < KEEPER_SILENCE_LIMIT_S]
+        return min(recent)[1] if recent else None
 
     def home_lease_ended(self, now_s, cut_hold_s):
         """Return whether the zone has surely stopped using keys of its own."""
--- a/greengagerock/membership/follower.py
+++ b/greengagerock/membership/follower.py
@@ -53,7 +53,7 @@
         self.leaving = False
         self._granted_s = float("-inf")
         self._voter_turn = 0
-        self._leader_missed = 0
+        self._leader_missed = False
         self._beat()
         self._hello()
 
@@ -107,16 +107,20 @@
         if self.leaving:
             # A hello would offer this host as a keeper.
             return
-        if self.has_keeper() and not self.keeper_lacks_leader():
-            self._leader_missed = 0
-            return
         hello = Hello(self.record, self.history.version)
-        self.outbox.send(self._next_voter(), hello)
+        if self.keeper_lacks_leader():
+            # The whole zone waits for its keeper, so it asks every voter at once.
+            for address in self.voters:
+                self.outbox.send(address, hello)
+        elif not self.has_keeper():
+            self.outbox.send(self._next_voter(), hello)
+        else:
+            self._leader_missed = False
 
     def _next_voter(self):
-        """Return the leader's address, or after two misses each voter's in turn."""
-        if self.leader and self._leader_missed < 2:
-            self._leader_missed += 1
+        """Return the leader's address, or if it did not answer each voter's in turn."""
+        if self.leader and not self._leader_missed:
+            self._leader_missed = True
             return self.leader
         self._voter_turn += 1
         return self.voters[self._voter_turn % len(self.voters)]
@@ -126,7 +130,7 @@
             return
         if reply.leader:
             if reply.leader != self.leader:
-                self._leader_missed = 0
+                self._leader_missed = False
             self.leader = reply.leader
         if reply.voters:
             self.voters = reply.voters
--- a/greengagerock/membership/keeper.py
+++ b/greengagerock/membership/keeper.py
@@ -84,6 +84,8 @@
         self.outbox = outbox
         self.timeline = timeline
         self.appointed_s = timers.now_s
+        # The leader's age is at most that old now: the reply took some time to come.
+        self.predecessor_contact_s = timers.now_s - appointment.granted_age_s
         self.contact_s = NEVER_S
         self.active = True
         self.leaving = False
@@ -183,7 +185,7 @@
         hold_s = self.longest_hold_s() if can_lend_alone else FOREIGN_LEASE_S
         hold_s = max(hold_s, FOREIGN_LEASE_S)
         lease_s = max(ROUTER_LEASE_S, ENDPOINT_LEASE_S)
-        return self.appointed_s + lender_duration(hold_s + lease_s)
+        return self.predecessor_contact_s + lender_duration(hold_s + lease_s)
 
     def _follows(self, host):
         return host in self.leases and self.leases[host].follows
--- a/greengagerock/membership/messages.py
+++ b/greengagerock/membership/messages.py
@@ -38,6 +38,8 @@
         electorate: Hosts whose majority lets the keeper lend without the leader.
         rivals: Electorates of earlier keepers.
         voters: Link addresses of the present voters.
+        granted_age_s: Seconds since the leader may last have renewed the delegation of
+            an earlier keeper.
     """
 
     leader: str
@@ -49,6 +51,7 @@
     electorate: tuple[str, ...] = ()
     rivals: tuple[tuple[str, ...], ...] = ()
     voters: tuple[str, ...] = ()
+    granted_age_s: float = 0.0
 
 
 class EndpointReport(msgspec.Struct, frozen=True):
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -28,7 +28,7 @@
         """Answer a request that never reached the application."""
         status = str(status)
         code = _CODE_BY_STATUS.get(status[:3], "bad-request")
-        if status.startswith("413") and "Headers" in str(msg):
+        if status.startswith("413") and "headers" in str(msg).lower():
             code = "headers-too-large"
         unknown = status[:3] in _STATUSES_OF_UNKNOWN_OUTCOME
         outcome = OUTCOME_UNKNOWN if unknown else OUTCOME_NOT_RUN
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,304 @@
+"""Whole sessions against real processes on loopback addresses."""
+
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import msgspec
+import pytest
+import urllib3
+
+from greengagerock.testing.example_files import LAYOUTS, write_layout
+from greengagerock.testing.launch import ExampleSystem
+from greengagerock.testing.switches import Switches
+
+NETWORK = "127.6"
+WAIT_LIMIT_S = 30.0
+HTTP = urllib3.PoolManager(retries=False, timeout=15.0)
+
+
+@pytest.fixture
+def system(tmp_path):
+    layout = msgspec.structs.replace(LAYOUTS[0], network=NETWORK)
+    write_layout(layout, tmp_path)
+    running = ExampleSystem(tmp_path / layout.name, tmp_path)
+    try:
+        running.start()
+        running.wait_until_owned()
+        wait_until_even(running)
+        yield running
+    finally:
+        running.stop()
+
+
+def wait_until_even(running):
+    """Wait until no unit is being moved and no more moves are wanted."""
+    calm = 0
+    deadline_s = time.monotonic() + WAIT_LIMIT_S
+    while calm < 5 and time.monotonic() < deadline_s:
+        time.sleep(0.2)
+        transfers = running.ask("show transfers")
+        calm = calm + 1 if transfers.table is not None and not transfers.table.rows else 0
+
+
+def eventually(check):
+    """Wait until ``check`` returns something true, and return it."""
+    deadline_s = time.monotonic() + WAIT_LIMIT_S
+    while time.monotonic() < deadline_s:
+        result = check()
+        if result:
+            return result
+        time.sleep(0.1)
+    raise AssertionError("did not become true in time")
+
+
+def records(running, text, address=None):
+    answer = running.ask(text, address=address)
+    return answer.table.to_records() if answer and answer.table else []
+
+
+class Session:
+    """Runs commands and keeps a transcript without what differs between runs."""
+
+    def __init__(self, running):
+        self.running = running
+        self.lines = []
+
+    def cli(self, *arguments, zone=1):
+        """Run the command-line tool against a host of a zone."""
+        address = f"{NETWORK}.{zone}.2:8081"
+        command = [sys.executable, "-m", "greengagerock.cli.main", *arguments, "-a", address]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        self.lines.append(mask("$ greengagerock " + " ".join(quote(a) for a in arguments)))
+        for line in (done.stdout + done.stderr).splitlines():
+            self.lines.append(mask(line))
+        self.lines.append(f"exit {done.returncode}")
+        return done.stdout
+
+    def http(self, method, path, zone=1, headers=None, body=None):
+        """Send a caller's request."""
+        url = f"http://{NETWORK}.{zone}.1:8080{path}"
+        response = HTTP.request(method, url, headers=headers, body=body)
+        self.lines.append(f"> {method} {path}")
+        self.lines.append(f"{response.status} {response.reason}")
+        for name in ("Greengage-Outcome", "Retry-After", "Content-Range"):
+            if name in response.headers:
+                self.lines.append(f"{name}: {response.headers[name]}")
+        for name in ("Greengage-Request-Id", "Greengage-Endpoint"):
+            if name in response.headers:
+                self.lines.append(f"{name}: *")
+        if response.headers.get("Content-Type") == "application/json":
+            self.lines.append(mask(response.data.decode().strip()))
+        else:
+            self.lines.append(f"({len(response.data)} bytes)")
+        return response
+
+    def text(self):
+        """Return the transcript."""
+        return "\n".join(self.lines) + "\n"
+
+
+def quote(argument):
+    return f"'{argument}'" if " " in argument else argument
+
+
+MASKS = (
+    (r"\b(till|documents)-\d+\b", r"\1-*"),
+    (r'fence=\d+|"fence": \d+', "fence *"),
+    (r'incarnation=\\?"[0-9a-f]+\\?"', "incarnation *"),
+    (r"(zone-\d-\d#)[0-9a-f]+,voter,(True|False)", r"\1*,voter,*"),
+    (r"\b(cli|golden)-[0-9a-z-]+\b", r"\1-*"),
+    (r"based on \d+, current is \d+", "based on *, current is *"),
+    (r"(?<=  )\d+(?=\s+yes  )", "*"),
+    (r"zone-\d\b(?!-)", "zone-*"),
+    (r" +", " "),
+)
+
+
+def mask(line):
+    for pattern, replacement in MASKS:
+        line = re.sub(pattern, replacement, line)
+    return line
+
+
+def test_operator_and_caller_session(system, snapshot):
+    session = Session(system)
+    session.http("GET", "/till/cards/card-1")
+    session.http("POST", "/till/cards/card-1/charges", zone=2, body=b"amount=3")
+    session.http("GET", "/till")
+    session.http("GET", "/unknown/x")
+    session.http("GET", "/till/cards/card-1", headers={"Prefer": "wait=soon"})
+    session.http("GET", "/documents/exam.pdf?bytes=300000", zone=3)
+    session.http(
+        "GET", "/documents/exam.pdf?bytes=300000", zone=3, headers={"Range": "bytes=299990-"}
+    )
+    session.cli("query", "show services")
+    owner = session.cli("query", "show owner of key card-1 in till", "--format", "json")
+    endpoint = json.loads(owner)[0]["endpoint"]
+    session.cli("query", "show ownr of key card-1 in till")
+    session.cli("query", "show slots of endpoint nobody")
+    session.cli("change", f"drain endpoint {endpoint}; drop service nothing")
+    session.cli("change", f"drain endpoint {endpoint}", "--request-id", "golden-1", zone=2)
+    session.cli("change", f"drain endpoint {endpoint}", "--request-id", "golden-1", zone=3)
+    session.cli("change", "drain endpoint x", "--request-id", "golden-1", zone=3)
+    session.cli("change", f"resume endpoint {endpoint}", "--based-on", "1")
+    eventually(lambda: moved_away(system, endpoint))
+    moved = session.http("GET", "/till/cards/card-1")
+    assert moved.headers["Greengage-Endpoint"] != endpoint
+    session.cli("change", f"resume endpoint {endpoint}", "--dry-run")
+    session.cli("change", f"resume endpoint {endpoint}")
+    session.cli("query", "show voters", "--format", "csv")
+    assert session.text() == snapshot
+
+
+def moved_away(running, endpoint):
+    rows = [r for r in records(running, "show endpoints of till") if r["endpoint"] == endpoint]
+    return rows and rows[0]["units"] == 0
+
+
+def raw_exchange(address, data):
+    """Send bytes to a port and return what comes back until the other side closes."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=10) as connection:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        received = b""
+        while chunk := connection.recv(65_536):
+            received += chunk
+    return received
+
+
+def test_bad_input_to_any_port_gets_a_coded_error_and_harms_nothing(system):
+    callers = f"{NETWORK}.1.1:8080"
+    assert b'"code": "bad-request"' in raw_exchange(callers, b"nonsense\r\n\r\n")
+    huge = b"GET /till/cards/1 HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 100_000 + b"\r\n\r\n"
+    assert b'"code": "headers-too-large"' in raw_exchange(callers, huge)
+    long = b"POST /till/cards/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"
+    assert b'"code": "body-too-large"' in raw_exchange(callers, long)
+    raw_exchange(f"{NETWORK}.1.1:8083", b"\x00SP\x00\x00\x50\x00\x00" + b"\xff" * 40)
+    response = HTTP.request("POST", f"http://{NETWORK}.1.1:8082/announce", body=b"{}")
+    assert (response.status, response.json()["code"]) == (400, "bad-announcement")
+    response = HTTP.request("POST", f"http://{NETWORK}.1.1:8081/operate", body=b"[")
+    assert (response.status, response.json()["code"]) == (400, "bad-request")
+    response = HTTP.request("GET", f"http://{NETWORK}.1.1:8081/nothing")
+    assert response.json()["code"] == "bad-request"
+    served = HTTP.request("GET", f"http://{callers}/till/cards/card-1")
+    assert served.status == 200
+
+
+def test_killed_leader_loses_no_accepted_change_and_comes_back(system):
+    leader = next(r["host"] for r in records(system, "show voters") if r["leader"])
+    address = next(
+        f"{NETWORK}.{zone}.2:8081" for zone in (1, 2, 3) if not leader.startswith(f"zone-{zone}")
+    )
+    accepted = {}
+    for number in range(30):
+        request_id = f"kill-{number}"
+        statement = f"alter service till set timeout_s {2 + number}"
+        if number == 10:
+            system.daemons[f"{leader}.yaml"].send_signal(signal.SIGKILL)
+            system.daemons[f"{leader}.yaml"].wait()
+        answer = eventually(lambda s=statement, r=request_id: accept(system, s, r, address))
+        accepted[request_id] = answer.version
+    system.start_daemon(f"{leader}.yaml")
+    rows = eventually(lambda: changes_if_current(system, leader, address))
+    versions = {row["version"] for row in rows}
+    assert set(accepted.values()) <= versions
+    assert len(set(accepted.values())) == 30
+    for request_id, version in accepted.items():
+        statement = f"alter service till set timeout_s {2 + int(request_id.split('-')[1])}"
+        again = eventually(lambda s=statement, r=request_id: accept(system, s, r, address))
+        assert again.version == version
+
+
+def accept(running, statement, request_id, address):
+    answer = running.ask(statement, request_id, address)
+    return answer if answer and answer.accepted else None
+
+
+def changes_if_current(running, host, address):
+    """Return the history once a restarted host is among the current ones."""
+    names = {row["host"] for row in records(running, "show hosts", address)}
+    return records(running, "show changes", address) if host in names else None
+
+
+def test_frozen_process_of_an_endpoint_loses_its_keys_and_thaws_harmlessly(tmp_path):
+    layout = msgspec.structs.replace(LAYOUTS[0], network="127.5")
+    write_layout(layout, tmp_path)
+    running = ExampleSystem(tmp_path / layout.name, tmp_path, separate_stand_ins=True)
+    try:
+        running.start()
+        running.wait_until_owned()
+        wait_until_even(running)
+        query = "show owner of key card-1 in till"
+        owner = records(running, query)[0]["endpoint"]
+        running.stand_ins[owner].send_signal(signal.SIGSTOP)
+        eventually(lambda: records(running, query)[0]["endpoint"] not in ("", owner))
+        url = "http://127.5.1.1:8080/till/cards/card-1"
+        served = eventually(lambda: answered(url))
+        assert served.headers["Greengage-Endpoint"] != owner
+        running.stand_ins[owner].send_signal(signal.SIGCONT)
+        plan = next(item for item in running.plan.stand_ins if item.name == owner)
+        order = 'unit="113", fence=1, incarnation="x"'
+        url = f"http://{plan.ip}:{plan.port}/cards/card-1"
+        direct = HTTP.request("POST", url, headers={"Greengage-Order": order})
+        assert direct.headers["Greengage-Refused"] == "outdated-order"
+    finally:
+        running.stop()
+
+
+def answered(url):
+    response = HTTP.request("GET", url)
+    return response if response.status == 200 else None
+
+
+def test_planned_stop_of_every_host_in_turn_cuts_off_nothing(system):
+    failures = []
+    for name in list(system.plan.hosts):
+        zone, number = int(name[5]), int(name[7])
+        url = f"http://{NETWORK}.{zone}.{number}:8080/documents/exam.pdf?bytes=200000"
+        switch_documents(system, Switches(delay_s=0.5))
+        pending = [start_request(url) for _ in range(3)]
+        time.sleep(0.2)
+        process = system.daemons[name]
+        process.send_signal(signal.SIGTERM)
+        for worker, result in pending:
+            worker.join()
+            if result != [(200, 200_000)]:
+                failures.append((name, result))
+        assert process.wait(30) == 0
+        system.start_daemon(name)
+        eventually(lambda n=name: is_ready(f"{NETWORK}.{n[5]}.{n[7]}"))
+    assert failures == []
+
+
+def switch_documents(running, switches):
+    for item in running.plan.stand_ins:
+        if item.service == "documents":
+            url = f"http://{item.ip}:{item.port}/-/switches"
+            HTTP.request("POST", url, body=msgspec.json.encode(switches))
+
+
+def start_request(url):
+    """Send a request on a thread; returns the thread and the list for its result."""
+    result = []
+
+    def run():
+        response = HTTP.request("GET", url)
+        result.append((response.status, len(response.data)))
+
+    worker = threading.Thread(target=run)
+    worker.start()
+    return worker, result
+
+
+def is_ready(ip):
+    try:
+        return HTTP.request("GET", f"http://{ip}:8080/-/ready").status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
