--- a/greengagerock/control/controller.py
+++ b/greengagerock/control/controller.py
@@ -22,6 +22,7 @@
     KeeperGrant,
     KeeperLeaving,
     ZoneHost,
+    digest_hosts,
 )
 from greengagerock.model import STATE_LOST
 from greengagerock.model.timing import LEADER_TICK_INTERVAL_S
@@ -258,7 +259,10 @@
             self._on_report(report)
         watch.granted_s = self.timers.now_s
         delta = self.machine.delta_since(beat.version)
-        grant = KeeperGrant(beat.epoch, beat.sent_s, self._zone_hosts(beat.zone), delta)
+        hosts = self._zone_hosts(beat.zone)
+        if digest_hosts(hosts) == beat.hosts_digest:
+            hosts = ()
+        grant = KeeperGrant(beat.epoch, beat.sent_s, hosts, delta)
         self.outbox.send(address, grant)
 
     # --- Endpoints -----------------------------------------------------------------
@@ -286,7 +290,7 @@
             service = routes.services.get(endpoint.service)
             if endpoint.state == STATE_LOST or service is None:
                 continue
-            if self.watch(endpoint.zone).home_lease_ended(now_s, service.cut_hold_s):
+            if self.watch(endpoint.zone).home_lease_ended(now_s, service):
                 lost = msgspec.structs.replace(endpoint, state=STATE_LOST)
                 command = EndpointReported(lost, self.timeline.wall_clock_us())
                 self.propose_once(("endpoint", lost), command)
--- a/greengagerock/control/draft.py
+++ b/greengagerock/control/draft.py
@@ -128,6 +128,9 @@
             if not low <= value <= high:
                 raise GreengageError("invalid-value", f"{name} must be from {low} to {high}")
             values[name] = int(value) if isinstance(low, int) else float(value)
+        if values.get("cut_hold_s", service.cut_hold_s) < service.cut_hold_s:
+            values["earlier_cut_hold_s"] = max(service.cut_hold_s, service.earlier_cut_hold_s)
+            values["cut_hold_since"] = self.index
         return msgspec.structs.replace(service, **values)
 
     def _drop_service(self, name):
--- a/greengagerock/control/owners.py
+++ b/greengagerock/control/owners.py
@@ -194,7 +194,7 @@
         now_s = self.controller.timers.now_s
         watches = self.controller.all_watches()
         zone = source.zone if source else ""
-        release = routers_released(watches, transfer.revoked_at, zone, service.cut_hold_s, now_s)
+        release = routers_released(watches, transfer.revoked_at, zone, service, now_s)
         if not release.free:
             return False
         acknowledged = all(watch.acknowledged >= transfer.revoked_at for watch in watches)
--- a/greengagerock/control/zones.py
+++ b/greengagerock/control/zones.py
@@ -82,9 +82,10 @@
         recent = [c for c, s in self.candidates.items() if now_s - s < KEEPER_SILENCE_LIMIT_S]
         return min(recent)[1] if recent else None
 
-    def home_lease_ended(self, now_s, cut_hold_s):
-        """Return whether the zone has surely stopped using keys of its own."""
-        return now_s > self.granted_s + lender_duration(cut_hold_s)
+    def home_lease_ended(self, now_s, service):
+        """Return whether the zone has surely stopped using its own keys of a service."""
+        hold_s = service.hold_for(self.acknowledged)
+        return now_s > self.granted_s + lender_duration(hold_s)
 
     def foreign_lease_ended(self, now_s):
         """Return whether the zone's routers have surely stopped sending to other zones."""
@@ -103,14 +104,14 @@
     awaited: tuple[str, ...] = ()
 
 
-def routers_released(watches, version, source_zone, cut_hold_s, now_s):
+def routers_released(watches, version, source_zone, service, now_s):
     """Check that no router can still send by routes older than ``version``.
 
     Args:
         watches: ``ZoneWatch`` objects of all zones.
         version: Version at which the unit was revoked.
         source_zone: Zone of the endpoint that owned it.
-        cut_hold_s: The service's ``cut_hold_s``.
+        service: The service of the unit.
         now_s: The leader's time.
 
     Returns:
@@ -121,7 +122,7 @@
         if watch.acknowledged >= version:
             continue
         if watch.name == source_zone:
-            ended = watch.home_lease_ended(now_s, cut_hold_s)
+            ended = watch.home_lease_ended(now_s, service)
         else:
             ended = watch.foreign_lease_ended(now_s)
         if not ended:
--- a/greengagerock/membership/keeper.py
+++ b/greengagerock/membership/keeper.py
@@ -8,6 +8,8 @@
     KeeperHere,
     KeeperLeaving,
     RouterGrant,
+    ZoneHost,
+    digest_hosts,
 )
 from greengagerock.membership.sessions import NEVER_S, Session, endpoint_lease_s, is_settled
 from greengagerock.model import (
@@ -271,11 +273,11 @@
 
     def _grants_for(self, announcement):
         """Return all units of the endpoint, or ``None`` if it already has them."""
-        owned = self.routes.units_of_endpoint(announcement.name)
         record = self.routes.endpoints[announcement.name]
         changed_at = max(record.since, self.routes.changed_at(announcement.name))
         if announcement.applied_version >= changed_at:
             return None
+        owned = self.routes.units_of_endpoint(announcement.name)
         return tuple(GrantedUnit(item.unit.label, item.owner.fence) for item in owned)
 
     # --- Reports to the leader -----------------------------------------------------
@@ -287,8 +289,9 @@
         if self.contact_s == NEVER_S:
             self._adopt_endpoints()
         self.contact_s = max(self.contact_s, grant.echo_s)
+        if grant.zone_hosts:
+            self.routers = {host.name: host.address for host in grant.zone_hosts}
         for host in grant.zone_hosts:
-            self.routers[host.name] = host.address
             self.leases.setdefault(host.name, RouterLease(NEVER_S))
         for sent_s in [s for s in self._reported if s <= grant.echo_s]:
             for name, version in self._reported.pop(sent_s):
@@ -328,6 +331,7 @@
             self.routes.version,
             self.acknowledged(),
             tuple(reports),
+            digest_hosts(ZoneHost(name, self.routers[name]) for name in self.routers),
         )
 
     def _expire_sessions(self):
--- a/greengagerock/membership/messages.py
+++ b/greengagerock/membership/messages.py
@@ -1,6 +1,7 @@
 """Messages between routers, zone keepers and the controller's leader."""
 
 import msgspec
+import xxhash
 
 from greengagerock.control.commands import HostRecord
 from greengagerock.model import Announcement, AnnouncementReply, Endpoint, RouteDelta
@@ -25,6 +26,16 @@
     address: str
 
 
+def digest_hosts(hosts):
+    """Return a digest of hosts, whatever their order.
+
+    Args:
+        hosts: ``ZoneHost`` objects.
+    """
+    text = msgspec.msgpack.encode(sorted((host.name, host.address) for host in hosts))
+    return xxhash.xxh3_64_intdigest(text)
+
+
 class HelloReply(msgspec.Struct, frozen=True, tag="hello-reply"):
     """Where the host finds its keeper and the leader.
 
@@ -77,6 +88,7 @@
         version: Version of its routes.
         acknowledged: Version that every router of the zone with a lease has in force.
         reports: Endpoints about which the leader may not know everything.
+        hosts_digest: Digest of the zone's hosts that the keeper knows.
     """
 
     zone: str
@@ -86,6 +98,7 @@
     version: int
     acknowledged: int
     reports: tuple[EndpointReport, ...] = ()
+    hosts_digest: int = 0
 
 
 class KeeperGrant(msgspec.Struct, frozen=True, tag="keeper-grant"):
@@ -94,7 +107,7 @@
     Attributes:
         epoch: Epoch that it renews.
         echo_s: ``sent_s`` of the beat that it answers.
-        zone_hosts: All hosts of the zone.
+        zone_hosts: All hosts of the zone if the keeper knows others, else nothing.
         delta: Route changes that the keeper lacks, or ``None``.
     """
 
--- a/greengagerock/model/service.py
+++ b/greengagerock/model/service.py
@@ -25,6 +25,9 @@
         churn_weight: From 0 (only even load counts) to 1 (only few moves count).
         max_load_percent: Load that one endpoint may carry, in percent of its capacity.
         moves_per_hour: Moves allowed for balance, in slots per hour.
+        earlier_cut_hold_s: Longest ``cut_hold_s`` that zones may still go by which have
+            not acknowledged ``cut_hold_since``.
+        cut_hold_since: Version at which ``cut_hold_s`` was last shortened.
     """
 
     name: str
@@ -35,6 +38,23 @@
     churn_weight: float = DEFAULT_CHURN_WEIGHT
     max_load_percent: float = DEFAULT_MAX_LOAD_PERCENT
     moves_per_hour: int = DEFAULT_MOVES_PER_HOUR
+    earlier_cut_hold_s: float = 0.0
+    cut_hold_since: int = 0
+
+    def hold_for(self, acknowledged):
+        """Return the ``cut_hold_s`` that a zone may still go by.
+
+        Args:
+            acknowledged: Version that the zone has in force.
+
+        Examples:
+            >>> till = Service("till", cut_hold_s=5, earlier_cut_hold_s=60, cut_hold_since=9)
+            >>> till.hold_for(8), till.hold_for(9)
+            (60, 5)
+        """
+        if acknowledged >= self.cut_hold_since:
+            return self.cut_hold_s
+        return max(self.cut_hold_s, self.earlier_cut_hold_s)
 
     @property
     def keyed(self):
--- a/greengagerock/node/tests/test_cuts.py
+++ b/greengagerock/node/tests/test_cuts.py
@@ -79,6 +79,24 @@
     assert all_owned(system)
 
 
+def test_shortened_hold_waits_for_a_zone_that_has_not_heard_of_it():
+    system = build_fake_system(rules="set cut_hold_s 30, timeout_s 1", **HOSTS)
+    InvariantWatch(system)
+    zone = cut_zone_of_no_leader(system)
+    key = key_of_zone(system, zone)
+    inside, leader = f"host-{zone[5:]}-1", leader_of(system).config.host.name
+    system.cut_zone(zone)
+    system.run_for(3.0)
+    assert system.ask_and_wait(leader, "alter service till set cut_hold_s 2", "c").accepted
+    system.run_for(10.0)
+    # The zone still goes by 30 s, so nothing of it may have moved.
+    assert system.try_request(inside, "till", f"/cards/{key}") == "ok"
+    assert owner_zone(system, key) == zone
+    system.run_for(25.0)
+    assert owner_zone(system, key) != zone
+    assert system.try_request(inside, "till", f"/cards/{key}") == "no-route-lease"
+
+
 def test_zone_whose_keeper_dies_during_the_cut_stops_within_its_leases():
     system = build_fake_system(rules="set cut_hold_s 60", **HOSTS)
     InvariantWatch(system)
--- a/greengagerock/testing/fakes.py
+++ b/greengagerock/testing/fakes.py
@@ -117,6 +117,11 @@
         seed: Seed of delays and of the nodes.
         loss: Share of messages that are lost.
         duplication: Share of messages that arrive twice, the second one late.
+
+    Attributes:
+        cuts_requests: Whether a zone that is cut off also gets no requests from other
+            zones. Without it a cut only concerns the hosts, which is harder to survive:
+            outdated routers can still do harm.
     """
 
     def __init__(self, seed=1, loss=0.0, duplication=0.0):
@@ -128,6 +133,8 @@
         self.by_address = {}
         self.endpoints = {}
         self.cuts = set()
+        self.cut_zones = set()
+        self.cuts_requests = False
         self.answers = {}
         self.operator_answers = {}
         self.request_times = {}
@@ -214,10 +221,12 @@
         outside = [n for n in self.hosts if n not in inside]
         self.cut(inside, outside)
         self.cut(outside, inside)
+        self.cut_zones.add(zone)
 
     def heal(self):
         """End all cuts."""
         self.cuts.clear()
+        self.cut_zones.clear()
 
     def zone_of(self, host_name):
         """Return a host's availability zone."""
@@ -428,7 +437,7 @@
             (e for e in self.endpoints.values() if e.name == effect.endpoint and e.up), None
         )
         delay_s = min(REQUEST_DELAY_S, effect.timeout_s)
-        if endpoint is None:
+        if endpoint is None or self._request_is_cut(host, endpoint):
             failure = AttemptFailed(effect.token, "connect", False, False)
             self.at(delay_s, lambda: self._feed_life(host, life, failure))
             return
@@ -439,6 +448,10 @@
             lambda: self._when_thawed(endpoint, lambda: self._begin(host, life, effect, endpoint)),
         )
 
+    def _request_is_cut(self, host, endpoint):
+        zones = {host.config.host.zone, endpoint.announcement.zone}
+        return self.cuts_requests and len(zones) > 1 and bool(zones & self.cut_zones)
+
     def _begin(self, host, life, effect, endpoint):
         if not endpoint.up:
             failure = AttemptFailed(effect.token, "lost", True, False)
