Settle silent connections, absent callers and failing endpoints by own observation

Cause: a request on a pooled connection that has gone dead hung until its deadline; a caller that went away left its request running; retries had no budget; an endpoint that failed requests was chosen again at once.

Change: idempotent requests are cancelled after 1 s of silence on a used connection and sent once more on a new one, its idle siblings are dropped, and charges beside it are settled as unknown once the new connection is answered; TCP_USER_TIMEOUT ends connections whose data is not acknowledged for 2 s; the loop watches waiting callers; retries are at most a fifth of the requests; endpoints that fail three times in a row are avoided for 1 to 8 s.

--- a/greengagerock/core/seam.py
+++ b/greengagerock/core/seam.py
@@ -80,6 +80,18 @@
     body_used: bool
 
 
+class AnswerBegan(msgspec.Struct, frozen=True):
+    """The head of an endpoint's answer has come."""
+
+    token: int
+
+
+class CallerGone(msgspec.Struct, frozen=True):
+    """The caller closed its connection before the answer began."""
+
+    token: int
+
+
 class RequestEnded(msgspec.Struct, frozen=True):
     """The caller has its answer, or the answer broke off.
 
@@ -169,9 +181,22 @@
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
-    """Close the connection of a request whose endpoint is lost."""
+    """Close the connection of a request that nobody waits for any more.
+
+    Attributes:
+        token: The request.
+        only_reused: Do so only if the connection had been used before and nothing of
+            the answer has come.
+    """
 
     token: int
+    only_reused: bool = False
+
+
+class DropConnections(msgspec.Struct, frozen=True):
+    """Close the idle connections to an endpoint; new requests use new ones."""
+
+    address: str
 
 
 class ReplyAnnouncement(msgspec.Struct, frozen=True):
--- a/greengagerock/daemon/bridge.py
+++ b/greengagerock/daemon/bridge.py
@@ -11,11 +11,15 @@
     Attributes:
         post: Callable that hands an event to the loop; set by the daemon.
         post_lazily: The same for events that no decision waits for.
+        watch_caller: Callable that watches a caller's connection for its end.
+        unwatch_caller: Callable that ends the watch.
     """
 
     def __init__(self):
         self.post = None
         self.post_lazily = None
+        self.watch_caller = None
+        self.unwatch_caller = None
         self._tokens = itertools.count(1)
         self._waiting = {}
         self._attempts = {}
@@ -62,10 +66,10 @@
         """The attempt has ended."""
         self._attempts.pop(token, None)
 
-    def cancel(self, token):
+    def cancel(self, token, only_reused):
         """Close the connection of an attempt; called by the loop."""
         attempt = self._attempts.get(token)
-        if attempt is not None:
+        if attempt is not None and not (only_reused and attempt.is_new):
             attempt.cancel()
 
     def _box(self):
--- a/greengagerock/daemon/daemon.py
+++ b/greengagerock/daemon/daemon.py
@@ -55,9 +55,12 @@
         self.links = Links(settings.host, settings.link_address)
         self.node = self._make_node()
         self.writer = RecordWriter(self.folder, self._post) if self.folder else None
-        self.loop = EventLoop(self.node, self.links, self.bridge, self.writer, log)
+        self.upstream = Upstream(settings.limits)
+        self.loop = EventLoop(self.node, self.links, self.bridge, self.writer, self.upstream, log)
         self.bridge.post = self.loop.post
         self.bridge.post_lazily = self.loop.post_lazily
+        self.bridge.watch_caller = self.loop.watch_caller
+        self.bridge.unwatch_caller = self.loop.unwatch_caller
         self.metrics.watch(self.node, self.links)
         self.servers = self._make_servers()
 
@@ -116,8 +119,9 @@
 
     def _make_servers(self):
         settings = self.settings
-        upstream = Upstream(settings.limits)
-        callers = CallerApplication(settings.host, self.bridge, upstream, self.metrics, self.log)
+        callers = CallerApplication(
+            settings.host, self.bridge, self.upstream, self.metrics, self.log
+        )
         operators = OperatorRoot(
             self.bridge, self.node.timeline, lambda: describe_host(self), self.metrics
         )
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -7,7 +7,9 @@
 
 from greengagerock.core.seam import (
     Answer,
+    CallerGone,
     CancelAttempt,
+    DropConnections,
     Forward,
     LogEvent,
     MessageReceived,
@@ -34,17 +36,20 @@
         links: Links to the system's other processes.
         bridge: Where worker threads wait for decisions.
         writer: Writes a voter's records, or ``None``.
+        upstream: Connections to endpoints.
         log: Callable that writes one log line.
 
     Attributes:
         stop_code: Error code with which the loop ended; empty after a planned stop.
     """
 
-    def __init__(self, node, links, bridge, writer, log):
+    def __init__(self, node, links, bridge, writer, upstream, log):
         self.node = node
         self.links = links
         self.bridge = bridge
         self.writer = writer
+        self.upstream = upstream
+        self._watched = {}
         self.log = log
         self.stop_code = ""
         self.running = True
@@ -72,6 +77,20 @@
         if self._asleep and self.node.waits_for_requests():
             os.eventfd_write(self._wake_fd, 1)
 
+    def watch_caller(self, token, descriptor):
+        """Report it when a caller closes its connection, from any thread."""
+        self._watched[descriptor] = token
+        try:
+            self._poll.register(descriptor, select.EPOLLRDHUP)
+        except OSError:
+            # The caller has already gone; sending the answer will fail.
+            self._watched.pop(descriptor, None)
+
+    def unwatch_caller(self, descriptor):
+        """Stop watching a caller, before its connection is used for the answer."""
+        if self._watched.pop(descriptor, None) is not None:
+            self._poll.unregister(descriptor)
+
     def run(self):
         """Run until the node asks to stop."""
         self._carry_out(self.node.start())
@@ -90,10 +109,19 @@
         timeout_s = 0 if self._inbox else self._idle_s()
         ready = [descriptor for descriptor, _ in self._poll.poll(timeout_s)]
         self._asleep = False
+        if len(self._watched):
+            self._take_gone_callers(ready)
         if self._wake_fd in ready:
             os.eventfd_read(self._wake_fd)
         return self._receive_fd in ready
 
+    def _take_gone_callers(self, ready):
+        for descriptor in ready:
+            token = self._watched.pop(descriptor, None)
+            if token is not None:
+                self._poll.unregister(descriptor)
+                self._inbox.append(CallerGone(token))
+
     def _idle_s(self):
         due_s = self.node.next_due_s()
         return None if due_s is None else max(0.0, due_s - time.monotonic())
@@ -139,8 +167,10 @@
                     self.bridge.deliver(token, code)
                 case LogEvent(event, fields):
                     self.log(event, **fields)
-                case CancelAttempt(token):
-                    self.bridge.cancel(token)
+                case CancelAttempt(token, only_reused):
+                    self.bridge.cancel(token, only_reused)
+                case DropConnections(address):
+                    self.upstream.drop(address)
                 case StopProcess(code):
                     self.stop_code = code
                     self.running = False
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -8,7 +8,9 @@
 from greengagerock.control.operators import OperatorRelay, OperatorRelayAnswer
 from greengagerock.core import Timeline, TimerService
 from greengagerock.core.seam import (
+    AnswerBegan,
     AttemptFailed,
+    CallerGone,
     EndpointAnnounced,
     MessageReceived,
     OperatorAsked,
@@ -142,6 +144,10 @@
             case RequestEnded():
                 self.router.on_request_ended(event)
                 self.stop_sequence.check()
+            case AnswerBegan():
+                self.router.on_answer_began(event)
+            case CallerGone():
+                self.router.on_caller_gone(event)
             case AttemptFailed():
                 self.router.on_attempt_failed(event)
                 self.stop_sequence.check()
--- /dev/null
+++ b/greengagerock/node/tests/test_golden_sessions.py
@@ -0,0 +1,126 @@
+"""Golden files of whole sessions in virtual time: a cut and its healing, and a race."""
+
+from greengagerock.core import TimelineFilter, merge_timelines
+from greengagerock.model import slot_of_key
+from greengagerock.testing.invariants import InvariantWatch
+from greengagerock.testing.systems import build_fake_system, leader_of, leader_state, settle
+
+SLOTS = 16
+
+
+class Transcript:
+    """Writes down what happens, with times relative to the start."""
+
+    def __init__(self, system):
+        self.system = system
+        self.start_s = system.now_s
+        self.lines = []
+
+    def note(self, text):
+        """Add one line."""
+        self.lines.append(f"{self.system.now_s - self.start_s:8.2f} s  {text}")
+
+    def request(self, host, key):
+        """Send a request and note its outcome."""
+        owner = leader_state(self.system)
+        name = owner.routes.owners["till"][slot_of_key(key, SLOTS)].endpoint if owner else "?"
+        outcome = self.system.try_request(host, "till", f"/cards/{key}")
+        self.note(f"{host} asks for {key} of {name}: {outcome}")
+
+    def change(self, host, text, request_id, base=None):
+        """Make a change and note the answer."""
+        answer = self.system.ask_and_wait(host, text, request_id, base)
+        self.answer(host, text, answer)
+
+    def answer(self, host, text, answer):
+        """Note the answer to a change."""
+        shown = answer.code or f"accepted, in force: {answer.in_force}"
+        waiting = f", waiting for {' '.join(answer.waiting)}" if answer.waiting else ""
+        self.note(f"{host}: {text!r}: {shown}{waiting}")
+
+    def query(self, host, text):
+        """Ask a query and note its rows."""
+        table = self.system.ask_and_wait(host, text).table
+        self.note(f"{host}: {text!r}")
+        self.lines += [
+            f"{'':12}{dict(zip(table.columns, row, strict=True))}" for row in table.rows
+        ]
+
+    def events(self):
+        """Add the merged time line of all hosts since the start."""
+        nodes = [host.node for host in self.system.hosts.values() if host.node]
+        since = TimelineFilter(since_us=int(self.start_s * 1e6))
+        for event in merge_timelines(node.timeline.select(since) for node in nodes):
+            at_s = event.at.wall_us / 1e6 - self.start_s
+            self.lines.append(f"{at_s:8.2f} s  [{event.host}] {event.kind} {event.endpoint}")
+
+    def text(self):
+        """Return the whole transcript."""
+        return "\n".join(self.lines) + "\n"
+
+
+def test_cut_and_heal(snapshot):
+    system = build_fake_system(
+        hosts_per_zone=3, voters=5, seed=7, rules="set cut_hold_s 10, timeout_s 1"
+    )
+    InvariantWatch(system)
+    leader = leader_of(system).config.host
+    zone = next(z for z in ("zone-1", "zone-2", "zone-3") if z != leader.zone)
+    routes = leader_state(system).routes
+    keys = [f"card-{n}" for n in range(40)]
+
+    def zone_of_key(key):
+        return routes.endpoints[routes.owners["till"][slot_of_key(key, SLOTS)].endpoint].zone
+
+    inner = next(k for k in keys if zone_of_key(k) == zone)
+    outer = next(k for k in keys if zone_of_key(k) == leader.zone)
+    inside, outside = f"host-{zone[5:]}-2", f"host-{leader.zone[5:]}-2"
+    script = Transcript(system)
+    script.note(f"cut {zone}")
+    system.cuts_requests = True
+    system.cut_zone(zone)
+    for pause_s in (1.0, 3.0, 10.0):
+        system.run_for(pause_s)
+        for host in (inside, outside):
+            for key in (inner, outer):
+                script.request(host, key)
+    script.change(outside, "alter service till set timeout_s 2", "during-the-cut")
+    script.query(outside, "show zones")
+    script.query(outside, "show churn")
+    script.note("heal")
+    system.heal()
+    settle(system)
+    script.note("settled")
+    script.request(inside, inner)
+    script.request(inside, outer)
+    script.change(outside, "alter service till set timeout_s 2", "during-the-cut")
+    script.query(inside, "show zones")
+    script.events()
+    assert script.text() == snapshot
+
+
+def test_operator_race(snapshot):
+    system = build_fake_system(seed=11)
+    InvariantWatch(system)
+    script = Transcript(system)
+    base = leader_state(system).config_version
+    hosts = ("host-1-2", "host-2-2", "host-3-2")
+    texts = [f"alter service till set timeout_s {number}" for number in (3, 4, 5)]
+    tokens = [
+        system.ask(host, text, f"race-{host}", base)
+        for host, text in zip(hosts, texts, strict=True)
+    ]
+    system.run_for(2.0)
+    for host, text, token in zip(hosts, texts, tokens, strict=True):
+        script.answer(host, text, system.operator_answers[token])
+    script.note("every operator resends")
+    for host, text in zip(hosts, texts, strict=True):
+        script.change(host, text, f"race-{host}", base)
+    script.note("the leader is lost, every operator resends")
+    system.crash_host(leader_of(system).config.host.name)
+    system.run_until(lambda: leader_of(system) is not None, 10.0)
+    for host, text in zip(hosts, texts, strict=True):
+        script.change(host, text, f"race-{host}", base)
+    script.change("host-2-2", "alter service till set timeout_s 9", "race-host-1-2", base)
+    script.query("host-3-2", "show changes")
+    assert script.text() == snapshot
--- a/greengagerock/routing/choice.py
+++ b/greengagerock/routing/choice.py
@@ -1,17 +1,19 @@
 """Choice of an endpoint for services without keys."""
 
 
-def choose_endpoint(endpoints, zone, tried, load_of, random):
+def choose_endpoint(endpoints, zone, tried, load_of, is_avoided, random):
     """Return the less loaded of two endpoints drawn at random.
 
     Endpoints of the own availability zone come first; other zones are used
-    only when the own zone has none left.
+    only when the own zone has none left. Endpoints that failed lately are used
+    only when there are no others.
 
     Args:
         endpoints: All endpoints of the service.
         zone: The router's availability zone.
         tried: Names of endpoints that the request was already sent to.
         load_of: Callable from endpoint name to requests in flight.
+        is_avoided: Callable from endpoint name to whether it failed lately.
         random: Source of chance.
 
     Returns:
@@ -22,8 +24,9 @@
         IEEE TPDS 12(10), 2001.
     """
     usable = [e for e in endpoints if e.takes_work and e.name not in tried]
-    near = [e for e in usable if e.zone == zone]
-    candidates = near or usable
+    sound = [e for e in usable if not is_avoided(e.name)]
+    near = [e for e in sound if e.zone == zone]
+    candidates = near or sound or usable
     if not candidates:
         return None
     if len(candidates) == 1:
--- a/greengagerock/routing/requests.py
+++ b/greengagerock/routing/requests.py
@@ -19,16 +19,26 @@
         endpoint: Endpoint that has it now.
         tried: Names of all endpoints it was sent to.
         deadline_s: Router's time by which it has to be answered.
+        sent_s: Router's time of the present attempt.
+        answering: Whether the head of the answer has come.
+        silent: Whether its connection is given up as silent.
+        abandoned: Whether its caller has gone.
+        resent: Whether it was sent again after a silent connection.
         orphaned: Whether its endpoint was declared lost, so that its attempt was
             cancelled and its answer will not be waited for.
     """
 
     __slots__ = (
+        "abandoned",
+        "answering",
         "deadline_s",
         "endpoint",
         "event",
         "fence",
         "orphaned",
+        "resent",
+        "sent_s",
+        "silent",
         "service",
         "tried",
         "unit",
@@ -43,6 +53,16 @@
         self.tried = []
         self.deadline_s = deadline_s
         self.orphaned = False
+        self.resent = False
+        self.answering = False
+        self.silent = False
+        self.abandoned = False
+        self.sent_s = 0.0
+
+    @property
+    def may_be_resent(self):
+        """Whether it may be sent again to the endpoint that already has it."""
+        return self.is_idempotent and not self.resent
 
     @property
     def is_idempotent(self):
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -2,13 +2,18 @@
 
 from greengagerock.agent.orders import ORDER_HEADER, Order
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN, GreengageError
-from greengagerock.core.seam import Answer, CancelAttempt, Forward
+from greengagerock.core.seam import Answer, CancelAttempt, DropConnections, Forward
 from greengagerock.model import STATE_LOST, extract_key
 from greengagerock.routing.choice import choose_endpoint
+from greengagerock.routing.health import EndpointHealth, RetryBudget
 from greengagerock.routing.requests import InFlight, RequestRegistry, parse_timeout_s
 
 QUEUE_PER_ENDPOINT = 12
 
+# Nothing heard for so long on a used connection makes it suspect.
+SILENCE_S = 1.0
+SWEEP_INTERVAL_S = 0.25
+
 REASON_CONNECT = "connect"
 REASON_REFUSED = "refused"
 REASON_LOST = "lost"
@@ -65,6 +70,9 @@
         self.random = random
         self.registry = RequestRegistry()
         self.stats = RouterStats()
+        self.health = EndpointHealth()
+        self.budget = RetryBudget()
+        self._sweeping = False
         self.closing = False
         self.stopping = False
 
@@ -91,6 +99,7 @@
             if self.stopping:
                 raise GreengageError("stopping", "another entry host will answer")
             request = self._accept(event)
+            self.budget.earn()
             self.registry.add(request)
             self._send(request)
         except GreengageError as error:
@@ -121,6 +130,8 @@
             endpoint, fence = self._owner(request)
         self._admit(endpoint)
         self.registry.assign(request, endpoint.name, fence)
+        request.sent_s = self.timers.now_s
+        self._arm_sweep()
         self.outbox.add(self._forward(request, endpoint, fence))
 
     def _owner(self, request):
@@ -140,6 +151,7 @@
             self.zone,
             request.tried,
             self.registry.load_of,
+            lambda name: self.health.is_avoided(name, self.timers.now_s),
             self.random,
         )
         if endpoint is None:
@@ -172,11 +184,66 @@
 
     # --- Failure and end -----------------------------------------------------------
 
+    def _arm_sweep(self):
+        if not self._sweeping:
+            self._sweeping = True
+            self.timers.subscribe(SWEEP_INTERVAL_S, self._sweep)
+
+    def _sweep(self):
+        """Give up used connections on which nothing has come for long.
+
+        Something between the two ends may have lost track of them. The shell ignores
+        this for a new connection, whose endpoint is merely slow.
+        """
+        self._sweeping = False
+        for token, request in self.registry.by_token.items():
+            if request.may_be_resent and self._is_silent(request):
+                request.silent = True
+                self.outbox.add(CancelAttempt(token, only_reused=True))
+        if len(self.registry):
+            self._arm_sweep()
+
+    def _is_silent(self, request):
+        waits_s = self.timers.now_s - request.sent_s
+        return not request.answering and not request.silent and waits_s > SILENCE_S
+
+    def on_answer_began(self, event):
+        """Take note that the head of an answer has come."""
+        request = self.registry.get(event.token)
+        if request is not None:
+            self._note_answer(request)
+
+    def _note_answer(self, request):
+        if request.answering:
+            return
+        request.answering = True
+        self.health.note_success(request.endpoint)
+        if request.resent:
+            self._settle_silent_siblings(request)
+
+    def _settle_silent_siblings(self, request):
+        """Give up older attempts at an endpoint that answers on a new connection."""
+        for token, other in self.registry.by_token.items():
+            if other.endpoint == request.endpoint and self._is_silent(other):
+                other.silent = True
+                self.outbox.add(CancelAttempt(token, only_reused=True))
+
+    def on_caller_gone(self, event):
+        """Pass the cancellation on to the endpoint."""
+        request = self.registry.get(event.token)
+        if request is not None:
+            request.abandoned = True
+            self.outbox.add(CancelAttempt(event.token))
+
     def on_attempt_failed(self, event):
         """Decide whether to try again or to give up."""
         request = self.registry.get(event.token)
         if request is None:
             return
+        if request.silent and not request.abandoned:
+            self._drop_connections(request)
+        elif event.reason != REASON_REFUSED and not request.abandoned:
+            self.health.note_failure(request.endpoint, self.timers.now_s)
         self.registry.unassign(request)
         try:
             if not self._may_retry(request, event):
@@ -188,15 +255,31 @@
             outcome = OUTCOME_NOT_RUN if is_certainly_not_run(event) else OUTCOME_UNKNOWN
             self._give_up(request.event, error, outcome)
 
+    def _drop_connections(self, request):
+        """Treat the other idle connections to an endpoint like the one that went silent."""
+        endpoint = self.history.routes.endpoints.get(request.endpoint)
+        if endpoint is not None:
+            self.outbox.add(DropConnections(endpoint.address))
+
     def _may_retry(self, request, event):
-        if event.body_used or request.unit is not None:
+        if event.body_used or request.abandoned or request.orphaned:
             return False
-        return is_certainly_not_run(event) or request.is_idempotent
+        if request.silent and request.may_be_resent:
+            # The same endpoint, over a new connection.
+            request.silent = False
+            request.resent = True
+            request.tried.clear()
+            return self.budget.take()
+        if request.unit is not None:
+            return False
+        return (is_certainly_not_run(event) or request.is_idempotent) and self.budget.take()
 
     def on_request_ended(self, event):
         """Take note that the caller has the endpoint's answer, or that it broke off."""
-        request = self.registry.remove(event.token)
+        request = self.registry.get(event.token)
         if request is not None:
+            self._note_answer(request)
+            self.registry.remove(event.token)
             outcome = "answered" if event.complete else "broken-off"
             self.stats.count(request.service.name, outcome)
 
--- a/greengagerock/web/callers.py
+++ b/greengagerock/web/callers.py
@@ -10,6 +10,7 @@
 from greengagerock.core import ERROR_KINDS, OUTCOME_UNKNOWN
 from greengagerock.core.seam import (
     Answer,
+    AnswerBegan,
     AttemptFailed,
     ReadinessAsked,
     RequestArrived,
@@ -134,6 +135,10 @@
     def _attempt(self, forward, target):
         attempt = Attempt()
         self.app.bridge.register_attempt(self.token, attempt)
+        descriptor = self.environ["greengage.descriptor"]
+        if self.body is None:
+            # With a body to read, a caller that goes away ends the reading.
+            self.app.bridge.watch_caller(self.token, descriptor)
         try:
             return self.app.upstream.send(
                 forward,
@@ -145,6 +150,8 @@
             )
         finally:
             self.app.bridge.forget_attempt(self.token)
+            if self.body is None:
+                self.app.bridge.unwatch_caller(descriptor)
 
     def _headers_for(self, forward):
         headers = {
@@ -173,6 +180,8 @@
 
     def _relay(self, forward, response):
         self.endpoint = forward.endpoint
+        if is_long(response):
+            self.app.bridge.post_lazily(AnswerBegan(self.token))
         received = response.headers
         dropped = _DROPPED_FROM_ANSWERS
         if "Connection" in received:
@@ -217,6 +226,12 @@
         self.app.bridge.post_lazily(RequestEnded(self.token, self.complete))
 
 
+def is_long(response):
+    """Return whether an answer's end may come long after its head."""
+    length = response.headers.get("Content-Length", "")
+    return not length.isdigit() or int(length) > BODY_CHUNK_BYTES
+
+
 def read_headers(environ):
     """Return the request's headers with lower-case names."""
     headers = {
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -4,6 +4,7 @@
 import threading
 
 from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.wsgi import Gateway_10
 from cherrypy._cpserver import Server
 from cherrypy._cpwsgi_server import CPWSGIServer
 
@@ -50,6 +51,16 @@
             return
 
 
+class SocketGateway(Gateway_10):
+    """A WSGI gateway that lets the application see the caller's connection."""
+
+    def get_environ(self):
+        """Return the environment with the descriptor of the caller's socket."""
+        environ = super().get_environ()
+        environ["greengage.descriptor"] = self.req.conn.socket.fileno()
+        return environ
+
+
 class CodedConnection(HTTPConnection):
     """A connection that uses ``CodedRequest``."""
 
@@ -103,6 +114,7 @@
         self.server = CPWSGIServer(adapter)
         self.server.wsgi_app = application
         self.server.ConnectionClass = CodedConnection
+        self.server.gateway = SocketGateway
         self.server.on_protocol_fault = self._on_protocol_fault
         self.server.error_log = self._on_server_error
         self.server.server_name = ip
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -23,6 +23,19 @@
 # Retries are decided by the core; one shared object spares building it each time.
 NO_RETRIES = urllib3.Retry(total=False, redirect=0)
 
+# Data that the other side does not acknowledge for so long ends a connection.
+UNACKNOWLEDGED_LIMIT_MS = 2000
+KEEPALIVE_AFTER_S = 5
+
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
+
 _current = threading.local()
 
 
@@ -33,14 +46,16 @@
         bytes_left: Whether any byte may have left this host.
         connection: The connection in use, or ``None``.
         cancelled: Whether the loop asked to give up.
+        is_new: Whether the connection was opened for this attempt.
     """
 
-    __slots__ = ("bytes_left", "cancelled", "connection")
+    __slots__ = ("bytes_left", "cancelled", "connection", "is_new")
 
     def __init__(self):
         self.bytes_left = False
         self.connection = None
         self.cancelled = False
+        self.is_new = False
 
     def cancel(self):
         """Break the connection; called from the loop thread."""
@@ -59,9 +74,11 @@
 
     def send(self, data):
         """Connect if needed, then send."""
+        attempt = getattr(_current, "attempt", None)
         if self.sock is None and self.auto_open:
             self.connect()
-        attempt = getattr(_current, "attempt", None)
+            if attempt is not None:
+                attempt.is_new = True
         if attempt is not None:
             attempt.connection = self
             attempt.bytes_left = True
@@ -110,10 +127,21 @@
         pool = self.pools.get(address)
         if pool is None:
             host, _, port = address.rpartition(":")
-            pool = TrackedPool(host.strip("[]"), int(port), maxsize=CONNECTIONS_PER_ENDPOINT)
+            pool = TrackedPool(
+                host.strip("[]"),
+                int(port),
+                maxsize=CONNECTIONS_PER_ENDPOINT,
+                socket_options=SOCKET_OPTIONS,
+            )
             pool = self.pools.setdefault(address, pool)
         return pool
 
+    def drop(self, address):
+        """Close the idle connections to an endpoint; called by the loop."""
+        pool = self.pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
     def send(self, forward, method, uri, headers, body, attempt):
         """Send a request and wait for the head of the answer.
 
