--- a/greengagerock/control/commands/__init__.py
+++ b/greengagerock/control/commands/__init__.py
@@ -7,6 +7,7 @@
     CreateService,
     DrainEndpoint,
     DropService,
+    LiftBan,
     PinKey,
     ReplaceVoter,
     ResumeEndpoint,
@@ -14,6 +15,7 @@
 )
 from greengagerock.control.commands.entries import (
     Assignment,
+    BanEnded,
     Command,
     EndpointForgotten,
     EndpointReported,
@@ -23,6 +25,7 @@
     HostReported,
     KeeperAppointed,
     OperatorChange,
+    RequestBanned,
     RevokeUnits,
     VoterChangeEnded,
 )
@@ -31,6 +34,7 @@
     "Action",
     "AlterService",
     "Assignment",
+    "BanEnded",
     "CancelVoterChange",
     "Command",
     "CreateService",
@@ -43,9 +47,11 @@
     "HostRecord",
     "HostReported",
     "KeeperAppointed",
+    "LiftBan",
     "OperatorChange",
     "PinKey",
     "ReplaceVoter",
+    "RequestBanned",
     "ResumeEndpoint",
     "RevokeUnits",
     "UnpinKey",
--- a/greengagerock/control/commands/actions.py
+++ b/greengagerock/control/commands/actions.py
@@ -76,6 +76,12 @@
     """Give up the replacement or addition of a voter that is under way."""
 
 
+class LiftBan(msgspec.Struct, frozen=True, tag="lift-ban"):
+    """Let a banned request through again."""
+
+    fingerprint: str
+
+
 Action = (
     CreateService
     | AlterService
@@ -86,4 +92,5 @@
     | UnpinKey
     | ReplaceVoter
     | CancelVoterChange
+    | LiftBan
 )
--- a/greengagerock/control/commands/entries.py
+++ b/greengagerock/control/commands/entries.py
@@ -122,6 +122,20 @@
     """The leader has carried out the last step of a voter change."""
 
 
+class RequestBanned(msgspec.Struct, frozen=True, tag="request-banned"):
+    """A request crashed several endpoints and is refused from now on."""
+
+    fingerprint: str
+    service: str
+    request: str
+
+
+class BanEnded(msgspec.Struct, frozen=True, tag="ban-ended"):
+    """A ban has lasted long enough."""
+
+    fingerprint: str
+
+
 Command = (
     OperatorChange
     | EndpointReported
@@ -132,4 +146,6 @@
     | HostForgotten
     | KeeperAppointed
     | VoterChangeEnded
+    | RequestBanned
+    | BanEnded
 )
--- a/greengagerock/control/controller.py
+++ b/greengagerock/control/controller.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from greengagerock.control.bans import BanKeeper
 from greengagerock.control.commands import (
     EndpointForgotten,
     EndpointReported,
@@ -26,6 +27,7 @@
 )
 from greengagerock.model import STATE_LOST
 from greengagerock.model.timing import LEADER_TICK_INTERVAL_S
+from greengagerock.routing.suspects import CrashReport
 
 FORGET_LOST_AFTER_S = 600.0
 
@@ -58,6 +60,7 @@
         self.proposed = {}
         self.planner = OwnershipPlanner(self)
         self.voter_changer = VoterChanger(self)
+        self.bans = BanKeeper(self)
         self.desk = OperatorDesk(self)
         self._tick_timer = None
         voter.on_leadership = self._on_leadership
@@ -112,6 +115,8 @@
                 self._on_hello(message, address)
             case KeeperBeat():
                 self._on_keeper_beat(message, address)
+            case CrashReport():
+                self.bans.on_report(message)
             case KeeperLeaving():
                 self._on_keeper_leaving(message)
             case OperatorRelay():
@@ -127,6 +132,7 @@
         self.lost_since_s = {}
         self.proposed = {}
         self.planner.reset()
+        self.bans.reset()
         self.desk.abandon()
         if self.voter.is_leader:
             self.timeline.record("leader-elected", detail=f"term={self.voter.term}")
@@ -153,6 +159,7 @@
         self._declare_lost_zones()
         self._forget_lost_endpoints()
         self.voter_changer.advance()
+        self.bans.end_old_bans()
         self.planner.plan()
         self.desk.check_waiting()
 
--- a/greengagerock/control/draft.py
+++ b/greengagerock/control/draft.py
@@ -8,6 +8,7 @@
     CreateService,
     DrainEndpoint,
     DropService,
+    LiftBan,
     PinKey,
     ReplaceVoter,
     ResumeEndpoint,
@@ -59,6 +60,7 @@
         self.unpinned = set()
         self.unpinning = set(state.unpinning)
         self.new_transfers = {}
+        self.lifted_bans = set()
         self.voter_change = state.voter_change
 
     def add(self, action):
@@ -84,6 +86,10 @@
                 self._unpin(service, key)
             case ReplaceVoter(old, new):
                 self._replace_voter(old, new)
+            case LiftBan(fingerprint):
+                if fingerprint not in self.state.routes.bans:
+                    raise GreengageError("unknown-name", f"nothing is banned as {fingerprint!r}")
+                self.lifted_bans.add(fingerprint)
             case CancelVoterChange():
                 if self.voter_change is None:
                     raise GreengageError("invalid-value", "no voter change is under way")
@@ -99,6 +105,7 @@
             endpoints=tuple(self.endpoints.values()),
             owners=tuple(OwnedUnit(unit, owner) for unit, owner in self.owners.items()),
             unpinned=tuple(sorted(self.unpinned)),
+            lifted_bans=tuple(sorted(self.lifted_bans)),
         )
 
     def _service(self, name):
--- a/greengagerock/control/machine.py
+++ b/greengagerock/control/machine.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from greengagerock.control.commands import (
+    BanEnded,
     Command,
     EndpointForgotten,
     EndpointReported,
@@ -12,6 +13,7 @@
     HostReported,
     KeeperAppointed,
     OperatorChange,
+    RequestBanned,
     RevokeUnits,
     VoterChangeEnded,
 )
@@ -29,10 +31,12 @@
     STATE_DRAINING,
     STATE_LOST,
     STATE_READY,
+    Ban,
     OwnedUnit,
     Owner,
     RouteDelta,
     RouteHistory,
+    RouteHost,
 )
 
 encode_command = msgspec.msgpack.Encoder().encode
@@ -85,9 +89,15 @@
             case GrantUnits():
                 self._apply_grant(command, index)
             case HostReported(host):
-                self.state.hosts[host.name] = host
+                self._apply_host(host, index)
             case HostForgotten(name):
-                self.state.hosts.pop(name, None)
+                self._apply_host_forgotten(name, index)
+            case RequestBanned(fingerprint, service, request):
+                ban = Ban(fingerprint, service, request, index)
+                self._publish(self._delta(index, bans=(ban,)))
+            case BanEnded(fingerprint):
+                if fingerprint in self.state.routes.bans:
+                    self._publish(self._delta(index, lifted_bans=(fingerprint,)))
             case VoterChangeEnded():
                 self.state.voter_change = None
             case KeeperAppointed(zone, host, incarnation):
@@ -184,6 +194,23 @@
         if name in self.state.routes.endpoints and not self.state.routes.units_of_endpoint(name):
             self._publish(self._delta(index, dropped_endpoints=(name,)))
 
+    # --- Hosts ---------------------------------------------------------------------
+
+    def _apply_host(self, host, index):
+        previous = self.state.hosts.get(host.name)
+        known = self.state.routes.hosts.get(host.name)
+        restarts = known.restarts if known else 0
+        if previous is not None and previous.incarnation != host.incarnation:
+            restarts += 1
+        self.state.hosts[host.name] = host
+        entry = RouteHost(host.name, host.zone, host.address, restarts)
+        if known != entry:
+            self._publish(self._delta(index, hosts=(entry,)))
+
+    def _apply_host_forgotten(self, name, index):
+        if self.state.hosts.pop(name, None) is not None:
+            self._publish(self._delta(index, dropped_hosts=(name,)))
+
     # --- Ownership -----------------------------------------------------------------
 
     def _apply_revoke(self, command, index):
--- a/greengagerock/control/queries/answers.py
+++ b/greengagerock/control/queries/answers.py
@@ -62,6 +62,8 @@
             return _churn(context, since_s)
         case requests.ShowChanges(since_s):
             return _changes(context, since_s)
+        case requests.ShowBans():
+            return _bans(context)
         case requests.ShowPins():
             return _pins(context)
         case requests.ShowTransfers():
@@ -230,6 +232,12 @@
     return Table(("version", "at_us", "author", "change"), rows)
 
 
+def _bans(context):
+    bans = context.state.routes.bans
+    rows = tuple((b.fingerprint, b.service, b.request, b.since) for _, b in sorted(bans.items()))
+    return Table(("fingerprint", "service", "request", "since"), rows)
+
+
 def _pins(context):
     routes = context.state.routes
     rows = tuple(
--- a/greengagerock/control/queries/requests.py
+++ b/greengagerock/control/queries/requests.py
@@ -56,6 +56,10 @@
     since_s: float = 0.0
 
 
+class ShowBans(msgspec.Struct, frozen=True, tag="show-bans"):
+    """Requests that are refused because they crashed endpoints."""
+
+
 class ShowPins(msgspec.Struct, frozen=True, tag="show-pins"):
     """Pinned keys and their owners."""
 
@@ -89,6 +93,7 @@
     | ShowMoves
     | ShowChurn
     | ShowChanges
+    | ShowBans
     | ShowPins
     | ShowTransfers
     | ShowHealth
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -3,8 +3,10 @@
 import os
 import select
 import time
+import traceback
 from collections import deque
 
+from greengagerock.core import OUTCOME_UNKNOWN
 from greengagerock.core.seam import (
     Answer,
     CallerGone,
@@ -149,7 +151,22 @@
             self._handle(TimePassed())
 
     def _handle(self, event):
-        self._carry_out(self.node.handle(event, time.monotonic()))
+        try:
+            effects = self.node.handle(event, time.monotonic())
+        except Exception:
+            # One event that trips a fault must not end the service of all others.
+            self._on_fault(event)
+            return
+        self._carry_out(effects)
+
+    def _on_fault(self, event):
+        detail = traceback.format_exc().replace("\n", " | ")
+        kind = type(event).__name__
+        self.log("internal-error", code="internal-error", kind=kind, detail=detail)
+        token = getattr(event, "token", None)
+        if token is not None:
+            answer = Answer(token, "internal-error", OUTCOME_UNKNOWN, "see the log", True)
+            self.bridge.deliver(token, answer)
 
     def _carry_out(self, effects):
         for effect in effects:
--- a/greengagerock/language/parser.py
+++ b/greengagerock/language/parser.py
@@ -11,6 +11,7 @@
     CreateService,
     DrainEndpoint,
     DropService,
+    LiftBan,
     PinKey,
     ReplaceVoter,
     ResumeEndpoint,
@@ -82,6 +83,9 @@
     def remove_voter(self, old):
         return ReplaceVoter(old, "")
 
+    def lift_ban(self, fingerprint):
+        return LiftBan(fingerprint)
+
     def cancel_voter_change(self):
         return CancelVoterChange()
 
@@ -145,6 +149,9 @@
     def show_changes(self, since_s=0.0):
         return requests.ShowChanges(since_s)
 
+    def show_bans(self):
+        return requests.ShowBans()
+
     def show_pins(self):
         return requests.ShowPins()
 
--- a/greengagerock/model/__init__.py
+++ b/greengagerock/model/__init__.py
@@ -1,5 +1,6 @@
 """Immutable values: services, endpoints, units, owners and routes."""
 
+from greengagerock.model.ban import Ban
 from greengagerock.model.endpoint import (
     STATE_DRAINING,
     STATE_LOST,
@@ -20,7 +21,7 @@
     slot_of_key,
 )
 from greengagerock.model.ownership import NO_OWNER, OwnedUnit, Owner, Unit
-from greengagerock.model.routes import RouteDelta, Routes, merge_deltas
+from greengagerock.model.routes import RouteDelta, RouteHost, Routes, merge_deltas
 from greengagerock.model.service import DEFAULT_SLOTS, MAX_SLOTS, Service
 from greengagerock.model.timing import lender_duration
 
@@ -32,6 +33,7 @@
     "STATE_LOST",
     "STATE_READY",
     "Announcement",
+    "Ban",
     "AnnouncementReply",
     "Endpoint",
     "GrantedUnit",
@@ -44,6 +46,7 @@
     "QueryKey",
     "RouteDelta",
     "RouteHistory",
+    "RouteHost",
     "Routes",
     "Service",
     "Unit",
--- a/greengagerock/model/routes.py
+++ b/greengagerock/model/routes.py
@@ -2,12 +2,29 @@
 
 import msgspec
 
+from greengagerock.model.ban import Ban
 from greengagerock.model.endpoint import Endpoint
 from greengagerock.model.keys import slot_of_key
 from greengagerock.model.ownership import NO_OWNER, OwnedUnit, Unit
 from greengagerock.model.service import Service
 
 
+class RouteHost(msgspec.Struct, frozen=True, array_like=True):
+    """One of the system's hosts, as routers need to know it.
+
+    Attributes:
+        name: Host name.
+        zone: Its availability zone.
+        address: Its link address.
+        restarts: How often it came back with another incarnation.
+    """
+
+    name: str
+    zone: str
+    address: str
+    restarts: int = 0
+
+
 class RouteDelta(msgspec.Struct, frozen=True):
     """The difference between two versions of the routes.
 
@@ -20,6 +37,10 @@
         dropped_endpoints: Names of removed endpoints.
         owners: Units whose owner changed.
         unpinned: Pinned units that became part of their slot again.
+        hosts: New or changed hosts of the system.
+        dropped_hosts: Names of hosts that left.
+        bans: New bans.
+        lifted_bans: Fingerprints of bans that ended.
     """
 
     base: int
@@ -30,6 +51,10 @@
     dropped_endpoints: tuple[str, ...] = ()
     owners: tuple[OwnedUnit, ...] = ()
     unpinned: tuple[Unit, ...] = ()
+    hosts: tuple[RouteHost, ...] = ()
+    dropped_hosts: tuple[str, ...] = ()
+    bans: tuple[Ban, ...] = ()
+    lifted_bans: tuple[str, ...] = ()
 
 
 class Routes:
@@ -41,13 +66,17 @@
         endpoints: Endpoints by name.
         owners: For each service the list of slot owners.
         pins: Owners of pinned keys by unit.
+        hosts: Hosts of the system by name.
+        bans: Banned requests by fingerprint.
     """
 
     __slots__ = (
         "_changed_at",
         "_rebuilt_at",
+        "bans",
         "endpoints",
         "endpoints_by_service",
+        "hosts",
         "owners",
         "pins",
         "services",
@@ -61,6 +90,8 @@
         self.endpoints_by_service = {}
         self.owners = {}
         self.pins = {}
+        self.hosts = {}
+        self.bans = {}
         self._changed_at = {}
         self._rebuilt_at = 0
 
@@ -124,6 +155,14 @@
             self.endpoints[endpoint.name] = endpoint
         if delta.endpoints or delta.dropped_endpoints:
             self._index_endpoints()
+        for name in delta.dropped_hosts:
+            self.hosts.pop(name, None)
+        for host in delta.hosts:
+            self.hosts[host.name] = host
+        for fingerprint in delta.lifted_bans:
+            self.bans.pop(fingerprint, None)
+        for ban in delta.bans:
+            self.bans[ban.fingerprint] = ban
         for owned in delta.owners:
             self._note_change(owned.unit, owned.owner.endpoint, delta.version)
             self._set_owner(owned.unit, owned.owner)
@@ -158,6 +197,8 @@
             services=tuple(self.services.values()),
             endpoints=tuple(self.endpoints.values()),
             owners=tuple(owned),
+            hosts=tuple(self.hosts.values()),
+            bans=tuple(self.bans.values()),
         )
 
     def _put_service(self, service):
@@ -184,8 +225,9 @@
     Args:
         deltas: Non-empty sequence, each based on its predecessor's version.
     """
-    services, endpoints, owners = {}, {}, {}
-    dropped_services, dropped_endpoints, unpinned = set(), set(), set()
+    services, endpoints, owners, hosts, bans = {}, {}, {}, {}, {}
+    lifted_bans = set()
+    dropped_services, dropped_endpoints, unpinned, dropped_hosts = set(), set(), set(), set()
     for delta in deltas:
         for name in delta.dropped_services:
             services.pop(name, None)
@@ -199,6 +241,16 @@
             dropped_endpoints.add(name)
         for endpoint in delta.endpoints:
             endpoints[endpoint.name] = endpoint
+        for name in delta.dropped_hosts:
+            hosts.pop(name, None)
+            dropped_hosts.add(name)
+        for host in delta.hosts:
+            hosts[host.name] = host
+        for fingerprint in delta.lifted_bans:
+            bans.pop(fingerprint, None)
+            lifted_bans.add(fingerprint)
+        for ban in delta.bans:
+            bans[ban.fingerprint] = ban
         for owned in delta.owners:
             owners[owned.unit] = owned
             unpinned.discard(owned.unit)
@@ -214,4 +266,8 @@
         dropped_endpoints=tuple(sorted(dropped_endpoints)),
         owners=tuple(owners.values()),
         unpinned=tuple(sorted(unpinned)),
+        hosts=tuple(hosts.values()),
+        dropped_hosts=tuple(sorted(dropped_hosts)),
+        bans=tuple(bans.values()),
+        lifted_bans=tuple(sorted(lifted_bans)),
     )
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -56,6 +56,16 @@
     VoteRequest,
 )
 from greengagerock.routing import Router
+from greengagerock.routing.once import (
+    KeyClaim,
+    KeyRelease,
+    KeyVerdict,
+    MemoryRequest,
+    MemoryShare,
+    OnceMemory,
+)
+from greengagerock.routing.recall import MemoryRecall
+from greengagerock.routing.suspects import CrashReport
 
 
 class Node:
@@ -106,7 +116,12 @@
         self.follower.keeper_lacks_leader = lambda: (
             self.keeper is not None and self.keeper.lacks_leader()
         )
-        self.follower.on_routes = self.router.on_routes
+        self.follower.on_routes = self._on_routes
+        self.once_memory = OnceMemory(now_s)
+        self.recall = MemoryRecall(
+            config.host.name, self.history, self.once_memory, self.timers, self.outbox
+        )
+        self.router.leader_address = self._leader_address
         self.relays = RelayDesk(self.timers, self.outbox, self._leader_address)
         self.stop_sequence = StopSequence(self)
         self.timeline.record("started", detail=f"incarnation={config.host.incarnation}")
@@ -204,6 +219,20 @@
                     self.outbox.send(address, AnnouncementAnswer(token, reply))
             case AnnouncementAnswer(token, reply):
                 self.relays.on_announcement_answer(token, reply)
+            case KeyClaim():
+                verdict = self.once_memory.claim(message, self.timers.now_s)
+                answer = KeyVerdict(message.token, self.config.host.name, verdict)
+                self.outbox.send(address, answer)
+            case KeyRelease():
+                self.once_memory.release(message, self.timers.now_s)
+            case MemoryRequest(recorder):
+                hosts = self.history.routes.hosts.values()
+                claims = self.once_memory.share_with(recorder, hosts)
+                self.outbox.send(address, MemoryShare(self.config.host.name, claims))
+            case MemoryShare():
+                self.recall.on_share(message)
+            case KeyVerdict():
+                self.router.claims.on_verdict(message)
             case KeeperGrant():
                 self._on_keeper_grant(message)
             case KeeperDismissed(epoch):
@@ -223,7 +252,7 @@
                 self.voter.handle(message, address)
             case FoundingHello() | Found():
                 self.founding.handle(message, address)
-            case Hello() | KeeperBeat() | KeeperLeaving() | OperatorRelay():
+            case Hello() | KeeperBeat() | KeeperLeaving() | OperatorRelay() | CrashReport():
                 self.controller.handle(message, address)
 
     def hand_over_roles(self):
@@ -252,6 +281,10 @@
 
     # --- Keeper --------------------------------------------------------------------
 
+    def _on_routes(self):
+        self.router.on_routes()
+        self.recall.on_routes()
+
     def _acknowledged(self):
         return self.router.acknowledged()
 
--- /dev/null
+++ b/greengagerock/node/tests/test_bans.py
@@ -0,0 +1,99 @@
+"""A request that crashes each endpoint that runs it is stopped; others are not."""
+
+import msgspec
+
+from greengagerock.routing.suspects import BAN_S, CRASHES_UNTIL_BAN
+from greengagerock.testing.builders import build_announcement
+from greengagerock.testing.systems import build_fake_system, leader_state, settle
+
+POISON = "/packs/poison"
+INNOCENT = "/packs/price-list"
+
+
+def build_system(seed=1):
+    """Return a system with a documents service whose endpoints the poison crashes."""
+    system = build_fake_system(seed=seed)
+    assert system.ask_and_wait("host-1-1", "create service documents without key", "d").accepted
+    for zone in (1, 2, 3):
+        for number in (1, 2):
+            name = f"doc-{zone}-{number}"
+            endpoint = system.add_endpoint(
+                build_announcement(name, "documents", zone=f"zone-{zone}")
+            )
+            endpoint.service_s = 0.05
+    system.run_for(3.0)
+    system.crash_paths.add(POISON)
+    return system
+
+
+def crashed(system):
+    """Return the names of documents endpoints that are down."""
+    return [e.name for e in system.endpoints.values() if not e.up]
+
+
+def restart_crashed(system, number):
+    """Restart crashed endpoints under another incarnation."""
+    for name in crashed(system):
+        old = system.endpoints[name]
+        announcement = msgspec.structs.replace(old.announcement, incarnation=f"{name}-r{number}")
+        system.add_endpoint(announcement).service_s = old.service_s
+    system.run_for(3.0)
+
+
+def test_poison_is_stopped_after_a_bounded_number_of_endpoints():
+    system = build_system()
+    outcomes = []
+    total = 0
+    for number, host in enumerate(list(system.hosts) * 2):
+        beside = system.request(host, "documents", INNOCENT)
+        outcomes.append(system.try_request(host, "documents", POISON))
+        system.run_for(1.0)
+        assert system.outcome(beside) is not None
+        total += len(crashed(system))
+        restart_crashed(system, number)
+    assert outcomes[-1] == "request-banned"
+    assert total <= CRASHES_UNTIL_BAN + 1
+    assert list(leader_state(system).routes.bans.values())[0].request.endswith(POISON)
+    assert len(leader_state(system).routes.bans) == 1
+    for host in system.hosts:
+        assert system.try_request(host, "documents", INNOCENT) == "ok"
+
+
+def test_ban_is_shown_lifted_and_ends_by_itself():
+    system = build_system()
+    for number, host in enumerate(system.hosts):
+        system.try_request(host, "documents", POISON)
+        system.run_for(1.0)
+        restart_crashed(system, number)
+    table = system.ask_and_wait("host-2-1", "show bans").table
+    (row,) = table.to_records()
+    assert row["request"] == f"GET /documents{POISON}"
+    assert system.ask_and_wait("host-2-1", f"lift ban {row['fingerprint']}", "lift").accepted
+    assert not leader_state(system).routes.bans
+    system.crash_paths.clear()
+    assert system.try_request("host-1-1", "documents", POISON) == "ok"
+
+
+def test_ban_ends_after_its_time():
+    system = build_system(seed=2)
+    for number, host in enumerate(system.hosts):
+        system.try_request(host, "documents", POISON)
+        system.run_for(1.0)
+        restart_crashed(system, number)
+    assert leader_state(system).routes.bans
+    system.run_for(BAN_S + 10)
+    settle(system)
+    assert not leader_state(system).routes.bans
+
+
+def test_request_that_is_answered_elsewhere_is_never_banned():
+    system = build_system(seed=3)
+    for number, host in enumerate(list(system.hosts) * 2):
+        assert system.try_request(host, "documents", INNOCENT) == "ok"
+        token = system.request(host, "documents", INNOCENT)
+        system.run_for(0.02)
+        in_use = system.hosts[host].node.router.registry.get(token).endpoint
+        system.endpoints[in_use].up = False
+        system.run_for(1.0)
+        restart_crashed(system, number)
+    assert not leader_state(system).routes.bans
--- /dev/null
+++ b/greengagerock/node/tests/test_once.py
@@ -0,0 +1,143 @@
+"""A charge with an Idempotency-Key runs at most once, through whatever entry host."""
+
+import pytest
+
+from greengagerock.routing.once import REMEMBER_S, choose_recorders
+from greengagerock.testing.systems import build_fake_system, leader_state, settle
+
+KEY = "charge-1"
+HEADERS = {"idempotency-key": KEY}
+HOSTS = {"hosts_per_zone": 2, "voters": 3}
+
+
+def charge(system, host, request_id, limit_s=2.0):
+    """Send the charge through a host and return the outcome."""
+    return system.try_request(
+        host,
+        "till",
+        "/cards/card-1",
+        limit_s,
+        method="POST",
+        headers=HEADERS,
+        request_id=request_id,
+    )
+
+
+def runs(system):
+    """Return the request ids that were run."""
+    return sorted(run[1] for e in system.endpoints.values() for run in e.runs)
+
+
+def recorders(system):
+    """Return the names of the hosts that remember the key."""
+    hosts = leader_state(system).routes.hosts.values()
+    return [host.name for host in choose_recorders(hosts, "till", KEY)]
+
+
+def other_hosts(system):
+    """Return the hosts that do not remember the key."""
+    return [name for name in system.hosts if name not in recorders(system)]
+
+
+def test_resend_through_another_host_is_not_run():
+    system = build_fake_system(**HOSTS)
+    assert charge(system, "host-1-1", "first") == "ok"
+    for host in system.hosts:
+        assert charge(system, host, f"again-{host}") == "duplicate-request"
+    assert runs(system) == ["first"]
+
+
+def test_entry_host_lost_between_run_and_answer():
+    system = build_fake_system(**HOSTS)
+    first, second = other_hosts(system)[:2]
+    for endpoint in system.endpoints.values():
+        endpoint.service_s = 0.5
+    system.request(first, "till", "/cards/card-1", "POST", headers=HEADERS, request_id="first")
+    system.run_for(0.2)
+    system.crash_host(first)
+    assert charge(system, second, "again") == "duplicate-request"
+    system.run_for(2.0)
+    assert runs(system) == ["first"]
+
+
+def test_two_entry_hosts_at_the_same_moment():
+    for seed in range(10):
+        system = build_fake_system(seed=seed, **HOSTS)
+        tokens = [
+            system.request(host, "till", "/cards/card-1", "POST", headers=HEADERS, request_id=host)
+            for host in system.hosts
+        ]
+        system.run_for(2.0)
+        outcomes = [system.outcome(token) for token in tokens]
+        assert outcomes.count("ok") == len(runs(system)) <= 1
+        assert set(outcomes) <= {"ok", "duplicate-request"}
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_lost_recorder_does_not_forget(lost):
+    system = build_fake_system(**HOSTS)
+    sender = other_hosts(system)[0]
+    assert charge(system, sender, "first") == "ok"
+    system.crash_host(recorders(system)[lost])
+    assert charge(system, sender, "again") == "duplicate-request"
+    assert runs(system) == ["first"]
+
+
+def test_restarted_recorders_recall_what_the_others_know():
+    system = build_fake_system(**HOSTS)
+    sender = other_hosts(system)[0]
+    assert charge(system, sender, "first") == "ok"
+    for name in recorders(system):
+        system.crash_host(name)
+        system.run_for(0.5)
+        system.start_host(name)
+        settle(system)
+        system.run_for(2.0)
+        assert charge(system, sender, f"after-{name}") == "duplicate-request"
+    assert runs(system) == ["first"]
+
+
+def test_memory_that_is_gone_answers_unsure_and_never_runs():
+    system = build_fake_system(**HOSTS)
+    sender = other_hosts(system)[0]
+    assert charge(system, sender, "first") == "ok"
+    names = recorders(system)
+    for name in names:
+        system.crash_host(name)
+    for name in names:
+        system.start_host(name)
+    settle(system)
+    outcomes = {charge(system, sender, f"again-{n}") for n in range(3)}
+    assert outcomes <= {"duplicate-unsure", "duplicate-request"}
+    assert runs(system) == ["first"]
+
+
+def test_claim_of_a_request_that_was_not_run_is_released():
+    system = build_fake_system(**HOSTS)
+    for endpoint in system.endpoints.values():
+        endpoint.up = False
+    assert charge(system, "host-1-1", "first") in ("connect-failed", "no-owner")
+    for endpoint in list(system.endpoints.values()):
+        system.add_endpoint(endpoint.announcement)
+    # The same incarnation announces itself again and gets its grants back.
+    system.run_for(3.0)
+    settle(system)
+    assert charge(system, "host-2-1", "second") == "ok"
+    assert runs(system) == ["second"]
+
+
+def test_transfer_between_charge_and_resend():
+    system = build_fake_system(**HOSTS)
+    assert charge(system, "host-1-1", "first") == "ok"
+    owner = next(e.name for e in system.endpoints.values() if e.runs)
+    assert system.ask_and_wait("host-2-1", f"drain endpoint {owner}", "drain").accepted
+    settle(system)
+    assert charge(system, "host-2-2", "again") == "duplicate-request"
+    assert runs(system) == ["first"]
+
+
+def test_keys_are_forgotten_after_their_time():
+    system = build_fake_system(**HOSTS)
+    assert charge(system, "host-1-1", "first") == "ok"
+    system.run_for(REMEMBER_S + 1)
+    assert charge(system, "host-2-1", "much-later") == "ok"
--- a/greengagerock/routing/requests.py
+++ b/greengagerock/routing/requests.py
@@ -4,6 +4,7 @@
 from greengagerock.model import STATE_LOST
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+IDEMPOTENCY_HEADER = "idempotency-key"
 TIMEOUT_HEADER = "greengage-timeout-ms"
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -20,6 +21,9 @@
         tried: Names of all endpoints it was sent to.
         deadline_s: Router's time by which it has to be answered.
         sent_s: Router's time of the present attempt.
+        fingerprint: Digest that resends share.
+        losses: Number of attempts whose connection broke.
+        claimed: Whether its idempotency key was claimed for it.
         answering: Whether the head of the answer has come.
         silent: Whether its connection is given up as silent.
         abandoned: Whether its caller has gone.
@@ -31,10 +35,13 @@
     __slots__ = (
         "abandoned",
         "answering",
+        "claimed",
         "deadline_s",
         "endpoint",
         "event",
         "fence",
+        "fingerprint",
+        "losses",
         "orphaned",
         "resent",
         "sent_s",
@@ -53,12 +60,22 @@
         self.tried = []
         self.deadline_s = deadline_s
         self.orphaned = False
+        self.fingerprint = ""
+        self.losses = 0
         self.resent = False
+        self.claimed = False
         self.answering = False
         self.silent = False
         self.abandoned = False
         self.sent_s = 0.0
 
+    @property
+    def idempotency_key(self):
+        """The key that keeps resends from running twice, or the empty string."""
+        if self.is_idempotent:
+            return ""
+        return self.event.headers.get(IDEMPOTENCY_HEADER, "")
+
     @property
     def may_be_resent(self):
         """Whether it may be sent again to the endpoint that already has it."""
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -5,11 +5,17 @@
 from greengagerock.core.seam import Answer, CancelAttempt, DropConnections, Forward
 from greengagerock.model import STATE_LOST, extract_key
 from greengagerock.routing.choice import choose_endpoint
+from greengagerock.routing.claims import CLAIMED, DUPLICATE, UNSURE, ClaimDesk
 from greengagerock.routing.health import EndpointHealth, RetryBudget
 from greengagerock.routing.requests import InFlight, RequestRegistry, parse_timeout_s
+from greengagerock.routing.suspects import AnsweredRequests, CrashReport, fingerprint_request
 
 QUEUE_PER_ENDPOINT = 12
 
+# A request that broke more connections than this is not sent again: it may be what
+# makes its endpoints crash.
+MOST_LOSSES = 1
+
 # Nothing heard for so long on a used connection makes it suspect.
 SILENCE_S = 1.0
 SWEEP_INTERVAL_S = 0.25
@@ -71,6 +77,9 @@
         self.registry = RequestRegistry()
         self.stats = RouterStats()
         self.health = EndpointHealth()
+        self.answered = AnsweredRequests()
+        self.leader_address = lambda: ""
+        self.claims = ClaimDesk(history, timers, outbox)
         self.budget = RetryBudget()
         self._sweeping = False
         self.closing = False
@@ -101,10 +110,39 @@
             request = self._accept(event)
             self.budget.earn()
             self.registry.add(request)
-            self._send(request)
+            if request.idempotency_key:
+                self._claim(request)
+            else:
+                self._send(request)
         except GreengageError as error:
             self._give_up(event, error, OUTCOME_NOT_RUN)
 
+    def _claim(self, request):
+        """Make sure that nobody else has run this request, before it is sent."""
+        event = request.event
+        self.claims.begin(
+            event.token,
+            event.service,
+            request.idempotency_key,
+            event.request_id,
+            lambda result: self._on_claim(request, result),
+        )
+
+    def _on_claim(self, request, result):
+        event = request.event
+        if event.token not in self.registry.by_token:
+            return
+        try:
+            if result == DUPLICATE:
+                raise GreengageError("duplicate-request", "a request with this key came before")
+            if result == UNSURE:
+                raise GreengageError("duplicate-unsure", "too few recorders know about this key")
+            request.claimed = True
+            self._send(request)
+        except GreengageError as error:
+            certain = result == CLAIMED
+            self._give_up(event, error, OUTCOME_NOT_RUN if certain else OUTCOME_UNKNOWN)
+
     def _accept(self, event):
         routes = self.history.routes
         if not routes.version:
@@ -119,7 +157,11 @@
                 raise GreengageError("missing-key", f"service {service.name!r} needs a key")
             unit = routes.unit_of(service, key)
         timeout_s = parse_timeout_s(event.headers, service.timeout_s)
-        return InFlight(event, service, unit, self.timers.now_s + timeout_s)
+        request = InFlight(event, service, unit, self.timers.now_s + timeout_s)
+        request.fingerprint = fingerprint_request(event)
+        if request.fingerprint in routes.bans:
+            raise GreengageError("request-banned", f"see 'show bans': {request.fingerprint}")
+        return request
 
     def _send(self, request):
         if self.timers.now_s >= request.deadline_s:
@@ -217,6 +259,7 @@
         if request.answering:
             return
         request.answering = True
+        self.answered.note(request.fingerprint)
         self.health.note_success(request.endpoint)
         if request.resent:
             self._settle_silent_siblings(request)
@@ -244,6 +287,8 @@
             self._drop_connections(request)
         elif event.reason != REASON_REFUSED and not request.abandoned:
             self.health.note_failure(request.endpoint, self.timers.now_s)
+            if event.reason == REASON_LOST and not request.orphaned:
+                self._report_crash(request)
         self.registry.unassign(request)
         try:
             if not self._may_retry(request, event):
@@ -255,6 +300,23 @@
             outcome = OUTCOME_NOT_RUN if is_certainly_not_run(event) else OUTCOME_UNKNOWN
             self._give_up(request.event, error, outcome)
 
+    def _report_crash(self, request):
+        """Tell the leader that an endpoint broke off while it ran this request."""
+        request.losses += 1
+        endpoint = self.history.routes.endpoints.get(request.endpoint)
+        leader = self.leader_address()
+        if endpoint is None or not leader:
+            return
+        report = CrashReport(
+            request.fingerprint,
+            request.service.name,
+            f"{request.event.method} /{request.event.service}{request.event.path}",
+            endpoint.name,
+            endpoint.incarnation,
+            request.fingerprint in self.answered,
+        )
+        self.outbox.send(leader, report)
+
     def _drop_connections(self, request):
         """Treat the other idle connections to an endpoint like the one that went silent."""
         endpoint = self.history.routes.endpoints.get(request.endpoint)
@@ -270,7 +332,7 @@
             request.resent = True
             request.tried.clear()
             return self.budget.take()
-        if request.unit is not None:
+        if request.unit is not None or request.losses > MOST_LOSSES:
             return False
         return (is_certainly_not_run(event) or request.is_idempotent) and self.budget.take()
 
@@ -284,7 +346,9 @@
             self.stats.count(request.service.name, outcome)
 
     def _give_up(self, event, error, outcome):
-        self.registry.remove(event.token)
+        request = self.registry.remove(event.token)
+        if request is not None and request.claimed and outcome == OUTCOME_NOT_RUN:
+            self.claims.release(event.service, request.idempotency_key, event.request_id)
         known = event.service in self.history.routes.services
         self.stats.count(event.service if known else "", error.code)
         self.outbox.add(Answer(event.token, error.code, outcome, error.detail, self.closing))
--- a/greengagerock/testing/fakes.py
+++ b/greengagerock/testing/fakes.py
@@ -119,6 +119,7 @@
         duplication: Share of messages that arrive twice, the second one late.
 
     Attributes:
+        crash_paths: Paths of requests that crash the endpoint that runs them.
         cuts_requests: Whether a zone that is cut off also gets no requests from other
             zones. Without it a cut only concerns the hosts, which is harder to survive:
             outdated routers can still do harm.
@@ -135,6 +136,7 @@
         self.cuts = set()
         self.cut_zones = set()
         self.cuts_requests = False
+        self.crash_paths = set()
         self.answers = {}
         self.operator_answers = {}
         self.request_times = {}
@@ -464,6 +466,12 @@
             failure = AttemptFailed(effect.token, "refused", False, False)
             self._end(host, life, effect.token, failure)
             return
+        request = host.node.router.registry.get(effect.token) if host.node else None
+        if request is not None and request.event.path in self.crash_paths:
+            endpoint.up = False
+            failure = AttemptFailed(effect.token, "lost", True, False)
+            self._end(host, life, effect.token, failure)
+            return
         start_s = self.now_s
         request_id = effect.headers["Greengage-Request-Id"]
 
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -27,6 +27,14 @@
     VoteReply,
     VoteRequest,
 )
+from greengagerock.routing.once import (
+    KeyClaim,
+    KeyRelease,
+    KeyVerdict,
+    MemoryRequest,
+    MemoryShare,
+)
+from greengagerock.routing.suspects import CrashReport
 
 Message = (
     Hello
@@ -42,6 +50,12 @@
     | AnnouncementAnswer
     | OperatorRelay
     | OperatorRelayAnswer
+    | KeyClaim
+    | KeyVerdict
+    | KeyRelease
+    | CrashReport
+    | MemoryRequest
+    | MemoryShare
     | VoteRequest
     | VoteReply
     | AppendRequest
