Resume downloads that break off, and end visibly those that cannot be

Cause: an endpoint that broke off in the middle of a document broke off the caller's download with it (Zarqa's incident).

Change: with a strong entity tag or date and byte ranges, the router asks for the rest by Range and If-Range, from another endpoint where there is one; the Content-Range has to continue exactly. Otherwise the connection is closed short of the announced length.

Stand-ins without ranges: ProtocolError at the caller, as wanted.

--- a/greengagerock/core/seam.py
+++ b/greengagerock/core/seam.py
@@ -86,6 +86,18 @@
     token: int
 
 
+class AnswerBroken(msgspec.Struct, frozen=True):
+    """An endpoint's answer broke off after its head was passed on.
+
+    Attributes:
+        token: The request.
+        resumable: Whether the rest can be asked for by a range.
+    """
+
+    token: int
+    resumable: bool
+
+
 class CallerGone(msgspec.Struct, frozen=True):
     """The caller closed its connection before the answer began."""
 
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -9,6 +9,7 @@
 from greengagerock.core import Timeline, TimerService
 from greengagerock.core.seam import (
     AnswerBegan,
+    AnswerBroken,
     AttemptFailed,
     CallerGone,
     EndpointAnnounced,
@@ -161,6 +162,8 @@
                 self.stop_sequence.check()
             case AnswerBegan():
                 self.router.on_answer_began(event)
+            case AnswerBroken():
+                self.router.on_answer_broken(event)
             case CallerGone():
                 self.router.on_caller_gone(event)
             case AttemptFailed():
--- /dev/null
+++ b/greengagerock/node/tests/test_charges_differential.py
@@ -0,0 +1,32 @@
+"""Differential test: the request policy against the naive one, on the same schedules."""
+
+import pytest
+
+from greengagerock.testing.charges import ChargeSchedule
+from greengagerock.testing.naive import make_naive, use_naive_routers
+from greengagerock.testing.systems import build_fake_system
+
+SECONDS = 20.0
+RULES = "set timeout_s 2, cut_hold_s 4"
+
+
+def run_policy(seed, naive):
+    """Return what became of the charges under one policy."""
+    system = build_fake_system(seed=seed, rules=RULES)
+    if naive:
+        use_naive_routers(system)
+        system.on_start = make_naive
+    return ChargeSchedule(system, seed).run(SECONDS)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_policy_doubles_nothing_and_never_lies(seed):
+    count = run_policy(seed, naive=False)
+    assert (count.doubled, count.false_not_run) == (0, 0)
+    assert count.answered > count.charges / 2
+
+
+def test_naive_policy_doubles_charges_on_the_same_schedules():
+    counts = [run_policy(seed, naive=True) for seed in range(6)]
+    assert sum(count.doubled for count in counts) > 0
+    assert sum(count.false_not_run for count in counts) > 0
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -271,6 +271,25 @@
                 other.silent = True
                 self.outbox.add(CancelAttempt(token, only_reused=True))
 
+    def on_answer_broken(self, event):
+        """Decide whether the rest of an answer is asked for, and from whom."""
+        request = self.registry.get(event.token)
+        if request is None:
+            return
+        self.health.note_failure(request.endpoint, self.timers.now_s)
+        self.registry.unassign(request)
+        try:
+            if not event.resumable or request.abandoned or not self.budget.take():
+                raise GreengageError("answer-lost", "the answer broke off")
+            # A part that was passed on proves that this endpoint can serve the rest,
+            # once it is back; only the request's own time starts anew.
+            request.tried = request.tried[-1:] if request.unit is None else []
+            request.deadline_s = self.timers.now_s + request.service.timeout_s
+            self.stats.retries += 1
+            self._send(request)
+        except GreengageError as error:
+            self._give_up(request.event, error, OUTCOME_UNKNOWN)
+
     def on_caller_gone(self, event):
         """Pass the cancellation on to the endpoint."""
         request = self.registry.get(event.token)
--- a/greengagerock/testing/fakes.py
+++ b/greengagerock/testing/fakes.py
@@ -93,6 +93,8 @@
         frozen: Whether it neither runs nor announces, keeping its state.
         service_s: Time that a request takes.
         runs: Tuples of unit label, request id, start and end time.
+        drops_answers: Whether it runs requests and closes the connection instead of
+            answering.
     """
 
     def __init__(self, announcement, service_s=0.0):
@@ -103,6 +105,7 @@
         self.service_s = service_s
         self.runs = []
         self.held = []
+        self.drops_answers = False
 
     @property
     def name(self):
@@ -119,6 +122,7 @@
         duplication: Share of messages that arrive twice, the second one late.
 
     Attributes:
+        on_start: Called with each node that is started.
         crash_paths: Paths of requests that crash the endpoint that runs them.
         cuts_requests: Whether a zone that is cut off also gets no requests from other
             zones. Without it a cut only concerns the hosts, which is harder to survive:
@@ -140,6 +144,8 @@
         self.answers = {}
         self.operator_answers = {}
         self.request_times = {}
+        self.answer_times = {}
+        self.on_start = lambda node: None
         self.sent_messages = 0
         self.after_step = lambda: None
         self._queue = []
@@ -172,6 +178,7 @@
         durable = host.disk.read() if host.disk else None
         host.paused_events = None
         host.node = Node(host.config, durable, self.now_s, lambda: int(self.now_s * 1e6))
+        self.on_start(host.node)
         self._carry_out(host, host.node.start())
 
     def crash_host(self, name):
@@ -326,7 +333,7 @@
                 case Forward():
                     self._forward(host, effect)
                 case Answer(token):
-                    self.answers[token] = effect
+                    self._note_answer(token, effect)
                 case CancelAttempt(token):
                     failure = AttemptFailed(token, "lost", True, False)
                     self.at(0.0, lambda t=token, f=failure: self._end(host, host.life, t, f))
@@ -484,6 +491,10 @@
                 self._end(host, life, effect.token, failure)
                 return
             endpoint.runs.append((unit, request_id, start_s, self.now_s))
+            if endpoint.drops_answers:
+                failure = AttemptFailed(effect.token, "lost", True, False)
+                self._end(host, life, effect.token, failure)
+                return
             self._end(host, life, effect.token, RequestEnded(effect.token, True))
 
         self.at(endpoint.service_s, lambda: self._when_thawed(endpoint, complete))
@@ -496,9 +507,13 @@
         if token in self.answers:
             return
         if isinstance(event, RequestEnded):
-            self.answers[token] = "ok"
+            self._note_answer(token, "ok")
         self._feed_life(host, life, event)
 
+    def _note_answer(self, token, answer):
+        self.answers[token] = answer
+        self.answer_times[token] = self.now_s
+
     def _feed_life(self, host, life, event):
         if host.life == life:
             self._feed(host, event)
--- a/greengagerock/testing/stand_in.py
+++ b/greengagerock/testing/stand_in.py
@@ -304,8 +304,9 @@
         first, last = parse_range(self.headers.get("Range"), length)
         self.send_response(206 if self.headers.get("Range") else 200)
         self.send_header("Content-Type", "application/octet-stream")
-        self.send_header("Accept-Ranges", "bytes")
-        self.send_header("ETag", f'"{length}"')
+        if not switches.hides_ranges:
+            self.send_header("Accept-Ranges", "bytes")
+            self.send_header("ETag", f'"{length}"')
         if self.headers.get("Range"):
             self.send_header("Content-Range", f"bytes {first}-{last}/{length}")
         self.send_header("Content-Length", str(last - first + 1))
--- a/greengagerock/testing/switches.py
+++ b/greengagerock/testing/switches.py
@@ -22,6 +22,7 @@
         silent: It accepts requests and never answers.
         drops_answers: It runs requests and closes the connection without an answer.
         breaks_after_bytes: It closes the connection after so many bytes of a body.
+        hides_ranges: It offers neither ranges nor an entity tag.
         draining: It announces that it is leaving.
         announces: Whether it announces itself at all.
     """
@@ -35,5 +36,6 @@
     silent: bool = False
     drops_answers: bool = False
     breaks_after_bytes: int | None = None
+    hides_ranges: bool = False
     draining: bool = False
     announces: bool = True
--- a/greengagerock/web/callers.py
+++ b/greengagerock/web/callers.py
@@ -11,11 +11,14 @@
 from greengagerock.core.seam import (
     Answer,
     AnswerBegan,
+    AnswerBroken,
     AttemptFailed,
+    Forward,
     ReadinessAsked,
     RequestArrived,
     RequestEnded,
 )
+from greengagerock.web.resume import read_span
 from greengagerock.web.server import error_body, error_headers
 from greengagerock.web.upstream import BODY_CHUNK_BYTES, Attempt, CallerBody
 
@@ -89,7 +92,17 @@
 class Exchange:
     """One caller's request and its answer."""
 
-    __slots__ = ("app", "body", "endpoint", "environ", "headers", "request_id", "start", "token")
+    __slots__ = (
+        "app",
+        "body",
+        "endpoint",
+        "environ",
+        "headers",
+        "request_id",
+        "start",
+        "target",
+        "token",
+    )
 
     def __init__(self, app, token, environ, start_response):
         self.app = app
@@ -97,6 +110,7 @@
         self.environ = environ
         self.start = start_response
         self.endpoint = ""
+        self.target = ""
         self.headers = read_headers(environ)
         self.body = open_body(environ)
         given = self.headers.get("greengage-request-id", "")
@@ -116,23 +130,32 @@
             query,
             self.headers,
         )
-        target = f"{path}?{query}" if query else path
+        self.target = f"{path}?{query}" if query else path
         with self.app.metrics.time_head(service):
-            return self._follow(event, target)
+            return self._follow(event)
 
-    def _follow(self, event, target):
+    def _follow(self, event):
         while True:
             instruction = self.app.bridge.ask(self.token, event, LOOP_TIMEOUT_S)
             if instruction is None:
                 instruction = Answer(self.token, "internal-error", OUTCOME_UNKNOWN, "", True)
             if isinstance(instruction, Answer):
                 return self._answer_error(instruction)
-            result = self._attempt(instruction, target)
+            result = self.attempt(instruction, {})
             if not isinstance(result, AttemptFailed):
                 return self._relay(instruction, result)
             event = result
 
-    def _attempt(self, forward, target):
+    def attempt(self, forward, extra_headers):
+        """Send the request to an endpoint.
+
+        Args:
+            forward: The ``Forward`` instruction.
+            extra_headers: Headers that replace the caller's.
+
+        Returns:
+            A response whose body is unread, or an ``AttemptFailed`` event.
+        """
         attempt = Attempt()
         self.app.bridge.register_attempt(self.token, attempt)
         descriptor = self.environ["greengage.descriptor"]
@@ -143,8 +166,8 @@
             return self.app.upstream.send(
                 forward,
                 self.environ["REQUEST_METHOD"],
-                target,
-                self._headers_for(forward),
+                self.target,
+                self._headers_for(forward) | extra_headers,
                 self.body,
                 attempt,
             )
@@ -192,29 +215,60 @@
             headers.append(("Connection", "close"))
         reason = response.reason or responses.get(response.status, "Unknown")
         self.start(f"{response.status} {reason}", headers)
-        return RelayedBody(self.app, self.token, response)
+        return RelayedBody(self, response)
 
 
 class RelayedBody:
     """An endpoint's answer body on its way to the caller.
 
-    If the endpoint breaks off, so does the answer to the caller: the error
-    that is raised makes the server close the connection before the end.
+    If the endpoint breaks off, the rest is asked for by a range where that is
+    possible. Otherwise the answer to the caller breaks off too: the error that is
+    raised makes the server close the connection before the announced end.
     """
 
-    def __init__(self, app, token, response):
-        self.app = app
-        self.token = token
+    def __init__(self, exchange, response):
+        self.exchange = exchange
         self.response = response
+        self.span = read_span(exchange.environ["REQUEST_METHOD"], response)
+        self.passed_bytes = 0
         self.complete = False
 
     def __iter__(self):
-        try:
-            yield from self.response.stream(BODY_CHUNK_BYTES, decode_content=False)
-            self.complete = True
-        except (HTTPError, OSError) as error:
-            self.app.log("answer-broken-off", token=self.token, detail=type(error).__name__)
-            raise
+        while not self.complete:
+            try:
+                for chunk in self.response.stream(BODY_CHUNK_BYTES, decode_content=False):
+                    self.passed_bytes += len(chunk)
+                    yield chunk
+                self.complete = True
+            except (HTTPError, OSError) as error:
+                self.response.close()
+                rest = self._ask_for_rest(type(error).__name__)
+                if rest is None:
+                    raise
+                self.response = rest
+
+    def _ask_for_rest(self, reason):
+        app, token = self.exchange.app, self.exchange.token
+        app.log(
+            "answer-broken-off",
+            request_id=self.exchange.request_id,
+            detail=reason,
+            passed_bytes=self.passed_bytes,
+        )
+        event = AnswerBroken(token, self.span is not None)
+        while True:
+            instruction = app.bridge.ask(token, event, LOOP_TIMEOUT_S)
+            if not isinstance(instruction, Forward):
+                return None
+            extra = self.span.rest_headers(self.passed_bytes)
+            result = self.exchange.attempt(instruction, extra)
+            if isinstance(result, AttemptFailed):
+                event = result
+            elif self.span.is_continued_by(result, self.passed_bytes):
+                return result
+            else:
+                result.close()
+                return None
 
     def close(self):
         """Return or close the connection, and tell the loop."""
@@ -223,7 +277,7 @@
         else:
             # What is left unread must never reach another request.
             self.response.close()
-        self.app.bridge.post_lazily(RequestEnded(self.token, self.complete))
+        self.exchange.app.bridge.post_lazily(RequestEnded(self.exchange.token, self.complete))
 
 
 def is_long(response):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -15,6 +15,7 @@
 
 from greengagerock.testing.example_files import LAYOUTS, write_layout
 from greengagerock.testing.launch import ExampleSystem
+from greengagerock.testing.stand_in import document_bytes
 from greengagerock.testing.switches import Switches
 
 NETWORK = "127.6"
@@ -302,3 +303,71 @@
         return HTTP.request("GET", f"http://{ip}:8080/-/ready").status == 200
     except urllib3.exceptions.HTTPError:
         return False
+
+
+def switch(item, **switches):
+    """Set the switches of one stand-in."""
+    url = f"http://{item.ip}:{item.port}/-/switches"
+    HTTP.request("POST", url, body=msgspec.json.encode(Switches(**switches)))
+
+
+def documents_of(running, zone):
+    return [
+        item
+        for item in running.plan.stand_ins
+        if item.service == "documents" and item.availability_zone == zone
+    ]
+
+
+def test_faults_of_connections_and_answers(system):
+    """Silent connections, broken downloads, absent callers and repeated charges."""
+    callers = f"http://{NETWORK}.1.1:8080"
+    near = documents_of(system, "zone-1")
+
+    # Downloads that break off are resumed, from whichever endpoint.
+    for item in system.plan.stand_ins:
+        if item.service == "documents":
+            switch(item, breaks_after_bytes=150_000)
+    whole = HTTP.request("GET", f"{callers}/documents/exam.pdf?bytes=400000")
+    assert (whole.status, len(whole.data)) == (200, 400_000)
+    assert whole.data == document_bytes(0, 399_999)
+    part = HTTP.request(
+        "GET", f"{callers}/documents/exam.pdf?bytes=400000", headers={"Range": "bytes=1000-300999"}
+    )
+    assert part.data == document_bytes(1000, 300_999)
+
+    # An answer that cannot be resumed ends visibly broken.
+    for item in system.plan.stand_ins:
+        if item.service == "documents":
+            switch(item, breaks_after_bytes=100, hides_ranges=True)
+    with pytest.raises(urllib3.exceptions.ProtocolError):
+        HTTP.request("GET", f"{callers}/documents/exam.pdf?bytes=400000")
+    for item in system.plan.stand_ins:
+        if item.service == "documents":
+            switch(item)
+
+    # Connections that went silent are replaced while new ones work.
+    for item in system.plan.stand_ins:
+        if item.service == "till":
+            switch(item, silent_connections=True)
+    for number in range(12):
+        response = HTTP.request("GET", f"{callers}/till/cards/card-{number}")
+        assert response.status == 200
+
+    # A charge is run once, whatever entry host its resend reaches.
+    headers = {"Idempotency-Key": "binding-1"}
+    outcomes = [
+        HTTP.request("POST", f"http://{ip}:8080/till/cards/card-1/charges", headers=headers)
+        for ip in (f"{NETWORK}.1.1", f"{NETWORK}.2.1", f"{NETWORK}.3.2")
+    ]
+    assert [response.status for response in outcomes] == [200, 409, 409]
+    assert outcomes[1].json()["code"] == "duplicate-request"
+
+    # A caller that goes away does not keep its request in flight.
+    for item in near:
+        switch(item, silent=True)
+    status = f"http://{NETWORK}.1.1:8081/status"
+    with socket.create_connection((f"{NETWORK}.1.1", 8080), timeout=10) as connection:
+        connection.sendall(b"POST /documents/x HTTP/1.1\r\nHost: x\r\n\r\n")
+        eventually(lambda: HTTP.request("GET", status).json()["in_flight"] == 1)
+    eventually(lambda: HTTP.request("GET", status).json()["in_flight"] == 0)
