Unavailable time as a metric, moves of single units in the time line, forget host, link tests

Change: routers add up the time from a unit's first failure to its next answer; transfers of up to 64 units are noted one by one; 'forget host' removes a host from routes and electorates.

--- a/greengagerock/control/commands/actions.py
+++ b/greengagerock/control/commands/actions.py
@@ -76,6 +76,12 @@
     """Give up the replacement or addition of a voter that is under way."""
 
 
+class ForgetHost(msgspec.Struct, frozen=True, tag="forget-host"):
+    """Remove a host of the system that has left for good."""
+
+    name: str
+
+
 class LiftBan(msgspec.Struct, frozen=True, tag="lift-ban"):
     """Let a banned request through again."""
 
@@ -93,4 +99,5 @@
     | ReplaceVoter
     | CancelVoterChange
     | LiftBan
+    | ForgetHost
 )
--- a/greengagerock/control/commands/entries.py
+++ b/greengagerock/control/commands/entries.py
@@ -97,12 +97,6 @@
     host: HostRecord
 
 
-class HostForgotten(msgspec.Struct, frozen=True, tag="host-forgotten"):
-    """A host left for good."""
-
-    name: str
-
-
 class KeeperAppointed(msgspec.Struct, frozen=True, tag="keeper-appointed"):
     """A host became keeper of its availability zone; the epoch rises each time.
 
@@ -143,7 +137,6 @@
     | RevokeUnits
     | GrantUnits
     | HostReported
-    | HostForgotten
     | KeeperAppointed
     | VoterChangeEnded
     | RequestBanned
--- a/greengagerock/control/draft.py
+++ b/greengagerock/control/draft.py
@@ -8,6 +8,7 @@
     CreateService,
     DrainEndpoint,
     DropService,
+    ForgetHost,
     LiftBan,
     PinKey,
     ReplaceVoter,
@@ -61,6 +62,7 @@
         self.unpinning = set(state.unpinning)
         self.new_transfers = {}
         self.lifted_bans = set()
+        self.forgotten_hosts = set()
         self.voter_change = state.voter_change
 
     def add(self, action):
@@ -86,6 +88,10 @@
                 self._unpin(service, key)
             case ReplaceVoter(old, new):
                 self._replace_voter(old, new)
+            case ForgetHost(name):
+                if name not in self.state.hosts:
+                    raise GreengageError("unknown-name", f"no host is named {name!r}")
+                self.forgotten_hosts.add(name)
             case LiftBan(fingerprint):
                 if fingerprint not in self.state.routes.bans:
                     raise GreengageError("unknown-name", f"nothing is banned as {fingerprint!r}")
@@ -106,6 +112,7 @@
             owners=tuple(OwnedUnit(unit, owner) for unit, owner in self.owners.items()),
             unpinned=tuple(sorted(self.unpinned)),
             lifted_bans=tuple(sorted(self.lifted_bans)),
+            dropped_hosts=tuple(sorted(self.forgotten_hosts)),
         )
 
     def _service(self, name):
--- a/greengagerock/control/machine.py
+++ b/greengagerock/control/machine.py
@@ -9,7 +9,6 @@
     EndpointForgotten,
     EndpointReported,
     GrantUnits,
-    HostForgotten,
     HostReported,
     KeeperAppointed,
     OperatorChange,
@@ -90,8 +89,6 @@
                 self._apply_grant(command, index)
             case HostReported(host):
                 self._apply_host(host, index)
-            case HostForgotten(name):
-                self._apply_host_forgotten(name, index)
             case RequestBanned(fingerprint, service, request):
                 ban = Ban(fingerprint, service, request, index)
                 self._publish(self._delta(index, bans=(ban,)))
@@ -141,6 +138,8 @@
         state.transfers.update(draft.new_transfers)
         state.unpinning = draft.unpinning
         state.voter_change = draft.voter_change
+        for name in draft.forgotten_hosts:
+            state.forget_host(name)
         self._forget_dropped(draft.dropped_services)
         state.config_version = index
         state.remember_change(ChangeRecord(index, change.at_us, change.author, change.text))
@@ -207,10 +206,6 @@
         if known != entry:
             self._publish(self._delta(index, hosts=(entry,)))
 
-    def _apply_host_forgotten(self, name, index):
-        if self.state.hosts.pop(name, None) is not None:
-            self._publish(self._delta(index, dropped_hosts=(name,)))
-
     # --- Ownership -----------------------------------------------------------------
 
     def _apply_revoke(self, command, index):
--- a/greengagerock/control/owners.py
+++ b/greengagerock/control/owners.py
@@ -14,6 +14,7 @@
 MAX_UNITS_PER_COMMAND = 4096
 REPLAN_INTERVAL_S = 5.0
 MAX_BALANCE_MOVES_AT_ONCE = 16
+MOST_UNITS_NOTED = 64
 START_SETTLE_S = 0.6
 SECONDS_PER_HOUR = 3600.0
 
@@ -231,7 +232,12 @@
             self._note("units-revoked", part, cause)
 
     def _note(self, kind, part, cause):
-        self.controller.timeline.record(kind, detail=f"cause={cause} units={len(part)}")
+        timeline = self.controller.timeline
+        timeline.record(kind, detail=f"cause={cause} units={len(part)}")
+        if len(part) <= MOST_UNITS_NOTED:
+            for item in part:
+                unit = f"{item.unit.service}/{item.unit.label}"
+                timeline.record(kind.replace("units", "unit"), item.endpoint, unit, cause)
         self.controller.outbox.log(kind, cause=cause, units=len(part))
 
 
--- a/greengagerock/control/state.py
+++ b/greengagerock/control/state.py
@@ -209,6 +209,16 @@
         rivals = (*rivals, previous.electorate)[-RIVALS_KEPT:]
         self.keepers[zone] = Keeper(host, incarnation, previous.epoch + 1, electorate, rivals)
 
+    def forget_host(self, name):
+        """Remove a host, also from the electorates that it belongs to."""
+        self.hosts.pop(name, None)
+        for zone, keeper in self.keepers.items():
+            self.keepers[zone] = msgspec.structs.replace(
+                keeper,
+                electorate=tuple(n for n in keeper.electorate if n != name),
+                rivals=tuple(tuple(n for n in rival if n != name) for rival in keeper.rivals),
+            )
+
     def zones(self):
         """Return the names of all availability zones that have hosts."""
         return tuple(sorted({host.zone for host in self.hosts.values()}))
--- a/greengagerock/language/parser.py
+++ b/greengagerock/language/parser.py
@@ -11,6 +11,7 @@
     CreateService,
     DrainEndpoint,
     DropService,
+    ForgetHost,
     LiftBan,
     PinKey,
     ReplaceVoter,
@@ -83,6 +84,9 @@
     def remove_voter(self, old):
         return ReplaceVoter(old, "")
 
+    def forget_host(self, name):
+        return ForgetHost(name)
+
     def lift_ban(self, fingerprint):
         return LiftBan(fingerprint)
 
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -20,6 +20,21 @@
 SILENCE_S = 1.0
 SWEEP_INTERVAL_S = 0.25
 
+MOST_FAILING_UNITS = 4096
+
+# Failures that count as unavailable time; the others are the caller's or a limit's.
+UNAVAILABLE_CODES = frozenset(
+    {
+        "no-owner",
+        "no-endpoint",
+        "no-route-lease",
+        "connect-failed",
+        "endpoint-refused",
+        "answer-lost",
+        "deadline-exceeded",
+    }
+)
+
 REASON_CONNECT = "connect"
 REASON_REFUSED = "refused"
 REASON_LOST = "lost"
@@ -40,14 +55,30 @@
         outcomes: Number of requests by service and outcome.
         retries: Number of further attempts.
         sheds: Number of requests refused because a queue was full.
+        unavailable_s: Time without an answer by service, summed over its units: from
+            the first failure of a unit's requests to its next answer.
     """
 
-    __slots__ = ("outcomes", "retries", "sheds")
+    __slots__ = ("failing_since_s", "outcomes", "retries", "sheds", "unavailable_s")
 
     def __init__(self):
         self.outcomes = {}
         self.retries = 0
         self.sheds = 0
+        self.unavailable_s = {}
+        self.failing_since_s = {}
+
+    def note_failure(self, service, unit, now_s):
+        """Record that a unit's request got no endpoint's answer."""
+        if len(self.failing_since_s) < MOST_FAILING_UNITS:
+            self.failing_since_s.setdefault((service, unit), now_s)
+
+    def note_answer(self, service, unit, now_s):
+        """Record that a unit's request was answered."""
+        since_s = self.failing_since_s.pop((service, unit), None)
+        if since_s is not None:
+            total_s = self.unavailable_s.get(service, 0.0)
+            self.unavailable_s[service] = total_s + now_s - since_s
 
     def count(self, service, outcome):
         """Count one finished request."""
@@ -260,6 +291,9 @@
             return
         request.answering = True
         self.answered.note(request.fingerprint)
+        if self.stats.failing_since_s:
+            now_s = self.timers.now_s
+            self.stats.note_answer(request.service.name, request.unit, now_s)
         self.health.note_success(request.endpoint)
         if request.resent:
             self._settle_silent_siblings(request)
@@ -366,6 +400,8 @@
 
     def _give_up(self, event, error, outcome):
         request = self.registry.remove(event.token)
+        if request is not None and error.code in UNAVAILABLE_CODES:
+            self.stats.note_failure(request.service.name, request.unit, self.timers.now_s)
         if request is not None and request.claimed and outcome == OUTCOME_NOT_RUN:
             self.claims.release(event.service, request.idempotency_key, event.request_id)
         known = event.service in self.history.routes.services
--- /dev/null
+++ b/greengagerock/transport/tests/test_links.py
@@ -0,0 +1,81 @@
+"""Tests of links over loopback sockets."""
+
+import select
+
+import pynng
+
+from greengagerock.core import GreengageError, Timestamp
+from greengagerock.membership import KeeperHere
+from greengagerock.transport import Links
+from greengagerock.transport.monitor import LINK_SILENCE_LIMIT_S
+
+A = "127.7.0.1:9301"
+B = "127.7.0.2:9301"
+WAIT_S = 10.0
+
+
+def receive(links, now_s=0.0):
+    """Return the next envelopes or errors that arrive."""
+    while select.select([links.receive_fd], [], [], WAIT_S)[0]:
+        received = links.receive(now_s)
+        if received:
+            return received
+    raise AssertionError("nothing arrived")
+
+
+def test_message_arrives_with_its_sender():
+    a, b = Links("a", A), Links("b", B)
+    a.send(B, KeeperHere(3), Timestamp(5, 1), 0.0)
+    (envelope,) = receive(b)
+    assert (envelope.host, envelope.address, envelope.message) == ("a", A, KeeperHere(3))
+    assert envelope.sent_at == Timestamp(5, 1)
+    a.close()
+    b.close()
+
+
+def test_undecodable_bytes_are_reported_and_the_link_goes_on():
+    b = Links("b", B)
+    with pynng.Push0(dial=f"tcp://{B}", block_on_dial=True) as foreign:
+        foreign.send(b"\xff\x00garbage")
+        (error,) = receive(b)
+        assert isinstance(error, GreengageError)
+        assert error.code == "bad-message"
+    a = Links("a", A)
+    a.send(B, KeeperHere(1), Timestamp(1), 0.0)
+    assert receive(b)[0].message == KeeperHere(1)
+    a.close()
+    b.close()
+
+
+def test_link_without_answers_is_dialled_anew_and_works():
+    a, b = Links("a", A), Links("b", B)
+    a.send(B, KeeperHere(1), Timestamp(1), 0.0)
+    receive(b)
+    a.send(B, KeeperHere(2), Timestamp(2), LINK_SILENCE_LIMIT_S + 0.1)
+    assert a.stats.redialled == 1
+    assert receive(b)[0].message == KeeperHere(2)
+    b.send(A, KeeperHere(3), Timestamp(3), 3.0)
+    receive(a, 3.0)
+    a.send(B, KeeperHere(4), Timestamp(4), 5.0)
+    assert a.stats.redialled == 1
+    a.close()
+    b.close()
+
+
+def test_unreachable_peer_blocks_nothing():
+    a = Links("a", A)
+    for number in range(1000):
+        a.send("127.7.0.9:9999", KeeperHere(number), Timestamp(number), 0.0)
+    assert a.stats.dropped > 0
+    a.close()
+
+
+def test_address_in_use_is_a_typed_error():
+    a = Links("a", A)
+    try:
+        Links("b", A)
+    except GreengageError as error:
+        assert error.code == "link-failed"
+    else:
+        raise AssertionError("two listeners on one address")
+    a.close()
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -88,6 +88,14 @@
         yield CounterMetricFamily(
             "greengage_sheds", "Requests refused at a full queue.", value=router.stats.sheds
         )
+        unavailable = CounterMetricFamily(
+            "greengage_unavailable_seconds",
+            "Time without an answer, summed over the units of a service.",
+            labels=["service"],
+        )
+        for service, seconds in list(router.stats.unavailable_s.items()):
+            unavailable.add_metric([service], seconds)
+        yield unavailable
         yield GaugeMetricFamily(
             "greengage_in_flight", "Requests in flight.", value=len(router.registry)
         )
