--- a/greengagerock/placement/counting.py
+++ b/greengagerock/placement/counting.py
@@ -36,7 +36,8 @@
     """Choose owners for units that need one, then even out.
 
     Units without a usable owner go to the endpoints with the fewest units.
-    Then, while the most loaded endpoint exceeds the mean by more than the
+    Pinned keys do not count: a key is pinned to be placed apart from the rest, and a
+    new pin must not set off a move. Then, while the most loaded endpoint exceeds the mean by more than the
     hysteresis, single units move from it to the least loaded one.
 
     Args:
@@ -60,10 +61,10 @@
     states = {e.name: e for e in endpoints}
     homeless = []
     for unit, owner in units:
-        if owner in targets:
-            targets[owner].append(unit)
-        else:
+        if owner not in targets:
             homeless.append((unit, owner))
+        elif not unit.key:
+            targets[owner].append(unit)
     forced = _place_all(homeless, targets, states)
     return tuple(forced) + tuple(_even_out(targets, budget))
 
@@ -76,7 +77,8 @@
     for unit, owner in homeless:
         count, target = heapq.heappop(heap)
         heapq.heappush(heap, (count + 1, target))
-        targets[target].append(unit)
+        if not unit.key:
+            targets[target].append(unit)
         moves.append(Move(unit, owner, target, _cause(owner, states)))
     return moves
 
