--- a/greengagerock/placement/counting.py
+++ b/greengagerock/placement/counting.py
@@ -36,9 +36,10 @@
     """Choose owners for units that need one, then even out.
 
     Units without a usable owner go to the endpoints with the fewest units.
-    Pinned keys do not count: a key is pinned to be placed apart from the rest, and a
-    new pin must not set off a move. Then, while the most loaded endpoint exceeds the mean by more than the
-    hysteresis, single units move from it to the least loaded one.
+    Pinned keys do not count: a key is pinned to be placed apart from the rest, and
+    a new pin must not set off a move. Then, while the most loaded endpoint exceeds
+    the mean by more than the hysteresis, single units move from it to the least
+    loaded one.
 
     Args:
         units: Pairs of unit and owner name, for every unit of one service that is
