End drains before a schedule is expected to settle

The trace shows all six endpoints drained by operators; the units stayed with their draining owners and were served, as they should. Change: the schedule resumes them at its end.

--- a/greengagerock/testing/schedules.py
+++ b/greengagerock/testing/schedules.py
@@ -64,6 +64,14 @@
                 self.system.thaw(endpoint.name)
             if not endpoint.up:
                 self._restart(endpoint)
+        self._resume_drained()
+
+    def _resume_drained(self):
+        """End operators' drains: with every endpoint drained no unit can settle."""
+        self.system.run_for(5.0)
+        host = next(iter(self.system.hosts))
+        for name in self.system.endpoints:
+            self.system.ask_and_wait(host, f"resume endpoint {name}", f"resume-{name}")
 
     def check_changes(self):
         """Check that the leader, if there is one, knows every acknowledged change."""
