--- a/greengagerock/node/tests/test_cuts.py
+++ b/greengagerock/node/tests/test_cuts.py
@@ -176,3 +176,44 @@
     system.run_for(0.05)
     assert system.outcome(token) == "no-route-lease"
     assert len(system.endpoints[old].runs) == runs
+
+
+def test_unit_waits_for_requests_in_flight_at_an_endpoint_that_checks_nothing():
+    system = build_fake_system(checks_orders=False, rules="set timeout_s 5", **HOSTS)
+    InvariantWatch(system)
+    key = next(k for k in map(str, range(99)) if owner_zone(system, k) == "zone-1")
+    slot = slot_of_key(key, SLOTS)
+    old = leader_state(system).routes.owners["till"][slot].endpoint
+    system.endpoints[old].service_s = 2.5
+    token = system.request("host-2-2", "till", f"/cards/{key}", "POST")
+    system.run_for(0.1)
+    assert system.ask_and_wait("host-3-2", f"drain endpoint {old}", "drain").accepted
+    system.run_for(1.0)
+    assert leader_state(system).routes.owners["till"][slot].endpoint == ""
+    system.run_for(3.0)
+    assert system.outcome(token) == "ok"
+    assert leader_state(system).routes.owners["till"][slot].endpoint not in ("", old)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_new_keeper_counts_what_its_isolated_predecessor_lent(seed):
+    system = build_fake_system(
+        seed=seed, checks_orders=False, rules="set cut_hold_s 20, timeout_s 1", **HOSTS
+    )
+    InvariantWatch(system)
+    zone = cut_zone_of_no_leader(system)
+    keeper = next(
+        n for n, h in system.hosts.items() if h.node.keeper and h.config.host.zone == zone
+    )
+    others = [name for name in system.hosts if name != keeper]
+    system.cut([keeper], others)
+    system.cut(others, [keeper])
+    epoch = leader_state(system).keepers[zone].epoch
+    appointed = system.run_until(lambda: leader_state(system).keepers[zone].epoch > epoch, 5.0)
+    assert appointed is not None
+    # The isolated keeper still lends to the router of its own host.
+    victim = f"till-{zone[5:]}-1"
+    asker = leader_of(system).config.host.name
+    assert system.ask_and_wait(asker, f"drain endpoint {victim}", "drain").accepted
+    system.run_for(8.0)
+    assert all_owned(system)
--- a/greengagerock/testing/example_files.py
+++ b/greengagerock/testing/example_files.py
@@ -77,7 +77,7 @@
                 "till",
                 25,
                 "create service till keyed by path segment 2 slots 1024 "
-                "set cut_hold_s 10 s, churn_weight 0.2",
+                "set cut_hold_s 2500 ms, churn_weight 0.2",
             ),
             ServiceLayout("documents", 8, "create service documents without key"),
         ),
@@ -94,7 +94,7 @@
                 "trade-desk",
                 30,
                 "create service trade-desk keyed by path segment 2 slots 1024 "
-                "set cut_hold_s 300 s, churn_weight 0.8",
+                "set cut_hold_s 60 s, churn_weight 0.8",
             ),
             ServiceLayout("board", 6, "create service board without key"),
         ),
