--- a/greengagerock/core/seam.py
+++ b/greengagerock/core/seam.py
@@ -205,6 +205,12 @@
     only_reused: bool = False
 
 
+class WatchCaller(msgspec.Struct, frozen=True):
+    """Report it as ``CallerGone`` when the caller of a waiting request goes away."""
+
+    token: int
+
+
 class DropConnections(msgspec.Struct, frozen=True):
     """Close the idle connections to an endpoint; new requests use new ones."""
 
--- a/greengagerock/daemon/bridge.py
+++ b/greengagerock/daemon/bridge.py
@@ -11,14 +11,12 @@
     Attributes:
         post: Callable that hands an event to the loop; set by the daemon.
         post_lazily: The same for events that no decision waits for.
-        watch_caller: Callable that watches a caller's connection for its end.
-        unwatch_caller: Callable that ends the watch.
+        unwatch_caller: Callable that ends the watch of a caller's connection.
     """
 
     def __init__(self):
         self.post = None
         self.post_lazily = None
-        self.watch_caller = None
         self.unwatch_caller = None
         self._tokens = itertools.count(1)
         self._waiting = {}
@@ -66,6 +64,10 @@
         """The attempt has ended."""
         self._attempts.pop(token, None)
 
+    def attempt_of(self, token):
+        """Return the attempt that is running for a request, or ``None``."""
+        return self._attempts.get(token)
+
     def cancel(self, token, only_reused):
         """Close the connection of an attempt; called by the loop."""
         attempt = self._attempts.get(token)
--- a/greengagerock/daemon/daemon.py
+++ b/greengagerock/daemon/daemon.py
@@ -59,7 +59,6 @@
         self.loop = EventLoop(self.node, self.links, self.bridge, self.writer, self.upstream, log)
         self.bridge.post = self.loop.post
         self.bridge.post_lazily = self.loop.post_lazily
-        self.bridge.watch_caller = self.loop.watch_caller
         self.bridge.unwatch_caller = self.loop.unwatch_caller
         self.metrics.watch(self.node, self.links)
         self.servers = self._make_servers()
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -22,6 +22,7 @@
     SendMessage,
     StopProcess,
     TimePassed,
+    WatchCaller,
 )
 
 MAX_EVENTS_PER_TURN = 256
@@ -79,8 +80,12 @@
         if self._asleep and self.node.waits_for_requests():
             os.eventfd_write(self._wake_fd, 1)
 
-    def watch_caller(self, token, descriptor):
-        """Report it when a caller closes its connection, from any thread."""
+    def _watch_caller(self, token):
+        """Report it when the caller of an attempt closes its connection."""
+        attempt = self.bridge.attempt_of(token)
+        descriptor = attempt.begin_watch() if attempt else None
+        if descriptor is None:
+            return
         self._watched[descriptor] = token
         try:
             self._poll.register(descriptor, select.EPOLLRDHUP)
@@ -186,6 +191,8 @@
                     self.log(event, **fields)
                 case CancelAttempt(token, only_reused):
                     self.bridge.cancel(token, only_reused)
+                case WatchCaller(token):
+                    self._watch_caller(token)
                 case DropConnections(address):
                     self.upstream.drop(address)
                 case StopProcess(code):
--- /dev/null
+++ b/greengagerock/routing/failures.py
@@ -0,0 +1,29 @@
+"""What a failed attempt means for its request."""
+
+REASON_CONNECT = "connect"
+REASON_REFUSED = "refused"
+REASON_LOST = "lost"
+REASON_TIMEOUT = "timeout"
+
+CODE_BY_REASON = {
+    REASON_CONNECT: "connect-failed",
+    REASON_REFUSED: "endpoint-refused",
+    REASON_LOST: "answer-lost",
+    REASON_TIMEOUT: "deadline-exceeded",
+}
+
+
+def is_certainly_not_run(event):
+    """Return whether a failed attempt certainly ran nothing.
+
+    Args:
+        event: An ``AttemptFailed`` event.
+
+    Examples:
+        >>> from greengagerock.core.seam import AttemptFailed
+        >>> is_certainly_not_run(AttemptFailed(1, "connect", False, False))
+        True
+        >>> is_certainly_not_run(AttemptFailed(1, "lost", True, False))
+        False
+    """
+    return event.reason == REASON_REFUSED or not event.bytes_left
--- a/greengagerock/routing/requests.py
+++ b/greengagerock/routing/requests.py
@@ -27,6 +27,7 @@
         answering: Whether the head of the answer has come.
         silent: Whether its connection is given up as silent.
         abandoned: Whether its caller has gone.
+        watched: Whether its caller is watched.
         resent: Whether it was sent again after a silent connection.
         orphaned: Whether its endpoint was declared lost, so that its attempt was
             cancelled and its answer will not be waited for.
@@ -49,6 +50,7 @@
         "service",
         "tried",
         "unit",
+        "watched",
     )
 
     def __init__(self, event, service, unit, deadline_s):
@@ -67,6 +69,7 @@
         self.answering = False
         self.silent = False
         self.abandoned = False
+        self.watched = False
         self.sent_s = 0.0
 
     @property
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -2,12 +2,25 @@
 
 from greengagerock.agent.orders import ORDER_HEADER, Order
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN, GreengageError
-from greengagerock.core.seam import Answer, CancelAttempt, DropConnections, Forward
+from greengagerock.core.seam import (
+    Answer,
+    CancelAttempt,
+    DropConnections,
+    Forward,
+    WatchCaller,
+)
 from greengagerock.model import STATE_LOST, extract_key
 from greengagerock.routing.choice import choose_endpoint
 from greengagerock.routing.claims import CLAIMED, DUPLICATE, UNSURE, ClaimDesk
+from greengagerock.routing.failures import (
+    CODE_BY_REASON,
+    REASON_LOST,
+    REASON_REFUSED,
+    is_certainly_not_run,
+)
 from greengagerock.routing.health import EndpointHealth, RetryBudget
 from greengagerock.routing.requests import InFlight, RequestRegistry, parse_timeout_s
+from greengagerock.routing.stats import RouterStats
 from greengagerock.routing.suspects import AnsweredRequests, CrashReport, fingerprint_request
 
 QUEUE_PER_ENDPOINT = 12
@@ -20,8 +33,6 @@
 SILENCE_S = 1.0
 SWEEP_INTERVAL_S = 0.25
 
-MOST_FAILING_UNITS = 4096
-
 # Failures that count as unavailable time; the others are the caller's or a limit's.
 UNAVAILABLE_CODES = frozenset(
     {
@@ -35,56 +46,6 @@
     }
 )
 
-REASON_CONNECT = "connect"
-REASON_REFUSED = "refused"
-REASON_LOST = "lost"
-REASON_TIMEOUT = "timeout"
-
-CODE_BY_REASON = {
-    REASON_CONNECT: "connect-failed",
-    REASON_REFUSED: "endpoint-refused",
-    REASON_LOST: "answer-lost",
-    REASON_TIMEOUT: "deadline-exceeded",
-}
-
-
-class RouterStats:
-    """Counters of one router, read by the metrics.
-
-    Attributes:
-        outcomes: Number of requests by service and outcome.
-        retries: Number of further attempts.
-        sheds: Number of requests refused because a queue was full.
-        unavailable_s: Time without an answer by service, summed over its units: from
-            the first failure of a unit's requests to its next answer.
-    """
-
-    __slots__ = ("failing_since_s", "outcomes", "retries", "sheds", "unavailable_s")
-
-    def __init__(self):
-        self.outcomes = {}
-        self.retries = 0
-        self.sheds = 0
-        self.unavailable_s = {}
-        self.failing_since_s = {}
-
-    def note_failure(self, service, unit, now_s):
-        """Record that a unit's request got no endpoint's answer."""
-        if len(self.failing_since_s) < MOST_FAILING_UNITS:
-            self.failing_since_s.setdefault((service, unit), now_s)
-
-    def note_answer(self, service, unit, now_s):
-        """Record that a unit's request was answered."""
-        since_s = self.failing_since_s.pop((service, unit), None)
-        if since_s is not None:
-            total_s = self.unavailable_s.get(service, 0.0)
-            self.unavailable_s[service] = total_s + now_s - since_s
-
-    def count(self, service, outcome):
-        """Count one finished request."""
-        key = (service, outcome)
-        self.outcomes[key] = self.outcomes.get(key, 0) + 1
-
 
 class Router:
     """Routes callers' requests.
@@ -270,6 +231,10 @@
         """
         self._sweeping = False
         for token, request in self.registry.by_token.items():
+            if not request.watched:
+                # Most requests are answered sooner and spare the cost.
+                request.watched = True
+                self.outbox.add(WatchCaller(token))
             if request.may_be_resent and self._is_silent(request):
                 request.silent = True
                 self.outbox.add(CancelAttempt(token, only_reused=True))
@@ -415,19 +380,3 @@
             outcome=outcome,
             detail=error.detail,
         )
-
-
-def is_certainly_not_run(event):
-    """Return whether a failed attempt certainly ran nothing.
-
-    Args:
-        event: An ``AttemptFailed`` event.
-
-    Examples:
-        >>> from greengagerock.core.seam import AttemptFailed
-        >>> is_certainly_not_run(AttemptFailed(1, "connect", False, False))
-        True
-        >>> is_certainly_not_run(AttemptFailed(1, "lost", True, False))
-        False
-    """
-    return event.reason == REASON_REFUSED or not event.bytes_left
--- a/greengagerock/routing/tests/test_router.py
+++ b/greengagerock/routing/tests/test_router.py
@@ -16,6 +16,7 @@
     Outbox,
     RequestArrived,
     RequestEnded,
+    WatchCaller,
 )
 from greengagerock.membership import RouteLease
 from greengagerock.model import (
@@ -141,6 +142,16 @@
     assert isinstance(bench.arrive("/x", "GET", "documents")[1][0], Forward)
 
 
+def test_caller_of_a_waiting_request_is_watched_once():
+    bench = Bench()
+    token, _ = bench.arrive()
+    bench.timers.advance(100.3)
+    watched = [e for e in bench.outbox.drain() if isinstance(e, WatchCaller)]
+    bench.timers.advance(100.9)
+    assert watched == [WatchCaller(token)]
+    assert not [e for e in bench.outbox.drain() if isinstance(e, WatchCaller)]
+
+
 def test_silent_connection_is_replaced_and_an_idempotent_request_sent_again():
     bench = Bench()
     token, _ = bench.arrive()
--- a/greengagerock/web/callers.py
+++ b/greengagerock/web/callers.py
@@ -156,12 +156,10 @@
         Returns:
             A response whose body is unread, or an ``AttemptFailed`` event.
         """
-        attempt = Attempt()
+        # With a body to read, a caller that goes away ends the reading.
+        watchable = self.environ["greengage.descriptor"] if self.body is None else None
+        attempt = Attempt(watchable)
         self.app.bridge.register_attempt(self.token, attempt)
-        descriptor = self.environ["greengage.descriptor"]
-        if self.body is None:
-            # With a body to read, a caller that goes away ends the reading.
-            self.app.bridge.watch_caller(self.token, descriptor)
         try:
             return self.app.upstream.send(
                 forward,
@@ -173,8 +171,9 @@
             )
         finally:
             self.app.bridge.forget_attempt(self.token)
-            if self.body is None:
-                self.app.bridge.unwatch_caller(descriptor)
+            watched = attempt.end()
+            if watched is not None:
+                self.app.bridge.unwatch_caller(watched)
 
     def _headers_for(self, forward):
         headers = {
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -9,7 +9,7 @@
 from urllib3.exceptions import TimeoutError as UrllibTimeoutError
 
 from greengagerock.core.seam import AttemptFailed
-from greengagerock.routing.router import (
+from greengagerock.routing.failures import (
     REASON_CONNECT,
     REASON_LOST,
     REASON_REFUSED,
@@ -49,14 +49,30 @@
         is_new: Whether the connection was opened for this attempt.
     """
 
-    __slots__ = ("bytes_left", "cancelled", "connection", "is_new")
+    __slots__ = ("_caller", "_lock", "_watched", "bytes_left", "cancelled", "connection", "is_new")
 
-    def __init__(self):
+    def __init__(self, caller_descriptor=None):
+        self._caller = caller_descriptor
+        self._lock = threading.Lock()
+        self._watched = False
         self.bytes_left = False
         self.connection = None
         self.cancelled = False
         self.is_new = False
 
+    def begin_watch(self):
+        """Return the descriptor of the caller's socket, or ``None`` if not to be watched."""
+        with self._lock:
+            self._watched = self._caller is not None
+            return self._caller
+
+    def end(self):
+        """End the attempt; returns the descriptor if it was being watched, else ``None``."""
+        with self._lock:
+            descriptor = self._caller if self._watched else None
+            self._caller = None
+            return descriptor
+
     def cancel(self):
         """Break the connection; called from the loop thread."""
         self.cancelled = True
