Count an isolated keeper's sessions also after an endpoint was heard; wake the loop by edges

Cause: reading the keeper as a newcomer: once an endpoint had announced itself to a new keeper, that keeper forgot that an isolated predecessor might still lend to it.

Change: the end of a session is never before the end of what predecessors lent. The loop's wake-up counter is edge-triggered and no longer read.

--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -61,7 +61,8 @@
         self._asleep = False
         self._receive_fd = links.receive_fd
         self._poll = select.epoll(flags=select.EPOLL_CLOEXEC)
-        self._poll.register(self._wake_fd, select.EPOLLIN)
+        # Edge-triggered, so that the counter need not be read: each write is an event.
+        self._poll.register(self._wake_fd, select.EPOLLIN | select.EPOLLET)
         self._poll.register(self._receive_fd, select.EPOLLIN)
 
     def post(self, event):
@@ -118,8 +119,6 @@
         self._asleep = False
         if len(self._watched):
             self._take_gone_callers(ready)
-        if self._wake_fd in ready:
-            os.eventfd_read(self._wake_fd)
         return self._receive_fd in ready
 
     def _take_gone_callers(self, ready):
--- a/greengagerock/membership/keeper.py
+++ b/greengagerock/membership/keeper.py
@@ -267,7 +267,8 @@
         return session
 
     def _session_end_s(self, session):
-        if session.announcement is not None or self.epoch == 1:
+        # An endpoint that has announced itself here may still reach a predecessor too.
+        if self.epoch == 1:
             return session.expires_s
         return max(session.expires_s, self._predecessor_end_s())
 
--- a/greengagerock/node/tests/test_cuts.py
+++ b/greengagerock/node/tests/test_cuts.py
@@ -217,3 +217,28 @@
     assert system.ask_and_wait(asker, f"drain endpoint {victim}", "drain").accepted
     system.run_for(8.0)
     assert all_owned(system)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_endpoint_that_reaches_both_keepers_has_one_session_at_a_time(seed):
+    system = build_fake_system(seed=seed, rules="set cut_hold_s 20", **HOSTS)
+    InvariantWatch(system)
+    zone = cut_zone_of_no_leader(system)
+    inside = [n for n in system.hosts if system.zone_of(n) == zone]
+    old = next(n for n in inside if system.hosts[n].node.keeper)
+    others = [name for name in system.hosts if name != old]
+    system.cut([old], others)
+    system.cut(others, [old])
+    victim = f"till-{zone[5:]}-1"
+    system.entry_hosts[victim] = next(n for n in inside if n != old)
+
+    def heard_by_the_new_keeper():
+        nodes = [system.hosts[n].node for n in inside if n != old]
+        sessions = [node.keeper.sessions.get(victim) for node in nodes if node.keeper]
+        return any(s and s.expires_s > system.now_s for s in sessions)
+
+    assert system.run_until(heard_by_the_new_keeper, 5.0) is not None
+    # From now on only the isolated keeper hears it, and may lend for a moment longer.
+    system.entry_hosts[victim] = old
+    system.run_for(8.0)
+    assert all_owned(system)
--- a/greengagerock/testing/fakes.py
+++ b/greengagerock/testing/fakes.py
@@ -53,6 +53,8 @@
 
     Attributes:
         on_start: Called with each node that is started.
+        entry_hosts: Hosts by endpoint name to which the endpoint announces itself, where
+            that is not left to chance.
         crash_paths: Paths of requests that crash the endpoint that runs them.
         cuts_requests: Whether a zone that is cut off also gets no requests from other
             zones. Without it a cut only concerns the hosts, which is harder to survive:
@@ -71,6 +73,7 @@
         self.cut_zones = set()
         self.cuts_requests = False
         self.crash_paths = set()
+        self.entry_hosts = {}
         self.answers = {}
         self.operator_answers = {}
         self.request_times = {}
@@ -341,6 +344,8 @@
         self._feed(host, EndpointAnnounced(token, announcement))
 
     def _entry_host(self, endpoint):
+        if endpoint.name in self.entry_hosts:
+            return self.hosts[self.entry_hosts[endpoint.name]]
         alive = [
             host
             for host in self.hosts.values()
--- a/greengagerock/web/callers.py
+++ b/greengagerock/web/callers.py
@@ -228,7 +228,7 @@
     def __init__(self, exchange, response):
         self.exchange = exchange
         self.response = response
-        self.span = read_span(exchange.environ["REQUEST_METHOD"], response)
+        self.span = None
         self.passed_bytes = 0
         self.complete = False
 
@@ -254,6 +254,8 @@
             detail=reason,
             passed_bytes=self.passed_bytes,
         )
+        if self.span is None:
+            self.span = read_span(self.exchange.environ["REQUEST_METHOD"], self.response)
         event = AnswerBroken(token, self.span is not None)
         while True:
             instruction = app.bridge.ask(token, event, LOOP_TIMEOUT_S)
