Count the lease that a router brings along to a new keeper

A router changed to a new keeper that could not lend yet; it was counted as following with no lease, while the one from its former keeper still ran for 0.9 s, so a transfer did not wait for it. Ruled out: the age of the contact (1.5 s of 2.0) and requests in flight (none).

Change: with its first beat a router counts as holding a lease of full length.

--- a/greengagerock/membership/keeper.py
+++ b/greengagerock/membership/keeper.py
@@ -150,6 +150,9 @@
         """
         now_s = self.timers.now_s
         lease = self.leases.setdefault(beat.host, RouterLease(now_s))
+        if not lease.follows:
+            # What its former keeper lent it last may still be running.
+            lease.expires_s = max(lease.expires_s, now_s + lender_duration(ROUTER_LEASE_S))
         lease.follows = True
         lease.acknowledged = max(lease.acknowledged, beat.acknowledged)
         if not self.may_lend():
--- a/greengagerock/node/tests/test_schedules.py
+++ b/greengagerock/node/tests/test_schedules.py
@@ -25,11 +25,16 @@
     run_schedule(system, seed)
 
 
-def run_schedule(system, seed):
+def test_schedule_in_which_a_router_changed_its_keeper_with_a_lease_running():
+    system = build_fake_system(seed=7104, checks_orders=False, rules=RULES)
+    run_schedule(system, 7104, steps=150)
+
+
+def run_schedule(system, seed, steps=STEPS):
     """Run a schedule, end all faults, and check that the system settles."""
     watch = InvariantWatch(system)
     schedule = FaultSchedule(system, watch, seed)
-    schedule.run(STEPS)
+    schedule.run(steps)
     schedule.repair_everything()
     settle(system, 60.0)
     watch.check_changes(leader_state(system))
