--- /dev/null
+++ b/greengagerock/control/leadership.py
@@ -0,0 +1,321 @@
+"""What the leading controller decides: grants, patches, and what routers are told."""
+
+from greengagerock.control.site_requests import ItemsRelay, PatchRelay, RelayAnswer, ReportRelay
+from greengagerock.core import GreengageError
+from greengagerock.holdings import Directory, EndpointLeaving, Ledger, ReportAnswer
+from greengagerock.holdings.ledger import lender_hold_s
+from greengagerock.items.store import encode_patch
+from greengagerock.routing.suspects import BAN_S, CrashBook
+from greengagerock.view import EndpointRecord, ItemsHistory, LiveHistory, ViewDelta
+
+# Changes within this time reach routers in one message, and after the endpoint's own.
+PUSH_AFTER_S = 0.025
+# A router that has not asked for so long is no longer sent changes.
+SUBSCRIBER_SILENCE_S = 2.5
+# An endpoint that leaves gets its last requests so long after the answer to it.
+LAST_REQUESTS_S = 1.0
+# Fences of one term lie below those of the next; a term can grant so often.
+FENCES_PER_TERM = 1 << 16
+
+
+class Subscriber:
+    """A router that is sent changes.
+
+    Attributes:
+        poll: Its newest ``ViewPoll``.
+        heard_s: When that came.
+    """
+
+    __slots__ = ("heard_s", "poll")
+
+    def __init__(self, poll, heard_s):
+        self.poll = poll
+        self.heard_s = heard_s
+
+
+class Leadership:
+    """The leader's state, which lasts for one term.
+
+    It acts only while this voter leads, has its lease, and has applied everything of
+    earlier terms.
+
+    Args:
+        config: The ``SiteConfig``.
+        voter: The local voter.
+        store: The ``ItemStore``.
+        timers: The timer service.
+        outbox: Receives effects.
+
+    Attributes:
+        controllers: Link addresses of all controllers, told to routers.
+    """
+
+    def __init__(self, config, voter, store, timers, outbox):
+        self.config = config
+        self.voter = voter
+        self.store = store
+        self.timers = timers
+        self.outbox = outbox
+        self.controllers = (config.address,)
+        self.items_history = ItemsHistory(store)
+        self.crash_book = CrashBook()
+        self.bans = {}
+        self.pending = {}
+        self.subscribers = {}
+        store.on_verdict = self._on_verdict
+        store.on_load = lambda: self.items_history.reset(voter.log.snapshot.index)
+        if voter.log.snapshot.data:
+            self.items_history.reset(voter.log.snapshot.index)
+        self._reset()
+
+    def _reset(self):
+        self.directory = Directory()
+        self.ledgers = {}
+        self.live = LiveHistory(self.voter.term)
+        self.subscribers = {}
+        self.settled_s = None
+        self.fence_count = 0
+        self.push_timer = None
+        self.withdrawn = set()
+
+    def begin(self):
+        """Start a term as the leader."""
+        self._reset()
+
+    def end(self):
+        """Stop leading; whoever waits is told that nobody could answer."""
+        pending, self.pending = self.pending, {}
+        for reply, token in pending.values():
+            reply(RelayAnswer(token))
+        self._reset()
+
+    def is_active(self):
+        """Return whether this host may decide at this moment."""
+        return self.voter.ready_to_serve() and self.voter.has_lease()
+
+    # --- Requests ------------------------------------------------------------------
+
+    def serve(self, request, reply):
+        """Answer a relayed request.
+
+        Args:
+            request: A ``ReportRelay``, ``PatchRelay`` or ``ItemsRelay``.
+            reply: Called with a ``RelayAnswer``, at once or later.
+        """
+        if not self.is_active():
+            reply(RelayAnswer(request.token))
+            return
+        match request:
+            case ReportRelay(token, EndpointLeaving() as leaving):
+                self._on_leaving(leaving)
+                reply(RelayAnswer(token, report=ReportAnswer()))
+            case ReportRelay(token, report):
+                reply(RelayAnswer(token, report=self._on_report(report)))
+            case PatchRelay(token, patch):
+                self._on_patch(token, patch, reply)
+            case ItemsRelay(token):
+                reply(RelayAnswer(token, items=self.store.items))
+
+    def _on_patch(self, token, patch, reply):
+        try:
+            index = self.voter.propose(encode_patch(patch))
+        except GreengageError as error:
+            self.outbox.log("patch-not-proposed", code=error.code, detail=error.detail)
+            reply(RelayAnswer(token))
+            return
+        self.pending[index] = (reply, token)
+
+    def _on_verdict(self, index, verdict):
+        if verdict.changed:
+            self.items_history.note(index, verdict.changed)
+            self._push_soon()
+        self.outbox.log(
+            "patch-applied",
+            index=index,
+            code=verdict.code,
+            detail=verdict.detail,
+            changed=",".join(verdict.changed[:8]),
+            changed_count=len(verdict.changed),
+        )
+        waiting = self.pending.pop(index, None)
+        if waiting is not None:
+            reply, token = waiting
+            reply(RelayAnswer(token, verdict=verdict))
+
+    def _on_report(self, report):
+        service = self.store.items.services.get(report.service)
+        if service is None:
+            code = "unknown-service" if self.store.items.services else "not-ready"
+            self.outbox.log(
+                "report-refused", code=code, endpoint=report.endpoint, service=report.service
+            )
+            return ReportAnswer(code)
+        now_s = self.timers.now_s
+        admission = self.directory.admit(report, now_s)
+        life = admission.life
+        for ended in admission.ended:
+            self._end(ended, "a later life has its name or address")
+        if life is None:
+            self.outbox.log(
+                "report-refused",
+                code="stale-report",
+                endpoint=report.endpoint,
+                born_ms=report.born_ms,
+            )
+            return ReportAnswer("stale-report")
+        if admission.is_new or admission.is_changed:
+            self._publish(life)
+            self.outbox.log(
+                "endpoint-joined" if admission.is_new else "endpoint-changed",
+                endpoint=life.name,
+                service=report.service,
+                address=report.address,
+                zone=report.zone,
+                draining=life.is_leaving,
+                sequence=report.sequence,
+            )
+        if admission.is_late or service.keyed is None:
+            return ReportAnswer()
+        ledger = self._ledger(report.service)
+        lives = self.directory.of_service(report.service)
+        grants = ledger.renew(life, lives, now_s, self.config.hold_s)
+        return ReportAnswer("", grants, self.config.hold_s)
+
+    def _on_leaving(self, leaving):
+        life = self.directory.leave(leaving, self.timers.now_s)
+        if life is not None:
+            self._publish(life)
+            self.outbox.log("endpoint-leaving", endpoint=life.name, born_ms=leaving.born_ms)
+
+    def on_crash(self, report):
+        """Take in a router's report that a request broke off an endpoint."""
+        now_s = self.timers.now_s
+        if self.is_active() and self.crash_book.take(report, now_s):
+            if report.fingerprint not in self.bans:
+                self.outbox.log(
+                    "request-banned", fingerprint=report.fingerprint, request_id=report.request
+                )
+            self.bans[report.fingerprint] = now_s + BAN_S
+            self._push_soon()
+
+    # --- Routers -------------------------------------------------------------------
+
+    def on_poll(self, poll, address):
+        """Answer a router."""
+        if address not in self.subscribers:
+            self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
+        self.subscribers[address] = Subscriber(poll, self.timers.now_s)
+        self._send_view(address, poll)
+
+    def _send_view(self, address, poll):
+        delta = ViewDelta(
+            self.items_history.delta_since(poll.items_revision),
+            self.live.delta_since(poll.epoch, poll.live_revision),
+            self.controllers,
+            len(self.subscribers),
+            tuple(self.bans),
+        )
+        self.outbox.send(address, delta)
+
+    def _push_soon(self):
+        if self.push_timer is None:
+            self.push_timer = self.timers.subscribe(PUSH_AFTER_S, self._push)
+
+    def _push(self):
+        self.push_timer = None
+        if not self.is_active():
+            return
+        now_s = self.timers.now_s
+        for address, subscriber in list(self.subscribers.items()):
+            if now_s - subscriber.heard_s > SUBSCRIBER_SILENCE_S:
+                del self.subscribers[address]
+            else:
+                self._send_view(address, subscriber.poll)
+
+    def _publish(self, life):
+        report = life.report
+        self.live.set_endpoint(
+            EndpointRecord(
+                life.name,
+                report.address,
+                report.service,
+                report.zone,
+                report.slots,
+                life.is_leaving,
+                report.born_ms,
+                max(0.0, life.cold_until_s - self.timers.now_s),
+            )
+        )
+        self._push_soon()
+
+    def _on_owner(self, service, unit, endpoint):
+        self.live.set_owner(service, unit, endpoint)
+        self._push_soon()
+
+    # --- Time ----------------------------------------------------------------------
+
+    def tick(self):
+        """Do what is due: expiry of holds, plans, endpoints that are gone."""
+        now_s = self.timers.now_s
+        if self.settled_s is None:
+            self._take_over(now_s)
+        if self.live.settled_revision is None and now_s >= self.settled_s:
+            self.live.settle()
+            self.outbox.log("leader-settled", endpoints=len(self.directory.lives))
+            self._push_soon()
+        for life in self.directory.forgotten(now_s):
+            self._end(life, "silent")
+        for life in self.directory.lives.values():
+            if life.is_leaving and now_s - life.leaving_s > LAST_REQUESTS_S:
+                self._withdraw(life)
+        for service, ledger in self.ledgers.items():
+            lives = self.directory.of_service(service)
+            ledger.advance(lives, now_s)
+            ledger.plan(lives, now_s)
+        for fingerprint in [f for f, until_s in self.bans.items() if until_s < now_s]:
+            del self.bans[fingerprint]
+            self.crash_book.forget(fingerprint)
+
+    def _take_over(self, now_s):
+        """Find out how long others may still hold keys by an earlier leader's grant."""
+        first = self.voter.log.entry_at(2)
+        is_first_leader = first is not None and first.term == self.voter.term
+        wait_s = 0.0 if is_first_leader else lender_hold_s(self.config.hold_s)
+        self.settled_s = now_s + wait_s
+        self.outbox.log("leader-begins", term=self.voter.term, waits_s=round(wait_s, 3))
+
+    def _ledger(self, service):
+        ledger = self.ledgers.get(service)
+        if ledger is None:
+            if self.settled_s is None:
+                self._take_over(self.timers.now_s)
+            ledger = self.ledgers[service] = Ledger(
+                service,
+                self._next_fence,
+                lambda unit, endpoint: self._on_owner(service, unit, endpoint),
+                self.settled_s,
+                self.config.report_interval_s,
+            )
+        return ledger
+
+    def _next_fence(self, highest):
+        self.fence_count += 1
+        return max(highest + 1, self.voter.term * FENCES_PER_TERM + self.fence_count)
+
+    def _withdraw(self, life):
+        if life.name in self.withdrawn:
+            return
+        self.withdrawn.add(life.name)
+        ledger = self.ledgers.get(life.report.service)
+        if ledger is not None:
+            ledger.withdraw(life)
+
+    def _end(self, life, reason):
+        ledger = self.ledgers.get(life.report.service)
+        if ledger is not None:
+            ledger.end(life)
+        self.withdrawn.discard(life.name)
+        if self.directory.lives.get(life.name) is None:
+            self.live.remove_endpoint(life.name)
+        self._push_soon()
+        self.outbox.log("endpoint-ended", endpoint=life.name, detail=reason)
--- a/greengagerock/core/errors.py
+++ b/greengagerock/core/errors.py
@@ -57,6 +57,15 @@
     ErrorKind(
         "version-conflict", 409, "The change is based on a version that is no longer current."
     ),
+    ErrorKind("invalid-item", 422, "A configuration item is malformed or contradicts another."),
+    ErrorKind("bad-report", 400, "The endpoint's report is malformed."),
+    ErrorKind("stale-report", 409, "A later life of the endpoint has reported already."),
+    ErrorKind("unknown-route", 404, "No route has this host and path."),
+    ErrorKind("no-room", 503, "No endpoint can answer in time.", 1),
+    ErrorKind("key-moving", 503, "The key is between two owners.", 1),
+    ErrorKind("bad-answer", 502, "The endpoint's answer could not be used."),
+    ErrorKind("request-suspended", 503, "This request crashed several endpoints.", 5),
+    ErrorKind("caller-gone", 502, "The caller left before its request was sent on."),
     ErrorKind("request-id-reused", 409, "The request id was used for a different change."),
     ErrorKind("queue-full", 503, "Too many operator requests are waiting.", 1),
     ErrorKind("bad-settings", 400, "The settings file has faults."),
--- a/greengagerock/core/seam.py
+++ b/greengagerock/core/seam.py
@@ -64,12 +64,68 @@
     headers: dict[str, str]
 
 
+class CallArrived(msgspec.Struct, frozen=True):
+    """A caller's request arrived at a router with named routes.
+
+    Attributes:
+        token: Identifies the request on this node.
+        request_id: The caller's id of this attempt of the request.
+        method: HTTP method.
+        host: Value of the ``Host`` header.
+        path: Path without query, still encoded.
+        target: Path and query, still encoded.
+        budget_s: How long the caller waits, in seconds.
+        key: Key of the request, or ``None``.
+        body_digest: Digest of a short body, else its announced length.
+    """
+
+    token: int
+    request_id: str
+    method: str
+    host: str
+    path: str
+    target: str
+    budget_s: float
+    key: int | None = None
+    body_digest: str = ""
+
+
+class EndpointReported(msgspec.Struct, frozen=True):
+    """An endpoint's report, or its last word, arrived over HTTP."""
+
+    token: int
+    report: object
+
+
+class PatchAsked(msgspec.Struct, frozen=True):
+    """An operator sent a patch of configuration items."""
+
+    token: int
+    patch: object
+
+
+class ItemsAsked(msgspec.Struct, frozen=True):
+    """An operator wants to read the newest items."""
+
+    token: int
+
+
+class SeedsChanged(msgspec.Struct, frozen=True):
+    """The settings now name other seeds.
+
+    Attributes:
+        seeds: Link addresses.
+    """
+
+    seeds: tuple[str, ...]
+
+
 class AttemptFailed(msgspec.Struct, frozen=True):
     """An attempt ended without a usable answer.
 
     Attributes:
         token: The request.
-        reason: ``connect``, ``refused``, ``lost`` or ``timeout``.
+        reason: ``connect``, ``refused``, ``not-owner``, ``lost`` or ``timeout``.
         bytes_left: Whether any byte of the request may have left this host.
         body_used: Whether any byte of the caller's body was consumed.
     """
@@ -110,10 +166,12 @@
     Attributes:
         token: The request.
         complete: Whether the whole answer was passed on.
+        took_s: Time until the endpoint's answer was there, in seconds, or 0.
     """
 
     token: int
     complete: bool
+    took_s: float = 0.0
 
 
 class EndpointAnnounced(msgspec.Struct, frozen=True):
@@ -183,6 +241,7 @@
         outcome: ``not-run`` or ``unknown``.
         detail: What went wrong.
         close: Whether the caller's connection shall be closed after the answer.
+        retry_after_s: When to come back, where that is known better than by the code.
     """
 
     token: int
@@ -190,6 +249,7 @@
     outcome: str
     detail: str = ""
     close: bool = False
+    retry_after_s: float | None = None
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
@@ -250,6 +310,19 @@
     fields: dict[str, object]
 
 
+class Reply(msgspec.Struct, frozen=True):
+    """Answer a report or an operator; ``value`` is ``None`` if nobody could answer."""
+
+    token: int
+    value: object
+
+
+class UseLimits(msgspec.Struct, frozen=True):
+    """Apply the operator's ``CallerLimits`` to callers' connections from now on."""
+
+    limits: object
+
+
 class StopProcess(msgspec.Struct, frozen=True):
     """The process can end now; ``code`` is an error code, or empty after a planned stop."""
 
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -16,12 +16,14 @@
     LogEvent,
     MessageReceived,
     Persist,
+    Reply,
     ReplyAnnouncement,
     ReplyOperator,
     ReplyReadiness,
     SendMessage,
     StopProcess,
     TimePassed,
+    UseLimits,
     WatchCaller,
 )
 
@@ -43,6 +45,7 @@
         log: Callable that writes one log line.
 
     Attributes:
+        on_limits: Called with the limits of an ``UseLimits`` effect.
         stop_code: Error code with which the loop ended; empty after a planned stop.
     """
 
@@ -56,6 +59,7 @@
         self.log = log
         self.stop_code = ""
         self.running = True
+        self.on_limits = lambda limits: None
         self._inbox = deque()
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._asleep = False
@@ -182,6 +186,10 @@
                     self.links.send(address, message, sent_at, time.monotonic())
                 case Persist():
                     self.writer.submit(effect)
+                case Reply(token, value):
+                    self.bridge.deliver(token, value)
+                case UseLimits(limits):
+                    self.on_limits(limits)
                 case ReplyAnnouncement(token, reply) | ReplyOperator(token, reply):
                     self.bridge.deliver(token, reply)
                 case ReplyReadiness(token, code):
--- /dev/null
+++ b/greengagerock/holdings/balance.py
@@ -0,0 +1,109 @@
+"""Shares keys out among endpoints: pure functions over counts."""
+
+from greengagerock.holdings.report import KEY_COUNT
+
+# Neighbouring keys that are always granted together.
+UNIT_KEYS = 8
+UNITS = KEY_COUNT // UNIT_KEYS
+
+# A life below this share of its target gets keys from others.
+SHORT_SHARE = 0.75
+# Largest share of a donor's units that one plan takes.
+MAX_DONATED_SHARE = 0.5
+
+
+def targets(lives):
+    """Return how many units each life should hold.
+
+    Examples:
+        >>> targets(["a", "b"])["a"]
+        4096
+    """
+    if not lives:
+        return {}
+    return dict.fromkeys(lives, -(-UNITS // len(lives)))
+
+
+def deal_blocks(units, width, lives):
+    """Yield each unit with its first holder, stripe by stripe.
+
+    Neighbouring stripes go to different lives, because busy keys lie close together.
+
+    Examples:
+        >>> [life for _, life in deal_blocks(6, 2, ["a", "b"])]
+        ['a', 'a', 'b', 'b', 'a', 'a']
+    """
+    for unit in range(units):
+        yield unit, lives[unit // width % len(lives)]
+
+
+def choose_blocks(pool, quota, width, max_blocks):
+    """Choose about ``quota`` free units in whole stripes, spread over the pool.
+
+    Args:
+        pool: Free units.
+        quota: Units wanted.
+        width: Units of a stripe.
+        max_blocks: Largest number of stripes.
+
+    Returns:
+        A list of units.
+
+    Examples:
+        >>> choose_blocks({0, 1, 4, 5, 8, 9}, 4, 2, 10)
+        [0, 1, 4, 5]
+    """
+    blocks = {}
+    for unit in sorted(pool):
+        blocks.setdefault(unit // width, []).append(unit)
+    wanted = min(-(-quota // width), max_blocks, len(blocks))
+    if wanted <= 0:
+        return []
+    order = list(blocks)
+    step = len(order) / wanted
+    chosen = [order[int(number * step)] for number in range(wanted)]
+    return [unit for block in chosen for unit in blocks[block]]
+
+
+def plan_moves(counts, held, width, aligned):
+    """Plan moves from lives with many units to those that have too few.
+
+    Args:
+        counts: Units held now by each life that takes work.
+        held: The units of each life.
+        width: Units of a stripe.
+        aligned: Function of a donor and a taker: whether the taker usually reports
+            soon after the donor, so that the keys are without a holder for a short time.
+
+    Returns:
+        For each donor, a list of (taker, units) pairs.
+    """
+    if not counts:
+        return {}
+    wanted = targets(list(counts))
+    short = [life for life in counts if counts[life] < SHORT_SHARE * wanted[life]]
+    if not short:
+        return {}
+    spare = {
+        life: min(counts[life] - wanted[life], int(counts[life] * MAX_DONATED_SHARE))
+        for life in counts
+        if counts[life] > wanted[life]
+    }
+    plans = {}
+    for taker in short:
+        need = wanted[taker] - counts[taker]
+        donors = [life for life, units in spare.items() if units >= width]
+        donors = [life for life in donors if aligned(life, taker)] or donors
+        if not donors:
+            break
+        each = max(width, -(-need // len(donors)))
+        for donor in donors:
+            amount = min(each, spare[donor], need)
+            if amount < width:
+                continue
+            taken = {u for _, units in plans.get(donor, ()) for u in units}
+            units = choose_blocks(held[donor] - taken, amount, width, amount // width)
+            plans.setdefault(donor, []).append((taker, units))
+            spare[donor] -= len(units)
+            need -= len(units)
+    return plans
--- /dev/null
+++ b/greengagerock/holdings/ledger.py
@@ -0,0 +1,359 @@
+"""Who holds which keys of one service, as the leader knows it.
+
+Keys are granted in units of ``UNIT_KEYS`` neighbouring keys. The ledger is not stored: each
+report repeats what its endpoint holds, so a new leader learns the holders from reports and
+waits until any other hold has surely run out before it grants the rest.
+"""
+
+from greengagerock.holdings.balance import (
+    UNIT_KEYS,
+    UNITS,
+    choose_blocks,
+    deal_blocks,
+    plan_moves,
+    targets,
+)
+from greengagerock.holdings.report import GrantRow
+from greengagerock.model.timing import PAUSE_ALLOWANCE_S
+
+# The clock of an endpoint may run 2 % slow (PROTOCOL of the infrastructure).
+HOLD_CLOCK_SHARE = 0.02
+# A first deal waits so long for more endpoints, since later moves disturb callers.
+FIRST_DEAL_WAIT_S = 2.0
+# An answer of 4 KiB has room for about 150 rows of at most 26 bytes.
+MAX_ROWS = 140
+# A pool of free units is spread over about this share of the endpoints.
+POOL_SPREAD = 4
+# Released keys wait for nobody longer than this; then any endpoint may take them.
+RESERVATION_S = 2.5
+# A donor lets keys go when their taker reports within this time.
+HANDOVER_WINDOW_S = 0.45
+# An endpoint reports within 0.1 s that it has released keys; less is too short a gap.
+HANDOVER_MIN_S = 0.1
+
+
+def lender_hold_s(hold_s):
+    """Return how long the lender of a hold must wait until it has surely run out."""
+    return hold_s * (1 + HOLD_CLOCK_SHARE) + PAUSE_ALLOWANCE_S
+
+
+class Reservation:
+    """Free units kept for one taker.
+
+    Attributes:
+        taker: The ``Life`` that gets them.
+        until_s: When anybody may take them.
+    """
+
+    __slots__ = ("taker", "until_s")
+
+    def __init__(self, taker, until_s):
+        self.taker = taker
+        self.until_s = until_s
+
+
+class Ledger:
+    """The holders of one service's keys.
+
+    Args:
+        service: Name of the service.
+        next_fence: Callable that takes the highest fence seen and returns a higher one.
+        on_owner: Called with a unit and the name of its new owner, empty if it has none.
+        settled_s: When all holds of earlier leaders have surely run out.
+        interval_s: Usual time between two reports of an endpoint.
+
+    Attributes:
+        owners: The ``Life`` that holds each unit, or ``None``.
+        fences: Newest known fence of each unit.
+        free: Units that nobody holds.
+        unknown: Units that somebody may hold whom this leader has not heard.
+        leaving_units: Units that their holder was told to release, with the time at which
+            its hold runs out in any case.
+    """
+
+    def __init__(self, service, next_fence, on_owner, settled_s, interval_s):
+        self.service = service
+        self.next_fence = next_fence
+        self.on_owner = on_owner
+        self.settled_s = settled_s
+        self.interval_s = interval_s
+        self.owners = [None] * UNITS
+        self.fences = [0] * UNITS
+        self.highest_fence = 0
+        self.held = {}
+        self.free = set()
+        self.unknown = set(range(UNITS))
+        self.leaving_units = {}
+        self.handovers = {}
+        self.reserved = {}
+        self.moves = {}
+        self.replan_s = 0.0
+        self.first_report_s = None
+        self.is_dealt = False
+        self.block_units = 1
+        self.pool_size = 0
+        self.moved_units = 0
+
+    # --- Reports -------------------------------------------------------------------
+
+    def renew(self, life, lives, now_s, hold_s):
+        """Take in a report and return what its endpoint is to hold.
+
+        Args:
+            life: The ``Life`` that reported.
+            lives: All lives of the service.
+            now_s: Monotonic time in seconds.
+            hold_s: Length of the hold in seconds.
+
+        Returns:
+            A tuple of ``GrantRow`` objects.
+        """
+        if self.first_report_s is None:
+            self.first_report_s = now_s
+        self.advance(lives, now_s)
+        reported = units_of(life.report.holds)
+        self._adopt(life, reported)
+        self._confirm(life, reported)
+        self._collect_released(life, reported)
+        if life.is_leaving:
+            self._release(life, list(self.held.get(life, ())), now_s)
+        else:
+            self._release_moves(life, now_s)
+            self._take(life, lives, now_s)
+        life.hold_until_s = now_s + lender_hold_s(hold_s)
+        return self._rows(life)
+
+    def end(self, life):
+        """Free the units of a life that has surely ended."""
+        for unit in list(self.held.get(life, ())):
+            self._free(unit)
+        for unit in [u for u, (holder, _) in self.leaving_units.items() if holder is life]:
+            self._free(unit)
+        self.held.pop(life, None)
+        self.moves.pop(life, None)
+
+    def withdraw(self, life):
+        """Stop sending requests to a life that leaves, while its hold runs out."""
+        for unit in self.held.get(life, ()):
+            self.on_owner(unit, "")
+
+    def advance(self, lives, now_s):
+        """Free what has run out by now, and plan.
+
+        Args:
+            lives: All lives of the service.
+            now_s: Monotonic time in seconds.
+        """
+        if self.unknown and now_s >= self.settled_s:
+            for unit in self.unknown:
+                self.free.add(unit)
+                self.on_owner(unit, "")
+            self.unknown = set()
+        for life in [life for life in self.held if life.hold_until_s <= now_s]:
+            for unit in list(self.held[life]):
+                self._free(unit)
+        for unit, (_, until_s) in list(self.leaving_units.items()):
+            if until_s <= now_s:
+                self._free(unit)
+        for unit, reservation in list(self.reserved.items()):
+            if reservation.until_s <= now_s or reservation.taker.is_leaving:
+                del self.reserved[unit]
+        self._deal(lives, now_s)
+
+    def plan(self, lives, now_s):
+        """Decide which units should move to even out the load."""
+        if not self.is_dealt or self.unknown or self.leaving_units:
+            return
+        if self.free:
+            # Keys without a holder go first; the moves planned before no longer fit.
+            self.moves = {}
+            return
+        if any(self.moves.values()) and now_s < self.replan_s:
+            return
+        self.replan_s = now_s + 2 * self.interval_s
+        ready = self._ready(lives, now_s)
+        counts = {life: len(self.held.get(life, ())) for life in ready}
+        self.moves = plan_moves(counts, self.held, self.block_units, self._reports_just_before)
+
+    def _reports_just_before(self, donor, taker):
+        gap_s = (taker.heard_s - donor.heard_s) % self.interval_s
+        return HANDOVER_MIN_S < gap_s < HANDOVER_WINDOW_S
+
+    # --- Changes of single units ---------------------------------------------------
+
+    def _own(self, life, unit, fence):
+        previous = self.owners[unit]
+        if previous is not None and previous is not life:
+            self.held[previous].discard(unit)
+        self.owners[unit] = life
+        self.held.setdefault(life, set()).add(unit)
+        self.fences[unit] = fence
+        self.highest_fence = max(self.highest_fence, fence)
+        self.free.discard(unit)
+        self.unknown.discard(unit)
+        self.leaving_units.pop(unit, None)
+        self.reserved.pop(unit, None)
+        self.on_owner(unit, life.name)
+
+    def _free(self, unit, handover=""):
+        holder = self.owners[unit]
+        if holder is not None:
+            self.held[holder].discard(unit)
+            if not self.held[holder]:
+                del self.held[holder]
+        self.owners[unit] = None
+        self.leaving_units.pop(unit, None)
+        self.handovers.pop(unit, None)
+        if handover:
+            self.handovers[unit] = handover
+        self.free.add(unit)
+        self.pool_size = max(self.pool_size, len(self.free))
+        self.on_owner(unit, "")
+
+    # --- Parts of a renewal --------------------------------------------------------
+
+    def _adopt(self, life, reported):
+        """Learn from a report about units that this leader has not granted itself."""
+        for unit, fence in reported.items():
+            self.highest_fence = max(self.highest_fence, fence)
+            holder = self.owners[unit]
+            if holder is life:
+                self.fences[unit] = max(self.fences[unit], fence)
+            elif holder is None and fence >= self.fences[unit]:
+                if unit not in self.reserved:
+                    self._own(life, unit, fence)
+            elif holder is not None and fence > self.fences[unit]:
+                self._own(life, unit, fence)
+
+    def _confirm(self, life, reported):
+        """Forget handover tokens that have reached the new holder."""
+        for unit in self.held.get(life, ()):
+            if unit in self.handovers and unit in reported:
+                del self.handovers[unit]
+
+    def _collect_released(self, life, reported):
+        tokens = tokens_of(life.report.freed)
+        done = [
+            unit
+            for unit, (holder, _) in self.leaving_units.items()
+            if holder is life and unit not in reported
+        ]
+        for unit in done:
+            self._free(unit, tokens.get(unit, ""))
+
+    def _release(self, life, units, now_s, taker=None):
+        """Leave units out of the answer; they are free once a report no longer has them."""
+        for unit in units:
+            self.held[life].discard(unit)
+            self.leaving_units[unit] = (life, life.hold_until_s)
+            self.on_owner(unit, "")
+            if taker is not None:
+                self.reserved[unit] = Reservation(taker, now_s + RESERVATION_S)
+        if units and not self.held[life]:
+            del self.held[life]
+        self.moved_units += len(units)
+
+    def _release_moves(self, life, now_s):
+        planned = self.moves.get(life)
+        if not planned:
+            return
+        waiting = []
+        for taker, units in planned:
+            due_s = taker.next_report_s(self.interval_s) - now_s
+            if taker.is_leaving:
+                continue
+            if HANDOVER_MIN_S < due_s < HANDOVER_WINDOW_S:
+                mine = self.held.get(life, ())
+                self._release(life, [u for u in units if u in mine], now_s, taker)
+            else:
+                waiting.append((taker, units))
+        self.moves[life] = waiting
+
+    def _take(self, life, lives, now_s):
+        """Grant free units to a life that has just reported."""
+        mine = [u for u, r in self.reserved.items() if r.taker is life and u in self.free]
+        if self.is_dealt:
+            pool = self.free - self.reserved.keys()
+            if pool:
+                ready = self._ready(lives, now_s)
+                wanted = targets(ready)[life] if life in ready else 0
+                held = len(self.held.get(life, ())) + len(mine)
+                quota = max(wanted - held, POOL_SPREAD * self.pool_size // max(len(ready), 1))
+                room = MAX_ROWS - len(self._rows(life))
+                mine += choose_blocks(pool, quota, self.block_units, room)
+        if not mine:
+            return
+        fence = self.next_fence(self.highest_fence)
+        for unit in mine:
+            self._own(life, unit, fence)
+        if not self.free:
+            self.pool_size = 0
+
+    def _deal(self, lives, now_s):
+        """Share out all keys for the first time, in narrow stripes."""
+        if self.is_dealt or self.first_report_s is None or self.unknown:
+            return
+        if len(self.free) < UNITS:
+            # Some keys are held already, so this service was dealt out by an earlier leader.
+            self.is_dealt = True
+            self.block_units = stripe_width(len(lives))
+            return
+        if now_s - self.first_report_s < FIRST_DEAL_WAIT_S:
+            return
+        ready = self._ready(lives, now_s)
+        if not ready:
+            return
+        self.is_dealt = True
+        self.block_units = stripe_width(len(ready))
+        for unit, life in deal_blocks(UNITS, self.block_units, ready):
+            self.reserved[unit] = Reservation(life, now_s + RESERVATION_S)
+
+    def _ready(self, lives, now_s):
+        overdue_s = 2 * self.interval_s
+        return [life for life in lives if not life.is_leaving and now_s - life.heard_s < overdue_s]
+
+    def _rows(self, life):
+        rows = []
+        for unit in sorted(self.held.get(life, ())):
+            fence = self.fences[unit]
+            handover = self.handovers.get(unit, "")
+            first = unit * UNIT_KEYS
+            last = first + UNIT_KEYS - 1
+            if rows:
+                before = rows[-1]
+                if (before[1] + 1, before[2], before[3]) == (first, fence, handover):
+                    before[1] = last
+                    continue
+            rows.append([first, last, fence, handover])
+        return tuple(GrantRow(*row) for row in rows)
+
+
+def stripe_width(endpoints):
+    """Return how many units a stripe has, so that an endpoint gets at most 90 of them.
+
+    Examples:
+        >>> stripe_width(25), stripe_width(8), stripe_width(200)
+        (4, 16, 1)
+    """
+    width = 1
+    while UNITS // width > 90 * max(endpoints, 1):
+        width *= 2
+    return width
+
+
+def units_of(ranges):
+    """Return the fences of the units that ranges cover, in whole or in part."""
+    units = {}
+    for held in ranges:
+        for unit in range(held.first // UNIT_KEYS, held.last // UNIT_KEYS + 1):
+            units[unit] = max(units.get(unit, 0), held.fence)
+    return units
+
+
+def tokens_of(ranges):
+    """Return the handover tokens of the units that lie in freed ranges."""
+    tokens = {}
+    for freed in ranges:
+        for unit in range(freed.first // UNIT_KEYS, freed.last // UNIT_KEYS + 1):
+            tokens[unit] = freed.handover
+    return tokens
--- /dev/null
+++ b/greengagerock/holdings/report.py
@@ -0,0 +1,105 @@
+"""What an endpoint reports, and what it is answered."""
+
+import msgspec
+
+KEY_COUNT = 65_536
+
+
+class HeldRange(msgspec.Struct, frozen=True, array_like=True):
+    """Keys that an endpoint holds, or still works on.
+
+    Attributes:
+        first: First key.
+        last: Last key, included.
+        fence: Fencing token of the grant.
+    """
+
+    first: int
+    last: int
+    fence: int
+
+
+class FreedRange(msgspec.Struct, frozen=True, array_like=True):
+    """Keys that an endpoint has released since its last acknowledged report.
+
+    Attributes:
+        first: First key.
+        last: Last key, included.
+        handover: Token that lets the next holder start warm.
+    """
+
+    first: int
+    last: int
+    handover: str
+
+
+class GrantRow(msgspec.Struct, frozen=True, array_like=True):
+    """Keys that an endpoint is to hold.
+
+    Attributes:
+        first: First key.
+        last: Last key, included.
+        fence: Fencing token of the grant.
+        handover: Token of the last holder, or the empty string.
+    """
+
+    first: int
+    last: int
+    fence: int
+    handover: str = ""
+
+
+class EndpointReport(msgspec.Struct, frozen=True, tag="report"):
+    """An endpoint's periodic report about itself.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        born_ms: Start of this life of the endpoint, in milliseconds since 1970.
+        sequence: Number of the report, increasing within one life.
+        address: ``IP:PORT`` where it takes requests.
+        service: Its service.
+        zone: Its availability zone.
+        slots: Requests that it works on at once.
+        draining: Whether it is about to leave.
+        cold_s: How much longer it stays slow after its start, in seconds.
+        holds: Keys that it holds.
+        freed: Keys that it has released.
+    """
+
+    endpoint: str
+    born_ms: int
+    sequence: int
+    address: str
+    service: str
+    zone: str
+    slots: int
+    draining: bool = False
+    cold_s: float = 0.0
+    holds: tuple[HeldRange, ...] = ()
+    freed: tuple[FreedRange, ...] = ()
+
+
+class EndpointLeaving(msgspec.Struct, frozen=True, tag="leaving"):
+    """An endpoint's last word: it ends after its drain period.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        born_ms: Start of the life that ends, or 0 if it was not given.
+    """
+
+    endpoint: str
+    born_ms: int = 0
+
+
+class ReportAnswer(msgspec.Struct, frozen=True, tag="report-answer"):
+    """The answer to a report.
+
+    Attributes:
+        code: Empty if the report counts, else an error code.
+        grants: All that the endpoint is to hold; ``None`` renews nothing.
+        hold_s: How long the grants last, counted from the sending of the report.
+    """
+
+    code: str = ""
+    grants: tuple[GrantRow, ...] | None = None
+    hold_s: float = 0.0
--- /dev/null
+++ b/greengagerock/items/__init__.py
@@ -0,0 +1,30 @@
+"""Named configuration items, each with a version of its own."""
+
+from greengagerock.items.item import (
+    CallerLimits,
+    Items,
+    KeyedRules,
+    Kind,
+    Part,
+    Patch,
+    Removal,
+    RouteItem,
+    ServiceItem,
+)
+from greengagerock.items.store import ItemStore, PatchVerdict
+from greengagerock.items.validity import check_patch
+
+__all__ = [
+    "CallerLimits",
+    "ItemStore",
+    "Items",
+    "KeyedRules",
+    "Kind",
+    "Part",
+    "Patch",
+    "PatchVerdict",
+    "Removal",
+    "RouteItem",
+    "ServiceItem",
+    "check_patch",
+]
--- /dev/null
+++ b/greengagerock/items/item.py
@@ -0,0 +1,153 @@
+"""The items of the configuration: immutable values."""
+
+from typing import Literal
+
+import msgspec
+
+Kind = Literal["safe", "unsafe", "download"]
+
+LIMITS_NAME = "limits"
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """A service that gets a share of a route's requests.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its share, relative to the weights of the other parts.
+    """
+
+    service: str
+    weight: float
+
+
+class RouteItem(msgspec.Struct, frozen=True, array_like=True):
+    """Where requests of one host and path prefix go.
+
+    Attributes:
+        name: Name of the item.
+        version: Version of the item.
+        host: Value of the ``Host`` header.
+        prefix: Path prefix; begins and ends with a slash.
+        kind: What may be repeated: ``unsafe`` requests run at most once.
+        timeout_s: Longest time that a caller is kept waiting, in seconds.
+        attempts: Largest number of endpoints that one request may be sent to.
+        parts: Services that share the requests.
+        is_split: Whether the operator named parts, rather than one service.
+        objective_s: Latency objective in seconds, or ``None``.
+        priority: Rank, or ``None``; 0 is the highest.
+    """
+
+    name: str
+    version: int
+    host: str
+    prefix: str
+    kind: Kind
+    timeout_s: float
+    attempts: int
+    parts: tuple[Part, ...]
+    is_split: bool = False
+    objective_s: float | None = None
+    priority: int | None = None
+
+    @property
+    def is_idempotent(self):
+        """Whether a request of this route may run more than once."""
+        return self.kind != "unsafe"
+
+
+class KeyedRules(msgspec.Struct, frozen=True, array_like=True):
+    """How the keys of a service are held.
+
+    Attributes:
+        warm_s: How long a key is slow at an endpoint that got it without a handover, or
+            ``None`` if that is not known.
+        granted_in: Where endpoints learn what they hold, as the operator names it.
+    """
+
+    warm_s: float | None = None
+    granted_in: str | None = None
+
+
+class ServiceItem(msgspec.Struct, frozen=True, array_like=True):
+    """A service.
+
+    Attributes:
+        name: Name of the item.
+        version: Version of the item.
+        health_path: Path of the liveness check.
+        max_connections: Connections that one endpoint accepts from all callers.
+        keyed: Rules for keys, or ``None`` for a service that is not divided by key.
+        protocol: Protocol that its endpoints speak, or ``None``.
+        is_encrypted: Whether its endpoints expect TLS, or ``None``.
+    """
+
+    name: str
+    version: int
+    health_path: str
+    max_connections: int
+    keyed: KeyedRules | None = None
+    protocol: str | None = None
+    is_encrypted: bool | None = None
+
+
+class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        version: Version of the item.
+        header_bytes: Longest request line with headers.
+        body_bytes: Longest request body.
+        header_timeout_s: Longest time for sending the headers, in seconds.
+        idle_timeout_s: How long an idle connection is kept, in seconds.
+    """
+
+    version: int
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class Removal(msgspec.Struct, frozen=True, array_like=True):
+    """The removal of an item.
+
+    Attributes:
+        name: Name of the item.
+        version: Version of the removal.
+    """
+
+    name: str
+    version: int
+
+
+class Patch(msgspec.Struct, frozen=True, array_like=True):
+    """A change of several items that is accepted or refused as a whole.
+
+    Attributes:
+        routes: Complete routes.
+        services: Complete services.
+        limits: The limits, or ``None`` to leave them.
+        removed_routes: Routes to remove.
+        removed_services: Services to remove.
+    """
+
+    routes: tuple[RouteItem, ...] = ()
+    services: tuple[ServiceItem, ...] = ()
+    limits: CallerLimits | None = None
+    removed_routes: tuple[Removal, ...] = ()
+    removed_services: tuple[Removal, ...] = ()
+
+
+class Items(msgspec.Struct, frozen=True):
+    """All items that stand.
+
+    Attributes:
+        routes: Routes by name.
+        services: Services by name.
+        limits: The limits, or ``None`` before the first patch.
+    """
+
+    routes: dict[str, RouteItem] = {}
+    services: dict[str, ServiceItem] = {}
+    limits: CallerLimits | None = None
--- /dev/null
+++ b/greengagerock/node/router_node.py
@@ -0,0 +1,207 @@
+"""The decision core of an entry host in a system with discovered hosts."""
+
+from random import Random
+
+from greengagerock.core import Timeline, TimerService
+from greengagerock.core.seam import (
+    Answer,
+    AnswerBegan,
+    AnswerBroken,
+    AttemptFailed,
+    CallArrived,
+    CallerGone,
+    MessageReceived,
+    Outbox,
+    ReadinessAsked,
+    ReplyReadiness,
+    RequestEnded,
+    SeedsChanged,
+    StopProcess,
+    StopRequested,
+    TimePassed,
+    UseLimits,
+)
+from greengagerock.discovery import LeaderFinder
+from greengagerock.routing.dispatcher import Dispatcher
+from greengagerock.routing.retries import SharedRetryBudget
+from greengagerock.view import NotLeading, ViewDelta, ViewReplica
+
+POLL_INTERVAL_S = 0.5
+# While the leader is not known, everybody is asked this often.
+SEARCH_INTERVAL_S = 0.2
+# The balancer asks once per second and takes a host out after two misses.
+UNREADY_PERIOD_S = 2.6
+# What is left of the grace period when the process ends at the latest.
+STOP_MARGIN_S = 0.6
+
+
+class RouterNode:
+    """Routes callers by what the leader told it, and goes on when cut off from it.
+
+    It has the same seam as ``Node``.
+
+    Args:
+        config: The ``SiteConfig``.
+        now_s: Monotonic time in seconds.
+        wall_clock_us: Callable that returns the wall clock in microseconds; it only
+            labels events.
+    """
+
+    def __init__(self, config, now_s, wall_clock_us):
+        self.config = config
+        self.timers = TimerService(now_s)
+        self.outbox = Outbox()
+        self.timeline = Timeline(config.host, config.zone, wall_clock_us)
+        self.replica = ViewReplica()
+        self.finder = LeaderFinder(config.seeds)
+        self.budget = SharedRetryBudget(
+            config.retry_ratio, config.retry_slack, config.retry_window_s
+        )
+        self.dispatcher = Dispatcher(
+            config.zone,
+            self.replica,
+            self.budget,
+            self.timers,
+            self.outbox,
+            Random(config.seed),
+            self._report_crash,
+        )
+        self.stats = self.dispatcher.stats
+        self.had_leader = False
+        self.stopping = False
+        self.stopped = False
+        self._poll()
+
+    def next_due_s(self):
+        """Return when the node next needs a ``TimePassed`` event, or ``None``."""
+        return self.timers.next_due_s()
+
+    def waits_for_requests(self):
+        """Return whether something waits for requests in flight to end."""
+        return self.stopping
+
+    def start(self):
+        """Return the effects of the node's creation."""
+        return self.outbox.drain()
+
+    def handle(self, event, now_s):
+        """Take in one event and return the effects to carry out, in order."""
+        self.timers.advance(now_s)
+        dispatcher = self.dispatcher
+        match event:
+            case CallArrived():
+                dispatcher.on_call(event)
+            case RequestEnded():
+                dispatcher.on_ended(event)
+                self._stop_if_idle()
+            case AnswerBroken(token):
+                self.outbox.add(Answer(token, "answer-lost", "unknown", "", True))
+            case AttemptFailed():
+                dispatcher.on_attempt_failed(event)
+                self._stop_if_idle()
+            case CallerGone():
+                dispatcher.on_caller_gone(event)
+            case TimePassed() | AnswerBegan():
+                pass
+            case MessageReceived():
+                if event.sent_at is not None:
+                    self.timeline.observe(event.sent_at)
+                self._on_message(event.message, event.address)
+            case ReadinessAsked(token):
+                self.outbox.add(ReplyReadiness(token, self.readiness()))
+            case SeedsChanged(seeds):
+                self.finder.seeds = seeds
+                self.outbox.log("seeds-changed", seeds=",".join(seeds))
+            case StopRequested():
+                self._begin_stop()
+        return self.outbox.drain()
+
+    def readiness(self):
+        """Return why this host takes no callers, or the empty string."""
+        if self.stopping:
+            return "stopping"
+        return "" if self.replica.is_filled else "not-ready"
+
+    # --- View ----------------------------------------------------------------------
+
+    def _poll(self):
+        now_s = self.timers.now_s
+        has_leader = self.finder.has_leader(now_s)
+        if has_leader != self.had_leader:
+            self.had_leader = has_leader
+            event = "leader-found" if has_leader else "leader-lost"
+            self.outbox.log(event, leader=self.finder.leader)
+        interval_s = POLL_INTERVAL_S if has_leader else SEARCH_INTERVAL_S
+        self.timers.subscribe(interval_s, self._poll)
+        poll = self.replica.poll({})
+        for address in self.finder.whom_to_ask(now_s):
+            self.outbox.send(address, poll)
+
+    def _on_message(self, message, address):
+        match message:
+            case ViewDelta():
+                self._on_view(message, address)
+            case NotLeading(leader, controllers):
+                other = self.finder.note_other(address, leader, controllers)
+                if other:
+                    self.outbox.send(other, self.replica.poll({}))
+            case _:
+                self.outbox.log("bad-message", code="bad-message", detail=type(message).__name__)
+
+    def _on_view(self, delta, address):
+        live = delta.live
+        if live is not None and live.epoch < self.replica.epoch:
+            # An earlier leader that does not know yet that it was replaced.
+            return
+        self.finder.note_leader(address, delta.controllers, self.timers.now_s)
+        self.budget.routers = delta.routers
+        self.dispatcher.banned = frozenset(delta.bans)
+        if delta.items is not None:
+            self._on_items(delta.items)
+        if live is not None:
+            names, units = self.replica.apply_live(live)
+            self.dispatcher.on_live(names, units)
+
+    def _on_items(self, items):
+        limits = self.replica.limits
+        if not self.replica.apply_items(items):
+            return
+        self.dispatcher.on_items()
+        if self.replica.limits is not None and self.replica.limits != limits:
+            self.outbox.add(UseLimits(self.replica.limits))
+        self.outbox.log(
+            "items-changed",
+            revision=items.revision,
+            routes=len(self.replica.routes),
+            services=len(self.replica.services),
+        )
+
+    def _report_crash(self, report):
+        if self.finder.leader:
+            self.outbox.send(self.finder.leader, report)
+
+    # --- Stopping ------------------------------------------------------------------
+
+    def _begin_stop(self):
+        """Leave the balancer's rotation first, then finish what is in progress."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.dispatcher.closing = True
+        self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
+        self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new)
+        self.timers.subscribe(self.config.stop_grace_s - STOP_MARGIN_S, self._stop)
+
+    def _refuse_new(self):
+        self.dispatcher.stopping = True
+        self._stop_if_idle()
+
+    def _stop_if_idle(self):
+        if self.dispatcher.stopping and not self.dispatcher.calls:
+            self._stop()
+
+    def _stop(self):
+        if not self.stopped:
+            self.stopped = True
+            self.outbox.log("stopped", cut_off=len(self.dispatcher.calls))
+            self.outbox.add(StopProcess())
--- /dev/null
+++ b/greengagerock/platform/durations.py
@@ -0,0 +1,35 @@
+"""Times as the infrastructure writes them: a number with its unit."""
+
+import re
+
+from greengagerock.core import GreengageError
+
+_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_SECONDS = {"ms": 0.001, "s": 1.0}
+
+
+def parse_duration(text):
+    """Return a time in seconds.
+
+    Raises:
+        GreengageError: ``invalid-value`` if it is not a number followed by ``ms`` or ``s``.
+
+    Examples:
+        >>> parse_duration("1500ms"), parse_duration("2.5s")
+        (1.5, 2.5)
+    """
+    match = _PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise GreengageError("invalid-value", f"{text!r} is not a time such as '1500ms' or '2s'")
+    return round(float(match[1]) * _SECONDS[match[2]], 9)
+
+
+def format_duration(seconds):
+    """Return a time in milliseconds with its unit.
+
+    Examples:
+        >>> format_duration(1.5), format_duration(0.0005)
+        ('1500ms', '0.5ms')
+    """
+    milliseconds = round(seconds * 1000, 6)
+    return f"{milliseconds:g}ms" if milliseconds < 1e5 else f"{round(milliseconds)}ms"
--- /dev/null
+++ b/greengagerock/platform/run.py
@@ -0,0 +1,51 @@
+"""Starts the daemon with the infrastructure's settings file."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from greengagerock.core import GreengageError
+from greengagerock.daemon.site import serve_site
+from greengagerock.platform.control import ControlApplication
+from greengagerock.platform.ingress import InfrastructureDialect
+from greengagerock.platform.wire_settings import read_settings
+
+SETTINGS_VARIABLE = "GREENGAGEROCK_BOOT"
+EXIT_BAD_SETTINGS = 2
+
+app = App(name="greengagerock.platform.run", help="greengagerockd on the infrastructure.")
+
+
+@app.default
+def serve(
+    *, metrics_port: Annotated[int, Parameter(help="Port on which metrics are served.")] = 9464
+) -> int:
+    """Serve until SIGTERM.
+
+    Args:
+        metrics_port: Port on which metrics are served.
+
+    Returns:
+        The exit status: 0 after a planned stop, 1 after a failure, 2 for faulty settings.
+    """
+    path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/greengagerock/settings.json"))
+
+    def load():
+        try:
+            return read_settings(path.read_bytes(), metrics_port)
+        except OSError as error:
+            raise GreengageError("bad-settings", str(error)) from error
+
+    try:
+        settings = load()
+    except GreengageError as error:
+        print(f"event=fatal code={error.code} detail={error.detail!r}", flush=True)
+        return EXIT_BAD_SETTINGS
+    return serve_site(settings, load, InfrastructureDialect(), ControlApplication, path)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/greengagerock/platform/wire_items.py
@@ -0,0 +1,267 @@
+"""The operator's configuration on the wire: tables of columns and rows."""
+
+import msgspec
+
+from greengagerock.core import GreengageError
+from greengagerock.items import (
+    CallerLimits,
+    KeyedRules,
+    Kind,
+    Part,
+    Patch,
+    Removal,
+    RouteItem,
+    ServiceItem,
+)
+from greengagerock.platform.durations import format_duration, parse_duration
+
+
+class WirePart(msgspec.Struct):
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: int | float
+
+
+class WireRoute(msgspec.Struct, rename="kebab"):
+    """A route.
+
+    Attributes:
+        name: Name of the item.
+        host: Value of the ``Host`` header.
+        path_prefix: Path prefix.
+        type: What may be repeated.
+        timeout: Longest time that a caller is kept waiting.
+        max_attempts: Largest number of endpoints that one request may be sent to.
+        version: Version of the item.
+        target_latency: Latency objective.
+        priority: Rank; 0 is the highest.
+        service: The only service, unless ``traffic_split`` is given.
+        traffic_split: Services that share the requests.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    type: Kind
+    timeout: str
+    max_attempts: int
+    version: int
+    target_latency: str | None = None
+    priority: int | None = None
+    service: str | None = None
+    traffic_split: list[WirePart] | None = None
+
+
+class WireService(msgspec.Struct, rename="kebab"):
+    """A service.
+
+    Attributes:
+        name: Name of the item.
+        health_path: Path of the liveness check.
+        max_conns: Connections that one endpoint accepts from all callers.
+        version: Version of the item.
+        protocol: Protocol that its endpoints speak.
+        tls: Whether its endpoints expect TLS.
+        sharded: Whether it is divided by key.
+        warm: How long a key is slow without a handover.
+        grants: Where endpoints learn what they hold.
+    """
+
+    name: str
+    health_path: str
+    max_conns: int
+    version: int
+    protocol: str | None = None
+    tls: bool | None = None
+    sharded: bool | None = None
+    warm: str | None = None
+    grants: str | None = None
+
+
+class WireLimits(msgspec.Struct, rename="kebab"):
+    """Limits on callers."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+    version: int
+
+
+class WireTable(msgspec.Struct):
+    """Records as rows; ``None`` in a row means that the field is omitted."""
+
+    columns: list[str]
+    rows: list[list[object]]
+
+
+class WireSet(msgspec.Struct, omit_defaults=True):
+    """Complete items."""
+
+    routes: WireTable | None = None
+    services: WireTable | None = None
+    limits: WireLimits | None = None
+
+
+class WireRemoval(msgspec.Struct):
+    """An item to remove."""
+
+    name: str
+    version: int
+
+
+class WireRemovals(msgspec.Struct):
+    """Items to remove."""
+
+    routes: list[WireRemoval] = []
+    services: list[WireRemoval] = []
+
+
+class WirePatch(msgspec.Struct):
+    """A change: items to set and items to remove."""
+
+    upsert: WireSet = msgspec.field(default_factory=WireSet)
+    remove: WireRemovals = msgspec.field(default_factory=WireRemovals)
+
+
+def read_patch(data):
+    """Return the ``Patch`` that a body holds.
+
+    Raises:
+        GreengageError: ``invalid-item`` if it cannot be read in full.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=WirePatch)
+        return Patch(
+            tuple(_read_route(r) for r in _records(wire.upsert.routes, WireRoute)),
+            tuple(_read_service(r) for r in _records(wire.upsert.services, WireService)),
+            _read_limits(wire.upsert.limits),
+            tuple(Removal(r.name, r.version) for r in wire.remove.routes),
+            tuple(Removal(r.name, r.version) for r in wire.remove.services),
+        )
+    except (msgspec.MsgspecError, UnicodeDecodeError, GreengageError) as error:
+        raise GreengageError("invalid-item", str(error)) from error
+
+
+def write_items(items):
+    """Return the body that lists all items that stand."""
+    limits = items.limits
+    return msgspec.json.encode(
+        WireSet(
+            _table(WireRoute, [_write_route(route) for route in items.routes.values()]),
+            _table(WireService, [_write_service(s) for s in items.services.values()]),
+            limits
+            and WireLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                format_duration(limits.header_timeout_s),
+                format_duration(limits.idle_timeout_s),
+                limits.version,
+            ),
+        )
+    )
+
+
+def _records(table, kind):
+    if table is None:
+        return []
+    if len(set(table.columns)) < len(table.columns):
+        raise GreengageError("invalid-item", "a column is named twice")
+    records = []
+    for row in table.rows:
+        if len(row) != len(table.columns):
+            raise GreengageError("invalid-item", "a row has not one value for each column")
+        pairs = zip(table.columns, row, strict=True)
+        fields = {name: value for name, value in pairs if value is not None}
+        records.append(msgspec.convert(fields, kind))
+    return records
+
+
+def _table(kind, records):
+    columns = [field.encode_name for field in msgspec.structs.fields(kind)]
+    rows = [list(msgspec.structs.astuple(record)) for record in records]
+    return WireTable(columns, rows)
+
+
+def _read_route(wire):
+    if (wire.service is None) == (wire.traffic_split is None):
+        raise GreengageError("invalid-item", f"{wire.name!r}: needs a service or a split")
+    if wire.traffic_split is None:
+        parts = (Part(wire.service, 1.0),)
+    else:
+        parts = tuple(Part(part.service, part.weight) for part in wire.traffic_split)
+    return RouteItem(
+        wire.name,
+        wire.version,
+        wire.host,
+        wire.path_prefix,
+        wire.type,
+        parse_duration(wire.timeout),
+        wire.max_attempts,
+        parts,
+        wire.traffic_split is not None,
+        None if wire.target_latency is None else parse_duration(wire.target_latency),
+        wire.priority,
+    )
+
+
+def _write_route(route):
+    split = None
+    if route.is_split:
+        split = [WirePart(part.service, _whole(part.weight)) for part in route.parts]
+    return WireRoute(
+        route.name,
+        route.host,
+        route.prefix,
+        route.kind,
+        format_duration(route.timeout_s),
+        route.attempts,
+        route.version,
+        None if route.objective_s is None else format_duration(route.objective_s),
+        route.priority,
+        None if route.is_split else route.parts[0].service,
+        split,
+    )
+
+
+def _read_service(wire):
+    keyed = None
+    if wire.sharded:
+        warm_s = None if wire.warm is None else parse_duration(wire.warm)
+        keyed = KeyedRules(warm_s, wire.grants)
+    return ServiceItem(
+        wire.name, wire.version, wire.health_path, wire.max_conns, keyed, wire.protocol, wire.tls
+    )
+
+
+def _write_service(service):
+    keyed = service.keyed
+    warm_s = keyed.warm_s if keyed else None
+    return WireService(
+        service.name,
+        service.health_path,
+        service.max_connections,
+        service.version,
+        service.protocol,
+        service.is_encrypted,
+        True if keyed else None,
+        None if warm_s is None else format_duration(warm_s),
+        keyed.granted_in if keyed else None,
+    )
+
+
+def _read_limits(wire):
+    if wire is None:
+        return None
+    return CallerLimits(
+        wire.version,
+        wire.max_header_bytes,
+        wire.max_body_bytes,
+        parse_duration(wire.header_timeout),
+        parse_duration(wire.idle_timeout),
+    )
+
+
+def _whole(number):
+    return int(number) if float(number).is_integer() else number
--- /dev/null
+++ b/greengagerock/platform/wire_settings.py
@@ -0,0 +1,129 @@
+"""The infrastructure's settings file, and the daemon's own settings made from it."""
+
+import msgspec
+
+from greengagerock.core import GreengageError
+from greengagerock.platform.durations import parse_duration
+from greengagerock.settings.schema import LimitSettings
+from greengagerock.settings.site import RetrySettings, SiteSettings, split_address
+
+# Requests of callers wait on threads; a third of the descriptors is left for endpoints.
+CALLER_THREADS = 96
+QUEUED_CONNECTIONS = 512
+# Links between zones take a few milliseconds; an endpoint that does not accept in this time is
+# cut off or full.
+CONNECT_TIMEOUT_S = 0.3
+# Longest hold that the daemon chooses by itself; see docs/decisions on the length of holds.
+PREFERRED_HOLD_S = 6.0
+DEFAULT_REPORT_INTERVAL = "1s"
+
+
+class WireListen(msgspec.Struct):
+    """Addresses to listen on.
+
+    Attributes:
+        front: For callers.
+        ready: For the balancer.
+        control: For endpoints and operators.
+    """
+
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class WireSettings(msgspec.Struct, rename="kebab"):
+    """The fields of the settings file that are used. Others are ignored.
+
+    Attributes:
+        node_name: Name of the host.
+        ip: Its IP number.
+        zone: Its availability zone.
+        listen: Addresses to listen on.
+        internal_ports: First and last port for the system's own links.
+        seeds: ``control`` addresses of some controllers.
+        bootstrap: Whether the whole system starts for the first time.
+        data_dir: Folder on the host's disk, if it has one.
+        heartbeat: Usual time between two reports of an endpoint.
+        bounds: Bounds as ``name=value``.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: WireListen
+    internal_ports: tuple[int, int]
+    seeds: list[str] = []
+    bootstrap: bool = False
+    data_dir: str | None = None
+    heartbeat: str = DEFAULT_REPORT_INTERVAL
+    bounds: list[str] | str = []
+
+
+def read_settings(data, metrics_port):
+    """Return the daemon's settings.
+
+    Args:
+        data: Contents of the settings file.
+        metrics_port: Port on which metrics are served.
+
+    Raises:
+        GreengageError: ``bad-settings`` if a field is missing or malformed.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=WireSettings)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise GreengageError("bad-settings", str(error)) from error
+    try:
+        return _convert(wire, metrics_port)
+    except (GreengageError, ValueError) as error:
+        raise GreengageError("bad-settings", str(error)) from error
+
+
+def _convert(wire, metrics_port):
+    bounds = read_bounds(wire.bounds)
+    link_port = wire.internal_ports[0]
+    hold_s = min(PREFERRED_HOLD_S, _seconds(bounds, "hold-max", PREFERRED_HOLD_S))
+    return SiteSettings(
+        wire.node_name,
+        wire.zone,
+        "controller" if wire.listen.control else "router",
+        f"{wire.ip}:{link_port}",
+        # A controller's link address differs from its control address by the port only.
+        tuple(f"{split_address(seed)[0]}:{link_port}" for seed in wire.seeds),
+        callers=wire.listen.front,
+        readiness=wire.listen.ready,
+        control=wire.listen.control,
+        metrics=f"{wire.ip}:{metrics_port}",
+        data_folder=wire.data_dir or "",
+        may_found=wire.bootstrap,
+        report_interval_s=parse_duration(wire.heartbeat or DEFAULT_REPORT_INTERVAL),
+        hold_s=hold_s,
+        stop_grace_s=_seconds(bounds, "grace", 6.0),
+        retries=RetrySettings(
+            float(bounds.get("retry-budget-ratio", 0.2)),
+            float(bounds.get("retry-budget-slack", 60)),
+            _seconds(bounds, "retry-window", 10.0),
+        ),
+        limits=LimitSettings(
+            caller_threads=CALLER_THREADS,
+            queued_connections=QUEUED_CONNECTIONS,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        ),
+    )
+
+
+def read_bounds(bounds):
+    """Return bounds by name.
+
+    Examples:
+        >>> read_bounds(["drain=2000ms", "retry-budget-ratio=0.2"])
+        {'drain': '2000ms', 'retry-budget-ratio': '0.2'}
+    """
+    lines = bounds.split(",") if isinstance(bounds, str) else bounds
+    pairs = (line.partition("=") for line in lines)
+    return {name.strip(): value.strip() for name, _, value in pairs}
+
+
+def _seconds(bounds, name, default_s):
+    return parse_duration(bounds[name]) if name in bounds else default_s
--- a/greengagerock/replication/voter.py
+++ b/greengagerock/replication/voter.py
@@ -120,6 +120,10 @@
         """Return the last entry that a member is known to have stored, or 0."""
         return self._progress_of(member).match_index
 
+    def contact_s_of(self, member):
+        """Return when the newest message that a member has answered was sent."""
+        return self._progress_of(member).contact_s
+
     def hand_over(self):
         """Stop leading in favour of the voter that has the most entries."""
         others = [m for m in self.membership.voters if m.identity != self.identity]
--- /dev/null
+++ b/greengagerock/routing/dispatcher.py
@@ -0,0 +1,377 @@
+"""Decides about each caller's request of a system with named routes."""
+
+from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from greengagerock.core.seam import Answer, CancelAttempt, Forward, WatchCaller
+from greengagerock.holdings.balance import UNIT_KEYS
+from greengagerock.routing.calls import Call
+from greengagerock.routing.failures import (
+    REASON_CONNECT,
+    REASON_LOST,
+    REASON_NOT_OWNER,
+    REASON_REFUSED,
+    REASON_TIMEOUT,
+)
+from greengagerock.routing.health import EndpointHealth
+from greengagerock.routing.observed import ObservedEndpoints
+from greengagerock.routing.parts import PartPicker
+from greengagerock.routing.picker import EndpointPicker
+from greengagerock.routing.places import Places
+from greengagerock.routing.stats import RouterStats
+from greengagerock.routing.suspects import AnsweredRequests, CrashReport, fingerprint_call
+
+# A key that moves with a handover has a new holder within one report interval.
+KEY_WAIT_S = 0.5
+# No caller waits for a key longer than this share of its time.
+KEY_WAIT_SHARE = 0.3
+# From then on the loop watches whether the caller is still there.
+WATCH_AFTER_S = 0.2
+# A request with less time left than this is not worth sending.
+MIN_SEND_S = 0.005
+# Times after which a refused caller finds room or a holder, by code.
+RETRY_AFTER_S = {
+    "key-moving": 0.3,
+    "endpoint-refused": 0.15,
+    "no-room": 0.15,
+    "connect-failed": 0.3,
+    "no-endpoint": 0.5,
+    "not-ready": 0.5,
+    "stopping": 0.0,
+    "request-suspended": 5.0,
+}
+
+
+class Dispatcher:
+    """Routes calls to endpoints.
+
+    Args:
+        zone: Availability zone of this host.
+        replica: The ``ViewReplica``.
+        budget: The ``SharedRetryBudget``.
+        timers: The timer service.
+        outbox: Receives effects.
+        random: Source of chance.
+        report_crash: Callable that sends a ``CrashReport`` to the leader.
+
+    Attributes:
+        calls: Calls in progress by token.
+        closing: Whether callers are asked to use other hosts.
+        stopping: Whether new requests are refused.
+        banned: Fingerprints of requests that crashed several endpoints.
+        stats: The ``RouterStats``.
+    """
+
+    def __init__(self, zone, replica, budget, timers, outbox, random, report_crash):
+        self.zone = zone
+        self.replica = replica
+        self.budget = budget
+        self.timers = timers
+        self.outbox = outbox
+        self.report_crash = report_crash
+        self.places = Places()
+        self.parts = PartPicker(random)
+        self.observed = ObservedEndpoints()
+        self.health = EndpointHealth()
+        self.picker = EndpointPicker(zone, self.observed, self.health, random)
+        self.answered = AnsweredRequests()
+        self.stats = RouterStats()
+        self.calls = {}
+        self.waiting = {}
+        self.banned = frozenset()
+        self.closing = False
+        self.stopping = False
+
+    # --- Events --------------------------------------------------------------------
+
+    def on_call(self, event):
+        """Take in a ``CallArrived``."""
+        now_s = self.timers.now_s
+        if self.stopping or not self.replica.is_filled:
+            self._refuse_unrouted(event, "stopping" if self.stopping else "not-ready")
+            return
+        route = self.places.find(event.host, event.path)
+        if route is None:
+            self._refuse_unrouted(event, "unknown-route")
+            return
+        deadline_s = now_s + min(event.budget_s, route.timeout_s)
+        call = Call(event, route, self.parts.pick(route), now_s, deadline_s)
+        call.fingerprint = fingerprint_call(event, route)
+        self.calls[call.token] = call
+        self.budget.count_request(call.service, now_s)
+        if call.fingerprint in self.banned:
+            self._refuse(call, "request-suspended", "it broke off several endpoints")
+            return
+        self._send(call)
+
+    def on_attempt_failed(self, event):
+        """Take in an ``AttemptFailed``: try again, or answer."""
+        call = self.calls.get(event.token)
+        if call is None:
+            return
+        endpoint = self._end_attempt(call)
+        now_s = self.timers.now_s
+        call.body_used = call.body_used or event.body_used
+        self._log_failed(call, event, endpoint)
+        if call.is_abandoned:
+            self._finish(call, "caller-gone", OUTCOME_UNKNOWN)
+            return
+        match event.reason:
+            case r if r == REASON_REFUSED:
+                self.observed.of(endpoint).shed_s = now_s
+                self._try_again_or(call, "endpoint-refused", OUTCOME_NOT_RUN)
+            case r if r == REASON_NOT_OWNER:
+                self._on_not_owner(call, endpoint)
+            case r if r == REASON_CONNECT or not event.bytes_left:
+                self.health.note_failure(endpoint, now_s)
+                call.arrivals -= 1
+                self._try_again_or(call, "connect-failed", OUTCOME_NOT_RUN)
+            case r if r == REASON_TIMEOUT:
+                self.health.note_failure(endpoint, now_s)
+                self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
+            case _:
+                self._on_lost(call, event, endpoint)
+
+    def on_ended(self, event):
+        """Take in a ``RequestEnded``."""
+        call = self.calls.pop(event.token, None)
+        if call is None:
+            return
+        call.stop_timer()
+        endpoint = self._end_attempt(call)
+        outcome = "answered" if event.complete else "cut-off"
+        if event.took_s:
+            self.observed.of(endpoint).note_answer(event.took_s)
+        if event.complete:
+            self.health.note_success(endpoint)
+            self.answered.note(call.fingerprint)
+        self.stats.count(call.service, outcome)
+
+    def on_caller_gone(self, event):
+        """Stop working for a caller that closed its connection."""
+        call = self.calls.get(event.token)
+        if call is None:
+            return
+        self.outbox.log(
+            "caller-gone",
+            request_id=call.request_id,
+            endpoint=call.endpoint,
+            waited_ms=round(1000 * (self.timers.now_s - call.arrived_s)),
+        )
+        if call.route.is_idempotent:
+            call.is_abandoned = True
+            self.outbox.add(CancelAttempt(call.token))
+
+    def on_items(self):
+        """Use the newest routes."""
+        self.places = Places(self.replica.routes.values())
+
+    def on_live(self, changed_endpoints, changed_units):
+        """Use the newest endpoints and holders."""
+        for name in changed_endpoints:
+            if name not in self.replica.endpoints:
+                self.observed.forget(name)
+        for unit in changed_units:
+            for call in self.waiting.pop(unit, ()):
+                if call.token in self.calls:
+                    call.stop_timer()
+                    call.unit = None
+                    self._send(call)
+
+    # --- Sending -------------------------------------------------------------------
+
+    def _send(self, call):
+        if call.deadline_s - self.timers.now_s < MIN_SEND_S:
+            self._refuse(call, "no-room", "no time is left")
+            return
+        service = self.replica.services.get(call.service)
+        if service is not None and service.keyed and call.key is not None:
+            self._send_to_holder(call)
+        else:
+            self._send_to_any(call)
+
+    def _send_to_holder(self, call):
+        name = self.replica.owner_of(call.service, call.key)
+        record = self.replica.endpoints.get(name)
+        if record is None:
+            self._wait_for_holder(call)
+        else:
+            self._forward(call, record)
+
+    def _send_to_any(self, call):
+        names = self.replica.by_service.get(call.service, ())
+        records = [self.replica.endpoints[name] for name in names]
+        record = self.picker.pick(records, call.tried, self.timers.now_s)
+        if record is None:
+            code = "no-room" if call.tried else "no-endpoint"
+            self._refuse(call, code, f"service {call.service} has {len(records)} endpoints")
+        else:
+            self._forward(call, record)
+
+    def _forward(self, call, record):
+        now_s = self.timers.now_s
+        call.endpoint = record.name
+        call.sent_s = now_s
+        call.arrivals += 1
+        if record.name not in call.tried:
+            call.tried.append(record.name)
+        self.observed.of(record.name).in_flight += 1
+        call.stop_timer()
+        call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch(call))
+        self.outbox.add(
+            Forward(
+                call.token,
+                record.name,
+                record.address,
+                {},
+                call.deadline_s - now_s,
+                self.closing,
+            )
+        )
+
+    def _watch(self, call):
+        call.timer = None
+        if call.token in self.calls and call.endpoint:
+            self.outbox.add(WatchCaller(call.token))
+
+    def _wait_for_holder(self, call):
+        """Keep a request for a moment while its key is handed over."""
+        now_s = self.timers.now_s
+        left_s = call.deadline_s - now_s
+        wait_s = min(KEY_WAIT_S - (now_s - call.arrived_s), KEY_WAIT_SHARE * left_s)
+        if wait_s <= 0:
+            self._refuse(call, "key-moving", f"unit {call.key // UNIT_KEYS} has no holder")
+            return
+        call.unit = (call.service, call.key // UNIT_KEYS)
+        self.waiting.setdefault(call.unit, []).append(call)
+        call.timer = self.timers.subscribe(wait_s, lambda: self._stop_waiting(call))
+
+    def _stop_waiting(self, call):
+        call.timer = None
+        queue = self.waiting.get(call.unit)
+        if queue and call in queue:
+            queue.remove(call)
+            if not queue:
+                del self.waiting[call.unit]
+        call.unit = None
+        if call.token in self.calls:
+            self._refuse(call, "key-moving", f"unit {call.key // UNIT_KEYS} has no holder")
+
+    # --- Failures ------------------------------------------------------------------
+
+    def _end_attempt(self, call):
+        endpoint, call.endpoint = call.endpoint, ""
+        call.stop_timer()
+        if endpoint:
+            seen = self.observed.of(endpoint)
+            seen.in_flight = max(0, seen.in_flight - 1)
+        return endpoint
+
+    def _on_not_owner(self, call, endpoint):
+        """The endpoint does not hold the key, or another endpoint has its address."""
+        if not self._may_send_again(call):
+            self._finish(call, "key-moving", OUTCOME_NOT_RUN)
+            return
+        if self._is_keyed(call) and self.replica.owner_of(call.service, call.key) == endpoint:
+            self._wait_for_holder(call)
+        else:
+            self._send(call)
+
+    def _on_lost(self, call, event, endpoint):
+        call.may_have_run = True
+        self.health.note_failure(endpoint, self.timers.now_s)
+        record = self.replica.endpoints.get(endpoint)
+        if record is not None and event.reason == REASON_LOST:
+            known = call.fingerprint in self.answered
+            self.report_crash(
+                CrashReport(
+                    call.fingerprint,
+                    call.service,
+                    call.request_id,
+                    endpoint,
+                    str(record.born_ms),
+                    known,
+                )
+            )
+        if call.route.is_idempotent:
+            self._try_again_or(call, "answer-lost", OUTCOME_UNKNOWN)
+        else:
+            self._finish(call, "answer-lost", OUTCOME_UNKNOWN)
+
+    def _try_again_or(self, call, code, outcome):
+        """Send a request once more if that is safe and allowed, else answer."""
+        if self._is_keyed(call) and code != "answer-lost":
+            # Only the holder can answer, and it has just refused or cannot be reached.
+            self._finish(call, code, outcome)
+        elif self._may_send_again(call):
+            self._send(call)
+        else:
+            self._finish(call, code, outcome)
+
+    def _may_send_again(self, call):
+        if call.body_used or len(call.tried) >= call.route.attempts:
+            return False
+        if call.deadline_s - self.timers.now_s < self.observed.of(call.tried[-1]).mean_s:
+            return False
+        if call.arrivals and not self.budget.take(call.service, self.timers.now_s):
+            return False
+        self.stats.retries += 1
+        return True
+
+    def _is_keyed(self, call):
+        service = self.replica.services.get(call.service)
+        return service is not None and service.keyed is not None and call.key is not None
+
+    # --- Answers -------------------------------------------------------------------
+
+    def _refuse_unrouted(self, event, code):
+        self.stats.count("", code)
+        self.outbox.log(
+            "request-refused",
+            request_id=event.request_id,
+            code=code,
+            host_header=event.host,
+            path=event.path,
+            items_revision=self.replica.items_revision,
+        )
+        retry_s = RETRY_AFTER_S.get(code)
+        close = code == "stopping"
+        self.outbox.add(Answer(event.token, code, OUTCOME_NOT_RUN, "", close, retry_s))
+
+    def _refuse(self, call, code, detail):
+        self._finish(call, code, OUTCOME_NOT_RUN, detail)
+
+    def _finish(self, call, code, outcome, detail=""):
+        self.calls.pop(call.token, None)
+        call.stop_timer()
+        if call.may_have_run and outcome == OUTCOME_NOT_RUN:
+            # This attempt was not run, but an earlier one may have been.
+            detail = detail or code
+            code, outcome = "answer-lost", OUTCOME_UNKNOWN
+        now_s = self.timers.now_s
+        self.stats.count(call.service, code)
+        self.outbox.log(
+            "request-failed",
+            request_id=call.request_id,
+            code=code,
+            outcome=outcome,
+            route=call.route.name,
+            service=call.service,
+            key=call.key,
+            tried=",".join(call.tried),
+            waited_ms=round(1000 * (now_s - call.arrived_s)),
+            left_ms=round(1000 * (call.deadline_s - now_s)),
+            items_revision=self.replica.items_revision,
+            live=f"{self.replica.epoch}.{self.replica.live_revision}",
+            detail=detail,
+        )
+        retry_s = RETRY_AFTER_S.get(code) if outcome == OUTCOME_NOT_RUN else None
+        self.outbox.add(Answer(call.token, code, outcome, detail, self.closing, retry_s))
+
+    def _log_failed(self, call, event, endpoint):
+        self.outbox.log(
+            "attempt-failed",
+            request_id=call.request_id,
+            endpoint=endpoint,
+            reason=event.reason,
+            bytes_left=event.bytes_left,
+            after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
+        )
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -4,6 +4,7 @@
 REASON_REFUSED = "refused"
 REASON_LOST = "lost"
 REASON_TIMEOUT = "timeout"
+REASON_NOT_OWNER = "not-owner"
 
 CODE_BY_REASON = {
     REASON_CONNECT: "connect-failed",
@@ -26,4 +27,4 @@
         >>> is_certainly_not_run(AttemptFailed(1, "lost", True, False))
         False
     """
-    return event.reason == REASON_REFUSED or not event.bytes_left
+    return event.reason in (REASON_REFUSED, REASON_NOT_OWNER) or not event.bytes_left
--- a/greengagerock/routing/suspects.py
+++ b/greengagerock/routing/suspects.py
@@ -46,6 +46,17 @@
     return xxhash.xxh3_64_hexdigest(text.encode())
 
 
+def fingerprint_call(event, route):
+    """Return a short digest of what a call asks for.
+
+    Args:
+        event: A ``CallArrived`` event.
+        route: Its ``RouteItem``.
+    """
+    text = f"{route.name}\0{event.method}\0{event.target}\0{event.body_digest}"
+    return xxhash.xxh3_64_hexdigest(text.encode())
+
+
 class AnsweredRequests:
     """The digests of requests that were answered lately, in bounded space."""
 
--- a/greengagerock/storage/folder.py
+++ b/greengagerock/storage/folder.py
@@ -106,6 +106,17 @@
         except OSError as error:
             raise StorageError("disk-failed", str(error)) from error
 
+    def rewrite(self):
+        """Write all records anew, after a write failed and the file is not certain.
+
+        Raises:
+            StorageError: ``disk-failed``; the old file is still in place.
+        """
+        try:
+            self._rewrite()
+        except OSError as error:
+            raise StorageError("disk-failed", str(error)) from error
+
     def close(self):
         """Close the log file."""
         self.file.close()
--- /dev/null
+++ b/greengagerock/testing/item_builders.py
@@ -0,0 +1,53 @@
+"""Builders of configuration items and endpoints' reports for tests."""
+
+from greengagerock.holdings import EndpointReport
+from greengagerock.items import CallerLimits, KeyedRules, Part, Patch, RouteItem, ServiceItem
+
+
+def build_route(name="balance", version=1, parts=(("till", 1),), **fields):
+    """Return a route."""
+    values = {
+        "host": "shop.example",
+        "prefix": f"/{name}/",
+        "kind": "safe",
+        "timeout_s": 1.0,
+        "objective_s": 0.3,
+        "priority": 1,
+        "attempts": 2,
+    } | fields
+    return RouteItem(name, version, parts=tuple(Part(*part) for part in parts), **values)
+
+
+def build_service(name="till", version=1, keyed=True):
+    """Return a service."""
+    return ServiceItem(name, version, "/health", 100, KeyedRules(2.0) if keyed else None)
+
+
+def build_limits(version=1):
+    """Return limits on callers."""
+    return CallerLimits(version, 16_384, 1_048_576, 3.0, 15.0)
+
+
+def build_first_patch():
+    """Return a patch with a keyed and a plain service and a route to each."""
+    return Patch(
+        routes=(
+            build_route("balance"),
+            build_route("charge", kind="unsafe"),
+            build_route("prices", parts=(("docs", 1),)),
+        ),
+        services=(build_service(), build_service("docs", keyed=False)),
+        limits=build_limits(),
+    )
+
+
+def build_report(name, sequence=1, number=1, **fields):
+    """Return a report of an endpoint whose address ends in ``number``."""
+    values = {
+        "born_ms": 1000,
+        "address": f"10.0.1.{number}:80",
+        "service": "till",
+        "zone": "zone-1",
+        "slots": 3,
+    } | fields
+    return EndpointReport(name, sequence=sequence, **values)
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -3,7 +3,9 @@
 import msgspec
 
 from greengagerock.control.operators import OperatorRelay, OperatorRelayAnswer
+from greengagerock.control.site_requests import ItemsRelay, PatchRelay, RelayAnswer, ReportRelay
 from greengagerock.core import GreengageError, Timestamp
+from greengagerock.discovery import ControllerHello, ControllerWelcome
 from greengagerock.membership import (
     AnnouncementAnswer,
     AnnouncementRelay,
@@ -35,6 +37,7 @@
     MemoryShare,
 )
 from greengagerock.routing.suspects import CrashReport
+from greengagerock.view import NotLeading, ViewDelta, ViewPoll
 
 Message = (
     Hello
@@ -64,6 +67,15 @@
     | LeadNow
     | FoundingHello
     | Found
+    | ControllerHello
+    | ControllerWelcome
+    | ReportRelay
+    | PatchRelay
+    | ItemsRelay
+    | RelayAnswer
+    | ViewPoll
+    | ViewDelta
+    | NotLeading
 )
 
 
--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -4,7 +4,7 @@
 
 from greengagerock.core import GreengageError
 from greengagerock.transport.codec import Envelope, decode_envelope, encode_envelope
-from greengagerock.transport.monitor import LinkMonitor
+from greengagerock.transport.monitor import LINK_SILENCE_LIMIT_S, LinkMonitor
 
 SEND_BUFFER_MESSAGES = 128
 RECEIVE_BUFFER_MESSAGES = 1024
@@ -52,16 +52,17 @@
     Args:
         host: Name of this host.
         address: Link address of this host.
+        silence_limit_s: A link whose peer was silent for so long is dialled anew.
 
     Raises:
         GreengageError: ``link-failed`` if the address cannot be listened on.
     """
 
-    def __init__(self, host, address):
+    def __init__(self, host, address, silence_limit_s=LINK_SILENCE_LIMIT_S):
         self.host = host
         self.address = address
         self.stats = LinkStats()
-        self.monitor = LinkMonitor()
+        self.monitor = LinkMonitor(silence_limit_s)
         self.dialled = {}
         try:
             self.listener = pynng.Pull0(
--- a/greengagerock/transport/monitor.py
+++ b/greengagerock/transport/monitor.py
@@ -8,7 +8,10 @@
 
     A connection can go dead without an error while a new one would work. A
     link is suspect if something was sent over it and nothing was received
-    from its peer for ``LINK_SILENCE_LIMIT_S``.
+    from its peer for a while.
+
+    Args:
+        silence_limit_s: That while in seconds.
 
     Examples:
         >>> monitor = LinkMonitor()
@@ -20,9 +23,10 @@
         False
     """
 
-    __slots__ = ("waiting_since_s",)
+    __slots__ = ("silence_limit_s", "waiting_since_s")
 
-    def __init__(self):
+    def __init__(self, silence_limit_s=LINK_SILENCE_LIMIT_S):
+        self.silence_limit_s = silence_limit_s
         self.waiting_since_s = {}
 
     def note_sent(self, address, now_s):
@@ -36,7 +40,7 @@
     def is_suspect(self, address, now_s):
         """Return whether the link should be dialled anew."""
         since_s = self.waiting_since_s.get(address)
-        return since_s is not None and now_s - since_s > LINK_SILENCE_LIMIT_S
+        return since_s is not None and now_s - since_s > self.silence_limit_s
 
     def note_dialled(self, address, now_s):
         """Record that the link was dialled anew: its peer gets time to answer."""
--- /dev/null
+++ b/greengagerock/view/messages.py
@@ -0,0 +1,133 @@
+"""Messages between routers and controllers. Each tolerates loss and repetition."""
+
+import msgspec
+
+from greengagerock.items import CallerLimits, Removal, RouteItem, ServiceItem
+
+
+class EndpointRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What a router has to know of an endpoint.
+
+    Attributes:
+        name: Name of the endpoint.
+        address: ``IP:PORT`` where it takes requests.
+        service: Its service.
+        zone: Its availability zone.
+        slots: Requests that it works on at once.
+        leaving: Whether it takes no new work, but for keys that it still holds.
+        born_ms: Start of its life.
+        cold_s: How much longer it was slow when this was sent.
+    """
+
+    name: str
+    address: str
+    service: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    born_ms: int = 0
+    cold_s: float = 0.0
+
+
+class OwnerRun(msgspec.Struct, frozen=True, array_like=True):
+    """Neighbouring units that one endpoint holds.
+
+    Attributes:
+        service: The service.
+        first: First unit.
+        count: Number of units.
+        endpoint: Name of the holder, or empty if nobody holds them.
+    """
+
+    service: str
+    first: int
+    count: int
+    endpoint: str
+
+
+class ItemsDelta(msgspec.Struct, frozen=True, array_like=True):
+    """Items that changed.
+
+    Attributes:
+        revision: Log index up to which this goes.
+        complete: Whether what is not listed does not exist.
+        routes: Routes that were set.
+        services: Services that were set.
+        limits: The limits, if they were set.
+        removed_routes: Routes that were removed.
+        removed_services: Services that were removed.
+    """
+
+    revision: int
+    complete: bool
+    routes: tuple[RouteItem, ...] = ()
+    services: tuple[ServiceItem, ...] = ()
+    limits: CallerLimits | None = None
+    removed_routes: tuple[Removal, ...] = ()
+    removed_services: tuple[Removal, ...] = ()
+
+
+class LiveDelta(msgspec.Struct, frozen=True, array_like=True):
+    """Endpoints and holders that changed.
+
+    Attributes:
+        epoch: Term of the leader.
+        revision: Number of the leader's last change in that term.
+        complete: Whether what is not listed does not exist.
+        endpoints: Endpoints that were set.
+        removed: Names of endpoints that are gone.
+        owners: Units whose holder changed.
+    """
+
+    epoch: int
+    revision: int
+    complete: bool
+    endpoints: tuple[EndpointRecord, ...] = ()
+    removed: tuple[str, ...] = ()
+    owners: tuple[OwnerRun, ...] = ()
+
+
+class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll"):
+    """A router asks for what it does not know yet.
+
+    Attributes:
+        items_revision: Log index up to which it knows items.
+        epoch: Term of the leader that it has endpoints from.
+        live_revision: That leader's last change that it knows.
+        demand: Requests of the last seconds by service and unit.
+    """
+
+    items_revision: int
+    epoch: int
+    live_revision: int
+    demand: dict[str, dict[int, int]] = {}
+
+
+class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
+    """The leader's answer, and what it sends unasked after a change.
+
+    Attributes:
+        items: Changed items, or ``None``.
+        live: Changed endpoints and holders, or ``None``.
+        controllers: Link addresses of all controllers.
+        routers: Number of routers that the leader hears.
+        bans: Fingerprints of requests that crashed several endpoints.
+    """
+
+    items: ItemsDelta | None
+    live: LiveDelta | None
+    controllers: tuple[str, ...]
+    routers: int
+    bans: tuple[str, ...] = ()
+
+
+class NotLeading(msgspec.Struct, frozen=True, tag="not-leading"):
+    """A controller that does not lead answers a poll.
+
+    Attributes:
+        leader: Link address of the leader, or empty.
+        controllers: Link addresses of all controllers that it knows.
+    """
+
+    leader: str
+    controllers: tuple[str, ...]
--- a/greengagerock/web/callers.py
+++ b/greengagerock/web/callers.py
@@ -1,13 +1,13 @@
 """The WSGI application for callers. It carries bytes and decides nothing."""
 
-import re
 import secrets
+import time
 from http.client import responses
-from urllib.parse import urlsplit
 
+import msgspec
 from urllib3.exceptions import HTTPError
 
-from greengagerock.core import ERROR_KINDS, OUTCOME_UNKNOWN
+from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN, GreengageError
 from greengagerock.core.seam import (
     Answer,
     AnswerBegan,
@@ -15,33 +15,21 @@
     AttemptFailed,
     Forward,
     ReadinessAsked,
-    RequestArrived,
     RequestEnded,
 )
+from greengagerock.routing.failures import REASON_LOST
+from greengagerock.web.dialect import OwnDialect
 from greengagerock.web.resume import read_span
-from greengagerock.web.server import error_body, error_headers
-from greengagerock.web.upstream import BODY_CHUNK_BYTES, Attempt, CallerBody
+from greengagerock.web.upstream import (
+    BODY_CHUNK_BYTES,
+    Attempt,
+    CallerBody,
+    ShortBody,
+)
 
-READY_PATH = "/-/ready"
 LOOP_TIMEOUT_S = 5.0
-REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,64}")
-
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    }
-)
-_DROPPED_FROM_ANSWERS = _HOP_BY_HOP | {"greengage-request-id", "greengage-endpoint"}
-_OWN_PREFIX = "greengage-"
+# Longest body that is read before its request is routed, so that it can be sent again.
+SHORT_BODY_BYTES = 64 * 1024
 
 
 class CallerApplication:
@@ -53,9 +41,11 @@
         upstream: Connections to endpoints.
         metrics: The ``Metrics``.
         log: Callable that writes one log line.
+        dialect: Names on the wire.
     """
 
-    def __init__(self, host, bridge, upstream, metrics, log):
+    def __init__(self, host, bridge, upstream, metrics, log, dialect=None):
+        self.dialect = dialect or OwnDialect()
         self.bridge = bridge
         self.upstream = upstream
         self.metrics = metrics
@@ -65,28 +55,27 @@
     def __call__(self, environ, start_response):
         """Answer one request."""
         token = self.bridge.new_token()
-        if environ["PATH_INFO"] == READY_PATH:
-            return self._answer_ready(token, start_response)
-        exchange = Exchange(self, token, environ, start_response)
-        return exchange.run()
+        if environ["PATH_INFO"] == self.dialect.ready_path:
+            return self.answer_ready(token, start_response)
+        return Exchange(self, token, environ, start_response).run()
 
-    def _answer_ready(self, token, start_response):
+    def answer_ready(self, token, start_response):
+        """Tell the balancer whether this host takes callers."""
         code = self.bridge.ask(token, ReadinessAsked(token), LOOP_TIMEOUT_S)
         if code == "":
             start_response("200 OK", [("Content-Length", "3"), ("Content-Type", "text/plain")])
             return [b"ok\n"]
-        return send_error(start_response, Answer(token, code or "internal-error", "not-run"), [])
-
-
-def send_error(start_response, answer, extra):
-    """Start an answer that is not an endpoint's and return its body."""
-    status = ERROR_KINDS[answer.code].http_status
-    body = error_body(answer.code, answer.outcome, answer.detail)
-    headers = error_headers(answer.code, answer.outcome, body) + extra
-    if answer.close:
-        headers.append(("Connection", "close"))
-    start_response(f"{status} {responses[status]}", headers)
-    return [body]
+        answer = Answer(token, code or "internal-error", OUTCOME_NOT_RUN)
+        return self.send_error(start_response, answer, [])
+
+    def send_error(self, start_response, answer, extra):
+        """Start an answer that is not an endpoint's and return its body."""
+        status, headers, body = self.dialect.error(answer)
+        headers = headers + extra
+        if answer.close:
+            headers.append(("Connection", "close"))
+        start_response(status, headers)
+        return [body]
 
 
 class Exchange:
@@ -99,6 +88,7 @@
         "environ",
         "headers",
         "request_id",
+        "sent_s",
         "start",
         "target",
         "token",
@@ -110,41 +100,80 @@
         self.environ = environ
         self.start = start_response
         self.endpoint = ""
-        self.target = ""
+        self.sent_s = 0.0
+        self.target = app.dialect.target(environ)
         self.headers = read_headers(environ)
         self.body = open_body(environ)
-        given = self.headers.get("greengage-request-id", "")
-        fits = REQUEST_ID_PATTERN.fullmatch(given)
-        self.request_id = given if fits else f"{app.id_prefix}-{token}"
+        fallback = f"{app.id_prefix}-{token}"
+        self.request_id = app.dialect.request_id(self.headers, fallback)
 
     def run(self):
         """Follow the loop's instructions until there is an answer."""
-        uri = origin_form(self.environ["REQUEST_URI"])
-        service, path, query = split_uri(uri)
-        event = RequestArrived(
-            self.token,
-            self.request_id,
-            service,
-            self.environ["REQUEST_METHOD"],
-            path,
-            query,
-            self.headers,
-        )
-        self.target = f"{path}?{query}" if query else path
-        with self.app.metrics.time_head(service):
+        try:
+            if self.app.dialect.buffers_short_messages:
+                self._read_short_body()
+            event = self.app.dialect.arrival(
+                self.token, self.request_id, self.environ, self.headers, self.body
+            )
+        except GreengageError as error:
+            self.app.log(
+                "bad-request",
+                code=error.code,
+                request_id=self.request_id,
+                detail=error.detail,
+            )
+            return self._answer_error(
+                Answer(self.token, error.code, OUTCOME_NOT_RUN, error.detail)
+            )
+        with self.app.metrics.time_head(self.app.dialect.service_label(event)):
             return self._follow(event)
 
+    def _read_short_body(self):
+        if self.body is None:
+            return
+        length = self.headers.get("content-length", "")
+        if length.isdigit() and int(length) <= SHORT_BODY_BYTES:
+            data = self.environ["wsgi.input"].read(int(length))
+            if len(data) < int(length):
+                raise GreengageError("request-timeout", "the body ended before its length")
+            self.body = ShortBody(data)
+
     def _follow(self, event):
         while True:
             instruction = self.app.bridge.ask(self.token, event, LOOP_TIMEOUT_S)
             if instruction is None:
+                self.app.log("loop-silent", code="internal-error", request_id=self.request_id)
                 instruction = Answer(self.token, "internal-error", OUTCOME_UNKNOWN, "", True)
             if isinstance(instruction, Answer):
                 return self._answer_error(instruction)
             result = self.attempt(instruction, {})
-            if not isinstance(result, AttemptFailed):
-                return self._relay(instruction, result)
-            event = result
+            if isinstance(result, AttemptFailed):
+                event = result
+                continue
+            whole = None
+            if self.app.dialect.buffers_short_messages and is_short(result):
+                whole = self._read_short_answer(result)
+                if whole is None:
+                    event = AttemptFailed(self.token, REASON_LOST, True, False)
+                    continue
+            return self._relay(instruction, result, whole)
+
+    def _read_short_answer(self, response):
+        """Return the body of a short answer, or ``None`` if it broke off.
+
+        Nothing has reached the caller yet, so that another endpoint may be asked.
+        """
+        try:
+            return response.read(decode_content=False)
+        except (HTTPError, OSError) as error:
+            response.close()
+            self.app.log(
+                "answer-broken-off",
+                request_id=self.request_id,
+                detail=type(error).__name__,
+                passed_bytes=0,
+            )
+            return None
 
     def attempt(self, forward, extra_headers):
         """Send the request to an endpoint.
@@ -157,9 +186,11 @@
             A response whose body is unread, or an ``AttemptFailed`` event.
         """
         # With a body to read, a caller that goes away ends the reading.
-        watchable = self.environ["greengage.descriptor"] if self.body is None else None
+        streams = self.body is not None and not self.body.is_whole
+        watchable = None if streams else self.environ["greengage.descriptor"]
         attempt = Attempt(watchable)
         self.app.bridge.register_attempt(self.token, attempt)
+        self.sent_s = time.monotonic()
         try:
             return self.app.upstream.send(
                 forward,
@@ -168,6 +199,7 @@
                 self._headers_for(forward) | extra_headers,
                 self.body,
                 attempt,
+                lambda response: self.app.dialect.failure_of(response, self.request_id),
             )
         finally:
             self.app.bridge.forget_attempt(self.token)
@@ -176,45 +208,54 @@
                 self.app.bridge.unwatch_caller(watched)
 
     def _headers_for(self, forward):
-        headers = {
-            name: value
-            for name, value in self.headers.items()
-            if name not in _HOP_BY_HOP and not name.startswith(_OWN_PREFIX)
-        }
+        headers = self.app.dialect.outgoing_headers(self.headers, forward)
         if self.body is not None and "content-length" not in headers:
             headers["transfer-encoding"] = "chunked"
-        headers["via"] = append_via(headers.get("via"))
-        headers.update(forward.headers)
         return headers
 
-    def _own_headers(self):
-        own = [("Greengage-Request-Id", self.request_id)]
-        if self.endpoint:
-            own.append(("Greengage-Endpoint", self.endpoint))
-        return own
-
     def _answer_error(self, answer):
-        unread = self.body is not None
+        unread = self.body is not None and not self.body.is_whole
         if unread and not answer.close:
             # The rest of the body would be taken for the next request.
-            answer = Answer(answer.token, answer.code, answer.outcome, answer.detail, True)
-        return send_error(self.start, answer, self._own_headers())
+            answer = msgspec.structs.replace(answer, close=True)
+        own = self.app.dialect.own_headers(self.request_id, self.endpoint)
+        return self.app.send_error(self.start, answer, own)
 
-    def _relay(self, forward, response):
+    def _relay(self, forward, response, whole):
         self.endpoint = forward.endpoint
-        if is_long(response):
+        took_s = time.monotonic() - self.sent_s
+        if whole is None and is_long(response):
             self.app.bridge.post_lazily(AnswerBegan(self.token))
         received = response.headers
-        dropped = _DROPPED_FROM_ANSWERS
+        dropped = self.app.dialect.dropped_from_answers
         if "Connection" in received:
             dropped = dropped | connection_options(received["Connection"])
         headers = [pair for pair in received.items() if pair[0].lower() not in dropped]
-        headers += self._own_headers()
+        headers += self.app.dialect.own_headers(self.request_id, self.endpoint)
         if forward.close:
             headers.append(("Connection", "close"))
         reason = response.reason or responses.get(response.status, "Unknown")
         self.start(f"{response.status} {reason}", headers)
-        return RelayedBody(self, response)
+        if whole is not None:
+            return WholeBody(self, whole, took_s)
+        return RelayedBody(self, response, took_s)
+
+
+class WholeBody:
+    """A short answer that has been read from the endpoint."""
+
+    def __init__(self, exchange, data, took_s):
+        self.exchange = exchange
+        self.data = data
+        self.took_s = took_s
+
+    def __iter__(self):
+        yield self.data
+
+    def close(self):
+        """Tell the loop that the request has ended."""
+        ended = RequestEnded(self.exchange.token, True, self.took_s)
+        self.exchange.app.bridge.post_lazily(ended)
 
 
 class RelayedBody:
@@ -225,9 +266,10 @@
     raised makes the server close the connection before the announced end.
     """
 
-    def __init__(self, exchange, response):
+    def __init__(self, exchange, response, took_s):
         self.exchange = exchange
         self.response = response
+        self.took_s = took_s
         self.span = None
         self.passed_bytes = 0
         self.complete = False
@@ -278,7 +320,14 @@
         else:
             # What is left unread must never reach another request.
             self.response.close()
-        self.exchange.app.bridge.post_lazily(RequestEnded(self.exchange.token, self.complete))
+        ended = RequestEnded(self.exchange.token, self.complete, self.took_s)
+        self.exchange.app.bridge.post_lazily(ended)
+
+
+def is_short(response):
+    """Return whether an answer is read as a whole before any of it is passed on."""
+    length = response.headers.get("Content-Length", "")
+    return length.isdigit() and int(length) <= SHORT_BODY_BYTES
 
 
 def is_long(response):
@@ -308,39 +357,6 @@
     return None
 
 
-def origin_form(uri):
-    """Return path and query of a request target.
-
-    Examples:
-        >>> origin_form("http://a/b?c")
-        '/b?c'
-    """
-    if uri.startswith("/"):
-        return uri
-    parts = urlsplit(uri)
-    path = parts.path or "/"
-    return f"{path}?{parts.query}" if parts.query else path
-
-
-def split_uri(uri):
-    """Return service, path after it, and query.
-
-    Examples:
-        >>> split_uri("/till/cards/card-1?x=1")
-        ('till', '/cards/card-1', 'x=1')
-        >>> split_uri("/till")
-        ('till', '/', '')
-    """
-    path, _, query = uri.partition("?")
-    service, slash, rest = path[1:].partition("/")
-    return service, slash + rest or "/", query
-
-
 def connection_options(value):
     """Return the header names that a ``Connection`` header lists."""
     return {name.strip().lower() for name in value.split(",") if name.strip()}
-
-
-def append_via(value):
-    """Return the ``Via`` header with this hop added."""
-    return f"{value}, 1.1 greengagerock" if value else "1.1 greengagerock"
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -141,3 +141,34 @@
                 measure = measure_imbalance(state.routes, name)
                 family.add_metric([name], measure.max_over_mean)
         return family
+
+
+class SiteCollector:
+    """Reads the counters of a node whose peers are discovered.
+
+    Args:
+        node: A ``RouterNode`` or ``ControllerNode``.
+        links: Its links.
+    """
+
+    def __init__(self, node, links):
+        self.node = node
+        self.links = links
+
+    def collect(self):
+        """Yield metric families."""
+        outcomes = CounterMetricFamily(
+            "greengage_requests", "Finished requests.", labels=["service", "outcome"]
+        )
+        for (service, outcome), count in list(self.node.stats.outcomes.items()):
+            outcomes.add_metric([service, outcome], count)
+        yield outcomes
+        yield CounterMetricFamily(
+            "greengage_retries", "Further attempts.", value=self.node.stats.retries
+        )
+        for name in self.links.stats.__slots__:
+            yield CounterMetricFamily(
+                f"greengage_link_{name}",
+                f"Links: {name}.",
+                value=getattr(self.links.stats, name),
+            )
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -3,6 +3,7 @@
 import json
 import threading
 
+from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 from cherrypy._cpserver import Server
@@ -25,6 +26,15 @@
 class CodedRequest(HTTPRequest):
     """A request whose protocol faults are answered with a coded JSON body."""
 
+    def read_request_headers(self):
+        """Read the headers, and refuse a body that is framed in two ways."""
+        if not super().read_request_headers():
+            return False
+        if self.chunked_read and b"Content-Length" in self.inheaders:
+            self.simple_response("400 Bad Request", "both a length and chunks are given")
+            return False
+        return True
+
     def simple_response(self, status, msg=""):
         """Answer a request that never reached the application."""
         status = str(status)
@@ -61,6 +71,20 @@
         return environ
 
 
+class PatientConnectionManager(ConnectionManager):
+    """Hands a new connection to a worker only once something can be read from it.
+
+    A caller that connects and says nothing thus holds no thread.
+    """
+
+    def _from_server_socket(self, server_socket):
+        connection = super()._from_server_socket(server_socket)
+        if connection is not None:
+            connection.socket.settimeout(self.server.read_timeout_s)
+            self.put(connection)
+        return None
+
+
 class CodedConnection(HTTPConnection):
     """A connection that uses ``CodedRequest``."""
 
@@ -118,11 +142,16 @@
         self.server.on_protocol_fault = self._on_protocol_fault
         self.server.error_log = self._on_server_error
         self.server.server_name = ip
+        # The descriptors of the process are the only limit.
+        self.server.keep_alive_conn_limit = None
+        self.server.read_timeout_s = limits.idle_connection_s
         self.thread = None
 
     def start(self):
         """Start listening, then serve on a thread."""
         self.server.prepare()
+        self.server._connections._selector.close()
+        self.server._connections = PatientConnectionManager(self.server)
         self.thread = threading.Thread(target=self.server.serve, name="http", daemon=True)
         self.thread.start()
 
@@ -131,6 +160,13 @@
         self.server.stop()
         self.thread.join(timeout=self.server.shutdown_timeout)
 
+    def use_limits(self, limits):
+        """Apply the operator's ``CallerLimits`` to requests that come from now on."""
+        self.server.max_request_header_size = limits.header_bytes
+        self.server.max_request_body_size = limits.body_bytes
+        self.server.timeout = limits.idle_timeout_s
+        self.server.read_timeout_s = limits.header_timeout_s
+
     def _on_protocol_fault(self, code, status, detail):
         self.log("bad-http", code=code, status=status, detail=detail)
 
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -12,12 +12,10 @@
 from greengagerock.routing.failures import (
     REASON_CONNECT,
     REASON_LOST,
-    REASON_REFUSED,
     REASON_TIMEOUT,
 )
 
 CONNECTIONS_PER_ENDPOINT = 32
-REFUSED_HEADER = "Greengage-Refused"
 BODY_CHUNK_BYTES = 64 * 1024
 
 # Retries are decided by the core; one shared object spares building it each time.
@@ -47,9 +45,19 @@
         connection: The connection in use, or ``None``.
         cancelled: Whether the loop asked to give up.
         is_new: Whether the connection was opened for this attempt.
+        target: Path and query as the caller wrote them.
     """
 
-    __slots__ = ("_caller", "_lock", "_watched", "bytes_left", "cancelled", "connection", "is_new")
+    __slots__ = (
+        "_caller",
+        "_lock",
+        "_watched",
+        "bytes_left",
+        "cancelled",
+        "connection",
+        "is_new",
+        "target",
+    )
 
     def __init__(self, caller_descriptor=None):
         self._caller = caller_descriptor
@@ -59,6 +67,7 @@
         self.connection = None
         self.cancelled = False
         self.is_new = False
+        self.target = ""
 
     def begin_watch(self):
         """Return the descriptor of the caller's socket, or ``None`` if not to be watched."""
@@ -88,6 +97,13 @@
 class TrackedConnection(HTTPConnection):
     """A connection that notes whether bytes of the current attempt have left."""
 
+    def request(self, method, url, *arguments, **options):
+        """Send a request whose target is passed on exactly as the caller wrote it."""
+        attempt = getattr(_current, "attempt", None)
+        if attempt is not None and attempt.target:
+            url = attempt.target
+        return super().request(method, url, *arguments, **options)
+
     def send(self, data):
         """Connect if needed, then send."""
         attempt = getattr(_current, "attempt", None)
@@ -112,8 +128,11 @@
 
     Attributes:
         used: Whether any byte was read from the caller.
+        is_whole: Whether it can be sent again.
     """
 
+    is_whole = False
+
     def __init__(self, stream):
         self.stream = stream
         self.used = False
@@ -127,6 +146,25 @@
             yield chunk
 
 
+class ShortBody:
+    """A caller's body that has been read, and can be sent more than once.
+
+    Attributes:
+        data: The body.
+        used: False, since nothing of it is lost by sending it.
+        is_whole: Whether it can be sent again.
+    """
+
+    is_whole = True
+    used = False
+
+    def __init__(self, data):
+        self.data = data
+
+    def __iter__(self):
+        yield self.data
+
+
 class Upstream:
     """Connection pools of one host, one for each endpoint address.
 
@@ -158,7 +196,7 @@
         if pool is not None:
             pool.close()
 
-    def send(self, forward, method, uri, headers, body, attempt):
+    def send(self, forward, method, uri, headers, body, attempt, failure_of):
         """Send a request and wait for the head of the answer.
 
         Args:
@@ -168,12 +206,14 @@
             headers: Headers to send.
             body: A ``CallerBody``, or ``None``.
             attempt: An ``Attempt`` that notes what happens.
+            failure_of: Returns why a response is no answer to pass on, or ``None``.
 
         Returns:
             A urllib3 response whose body is unread, or an ``AttemptFailed`` event.
         """
         connect_s = min(self.limits.connect_timeout_s, forward.timeout_s)
         timeout = urllib3.Timeout(connect=connect_s, read=max(forward.timeout_s, 0.001))
+        attempt.target = uri
         _current.attempt = attempt
         try:
             response = self.pool(forward.address).urlopen(
@@ -192,11 +232,16 @@
             return self._failure(forward, error, attempt, body)
         finally:
             _current.attempt = None
-        if REFUSED_HEADER in response.headers:
-            response.drain_conn()
-            response.release_conn()
-            return AttemptFailed(forward.token, REASON_REFUSED, False, bool(body and body.used))
-        return response
+        reason = failure_of(response)
+        if reason is None:
+            return response
+        if reason == REASON_LOST:
+            # What else comes on this connection belongs to no request.
+            response.close()
+            return AttemptFailed(forward.token, reason, True, bool(body and body.used))
+        response.drain_conn()
+        response.release_conn()
+        return AttemptFailed(forward.token, reason, False, bool(body and body.used))
 
     def _failure(self, forward, error, attempt, body):
         if isinstance(error, (NewConnectionError, ConnectTimeoutError)):
