--- a/greengagerock/holdings/balance.py
+++ b/greengagerock/holdings/balance.py
@@ -65,6 +65,27 @@
     return [unit for block in chosen for unit in blocks[block]]
 
 
+def choose_neighbours(pool, held, quota, width):
+    """Choose free stripes that touch what is held, so that ranges grow without new ones.
+
+    Examples:
+        >>> choose_neighbours({2, 3, 6, 7}, {0, 1}, 4, 2)
+        [2, 3]
+    """
+    blocks = {}
+    for unit in sorted(pool):
+        blocks.setdefault(unit // width, []).append(unit)
+    mine = {unit // width for unit in held}
+    chosen = []
+    for block, units in blocks.items():
+        if len(chosen) >= quota:
+            break
+        if block - 1 in mine or block + 1 in mine:
+            mine.add(block)
+            chosen += units
+    return chosen
+
+
 def plan_moves(counts, held, width, aligned):
     """Plan moves from lives with many units to those that have too few.
 
--- a/greengagerock/holdings/ledger.py
+++ b/greengagerock/holdings/ledger.py
@@ -9,6 +9,7 @@
     UNIT_KEYS,
     UNITS,
     choose_blocks,
+    choose_neighbours,
     deal_blocks,
     plan_moves,
     targets,
@@ -162,14 +163,16 @@
 
     def plan(self, lives, now_s):
         """Decide which units should move to even out the load."""
-        if not self.is_dealt or self.unknown or self.leaving_units:
+        if not self.is_dealt or self.unknown:
             return
-        if self.free:
+        if self.free - self.reserved.keys():
             # Keys without a holder go first; the moves planned before no longer fit.
             self.moves = {}
             return
         if any(self.moves.values()) and now_s < self.replan_s:
             return
+        if self.leaving_units or self.reserved:
+            return
         self.replan_s = now_s + 2 * self.interval_s
         ready = self._ready(lives, now_s)
         counts = {life: len(self.held.get(life, ())) for life in ready}
@@ -184,7 +187,7 @@
     def _own(self, life, unit, fence):
         previous = self.owners[unit]
         if previous is not None and previous is not life:
-            self.held[previous].discard(unit)
+            self._forget_held(previous, unit)
         self.owners[unit] = life
         self.held.setdefault(life, set()).add(unit)
         self.fences[unit] = fence
@@ -198,9 +201,7 @@
     def _free(self, unit, handover=""):
         holder = self.owners[unit]
         if holder is not None:
-            self.held[holder].discard(unit)
-            if not self.held[holder]:
-                del self.held[holder]
+            self._forget_held(holder, unit)
         self.owners[unit] = None
         self.leaving_units.pop(unit, None)
         self.handovers.pop(unit, None)
@@ -210,6 +211,13 @@
         self.pool_size = max(self.pool_size, len(self.free))
         self.on_owner(unit, "")
 
+    def _forget_held(self, life, unit):
+        units = self.held.get(life)
+        if units is not None:
+            units.discard(unit)
+            if not units:
+                del self.held[life]
+
     # --- Parts of a renewal --------------------------------------------------------
 
     def _adopt(self, life, reported):
@@ -244,13 +252,11 @@
     def _release(self, life, units, now_s, taker=None):
         """Leave units out of the answer; they are free once a report no longer has them."""
         for unit in units:
-            self.held[life].discard(unit)
+            self._forget_held(life, unit)
             self.leaving_units[unit] = (life, life.hold_until_s)
             self.on_owner(unit, "")
             if taker is not None:
                 self.reserved[unit] = Reservation(taker, now_s + RESERVATION_S)
-        if units and not self.held[life]:
-            del self.held[life]
         self.moved_units += len(units)
 
     def _release_moves(self, life, now_s):
@@ -262,7 +268,8 @@
             due_s = taker.next_report_s(self.interval_s) - now_s
             if taker.is_leaving:
                 continue
-            if HANDOVER_MIN_S < due_s < HANDOVER_WINDOW_S:
+            is_timely = HANDOVER_MIN_S < due_s < HANDOVER_WINDOW_S
+            if is_timely or now_s > self.replan_s - 0.8 * self.interval_s:
                 mine = self.held.get(life, ())
                 self._release(life, [u for u in units if u in mine], now_s, taker)
             else:
@@ -279,16 +286,34 @@
                 wanted = targets(ready)[life] if life in ready else 0
                 held = len(self.held.get(life, ())) + len(mine)
                 quota = max(wanted - held, POOL_SPREAD * self.pool_size // max(len(ready), 1))
-                room = MAX_ROWS - len(self._rows(life))
-                mine += choose_blocks(pool, quota, self.block_units, room)
+                mine += self._choose(life, pool, quota)
         if not mine:
             return
         fence = self.next_fence(self.highest_fence)
         for unit in mine:
             self._own(life, unit, fence)
+        if len(self._rows(life)) > MAX_ROWS:
+            for unit in self.held[life]:
+                self.fences[unit] = fence
+                self.handovers.pop(unit, None)
         if not self.free:
             self.pool_size = 0
 
+    def _choose(self, life, pool, quota):
+        """Choose free units, as far as the answer has room for them.
+
+        Without room only neighbours of what is held already are chosen: with one fence
+        for all of it, they need no further row.
+        """
+        width = self.block_units
+        room = MAX_ROWS - len(self._rows(life))
+        chosen = choose_blocks(pool, quota, width, max(room, 0))
+        if quota - len(chosen) < width or len(chosen) == len(pool):
+            return chosen
+        held = self.held.get(life, set())
+        chosen += choose_neighbours(pool.difference(chosen), held, quota - len(chosen), width)
+        return chosen
+
     def _deal(self, lives, now_s):
         """Share out all keys for the first time, in narrow stripes."""
         if self.is_dealt or self.first_report_s is None or self.unknown:
--- /dev/null
+++ b/greengagerock/node/tests/test_site.py
@@ -0,0 +1,262 @@
+"""A whole site in virtual time: keys have one holder, items survive, callers are served."""
+
+import pytest
+
+from greengagerock.core.seam import EndpointReported, StopRequested
+from greengagerock.holdings import EndpointLeaving
+from greengagerock.items import Patch
+from greengagerock.testing.fake_site import FakeHolder, build_fake_site, leader_name
+from greengagerock.testing.item_builders import build_route
+
+KEYS = range(0, 65_536, 2048)
+HOLD_S = 6.0
+# The rules allow a lost endpoint's keys to be without a holder until its hold has run out.
+REGRANT_LIMIT_S = HOLD_S * 1.02 + 0.1 + 1.5
+
+
+def served_keys(site, router="edge-1"):
+    """Return the sampled keys whose requests are answered."""
+    return [key for key in KEYS if site.try_call(router, key=key) == "ok"]
+
+
+def test_every_key_is_granted_and_served():
+    site = build_fake_site()
+    assert served_keys(site) == list(KEYS)
+    assert site.try_call("edge-2", "prices") == "ok"
+    assert site.violations == []
+
+
+def test_shares_are_even_and_neighbours_are_apart():
+    site = build_fake_site(holders=6)
+    counts = [len(h.holds) for h in site.holders.values() if h.service == "till"]
+    assert sum(counts) == 8192
+    assert max(counts) <= 1.1 * min(counts)
+    owners = {site.holder_of("till", key).name for key in range(0, 1000, 8)}
+    assert len(owners) >= 4
+
+
+def test_lost_endpoint():
+    site = build_fake_site()
+    victim = site.holder_of("till", 4096)
+    victim.up = False
+    took_s = site.run_until(lambda: site.holder_of("till", 4096) is not None, 20.0)
+    assert took_s < REGRANT_LIMIT_S
+    site.run_for(3.0)
+    assert served_keys(site) == list(KEYS)
+    assert site.violations == []
+
+
+def test_later_life_frees_keys_at_once():
+    site = build_fake_site()
+    victim = site.holder_of("till", 4096)
+    victim.up = False
+    number = int(victim.address.split(".")[-1].split(":")[0])
+    site.add_holder(FakeHolder(f"{victim.name}-b", number, born_ms=2000))
+    took_s = site.run_until(lambda: site.holder_of("till", 4096) is not None, 20.0)
+    assert took_s < 3.0
+    assert site.violations == []
+
+
+def test_drain_moves_all_keys_within_the_drain_time():
+    site = build_fake_site()
+    leaver = site.holder_of("till", 4096)
+    leaver.draining = True
+    took_s = site.run_until(
+        lambda: not leaver.holds and site.holder_of("till", 4096) is not None, 10.0
+    )
+    assert took_s < 2.0 + 1.0
+    site.run_for(1.0)
+    runs_before = len(leaver.runs)
+    assert served_keys(site) == list(KEYS)
+    assert len(leaver.runs) == runs_before
+    assert site.violations == []
+
+
+def test_leaver_without_drain_gets_no_request_after_two_seconds():
+    site = build_fake_site()
+    leaver = site.holder_of("till", 4096)
+    site.feed("core-1", EndpointReported(10**9, EndpointLeaving(leaver.name, leaver.born_ms)))
+    leaver.reachable = ()
+    site.run_for(2.0)
+    runs_before = len(leaver.runs)
+    served_keys(site)
+    assert len(leaver.runs) == runs_before
+    site.run_for(HOLD_S + 2.0)
+    assert served_keys(site) == list(KEYS)
+    assert site.violations == []
+
+
+def test_joiner_gets_a_share_soon():
+    site = build_fake_site()
+    joiner = site.add_holder(FakeHolder("till-new", 50, born_ms=9000))
+    took_s = site.run_until(lambda: len(joiner.holds) > 100, 10.0)
+    assert took_s is not None and took_s < 4.0
+    site.run_for(6.0)
+    assert len(joiner.holds) > 0.6 * 8192 / 7
+    assert site.violations == []
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_leader_killed(seed):
+    site = build_fake_site(seed=seed)
+    site.crash_host(leader_name(site))
+    site.run_for(3.0)
+    assert leader_name(site) is not None
+    assert served_keys(site) == list(KEYS)
+    site.run_for(HOLD_S + 2.0)
+    assert served_keys(site) == list(KEYS)
+    assert site.violations == []
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_frozen_leader_and_its_return(seed):
+    site = build_fake_site(seed=seed)
+    frozen = leader_name(site)
+    site.pause_host(frozen)
+    site.run_for(4.0)
+    victim = site.holder_of("till", 4096)
+    victim.draining = True
+    site.run_for(2.0)
+    site.resume_host(frozen)
+    site.run_for(5.0)
+    assert served_keys(site) == list(KEYS)
+    assert site.violations == []
+
+
+def test_all_controllers_killed():
+    site = build_fake_site()
+    for name in ("core-1", "core-2", "core-3"):
+        site.crash_host(name)
+    site.run_for(1.0)
+    for name in ("core-1", "core-2", "core-3"):
+        site.start_host(name, may_found=False)
+    site.run_for(4.0)
+    assert served_keys(site) == list(KEYS)
+    assert "balance" in site.read_items(leader_name(site)).routes
+    assert site.violations == []
+
+
+def test_acknowledged_patch_survives_a_lost_disk_while_others_restart():
+    site = build_fake_site()
+    patch = Patch(routes=(build_route("balance", version=9, timeout_s=0.7),))
+    assert site.patch_until_accepted(patch).code == ""
+    lost = leader_name(site)
+    for name in ("core-1", "core-2", "core-3"):
+        site.crash_host(name)
+    site.lose_disk(lost, f"{lost}#2")
+    site.run_for(0.5)
+    for name in ("core-1", "core-2", "core-3"):
+        site.start_host(name, may_found=False)
+    site.run_for(5.0)
+    leader = leader_name(site)
+    assert site.read_items(leader).routes["balance"].version == 9
+    identities = {m.identity for m in site.hosts[leader].node.voter.membership.voters}
+    assert identities == {
+        f"{name}#{2 if name == lost else 1}" for name in site.hosts if "core" in name
+    }
+
+
+def test_spare_replaces_a_voter_that_is_gone_for_good():
+    site = build_fake_site(controllers=4)
+    gone = next(n for n in ("core-1", "core-2", "core-3") if n != leader_name(site))
+    site.crash_host(gone)
+    site.run_for(6.0)
+    membership = site.hosts[leader_name(site)].node.voter.membership
+    hosts = {member.host for member in membership.voters}
+    assert site.address_of("core-4") in hosts and site.address_of(gone) not in hosts
+    second = next(n for n in ("core-1", "core-2", "core-3") if n not in (gone, leader_name(site)))
+    site.crash_host(second)
+    site.run_for(2.0)
+    assert leader_name(site) is not None
+
+
+def test_wiped_seed_does_not_found_a_second_group():
+    site = build_fake_site()
+    for name in ("core-1", "core-2"):
+        site.crash_host(name)
+        site.lose_disk(name, f"{name}#2")
+        site.start_host(name, may_found=False)
+    site.run_for(5.0)
+    assert leader_name(site) is None
+    founders = [n for n in ("core-1", "core-2") if site.hosts[n].node.voter.log.last_index]
+    assert founders == []
+
+
+def test_router_cut_off_goes_on_serving_and_a_new_one_is_not_ready():
+    site = build_fake_site()
+    cores = ["core-1", "core-2", "core-3"]
+    site.cut(["edge-1", "edge-2"], cores)
+    site.cut(cores, ["edge-1", "edge-2"])
+    site.run_for(5.0)
+    assert served_keys(site, "edge-1") == list(KEYS)
+    site.crash_host("edge-2")
+    site.start_host("edge-2")
+    site.run_for(2.0)
+    assert site.hosts["edge-2"].node.readiness() == "not-ready"
+    assert site.try_call("edge-2", key=1) == "not-ready"
+    site.heal()
+    site.run_for(1.5)
+    assert site.hosts["edge-2"].node.readiness() == ""
+
+
+def test_patch_is_in_force_at_routers_within_two_seconds():
+    site = build_fake_site()
+    new = build_route("fresh", parts=(("docs", 1),))
+    assert site.try_call("edge-1", "fresh") == "unknown-route"
+    assert site.patch_until_accepted(Patch(routes=(new,))).code == ""
+    site.run_for(0.5)
+    assert site.try_call("edge-1", "fresh") == "ok"
+    assert site.try_call("edge-2", "fresh") == "ok"
+
+
+def test_router_stops_gracefully():
+    site = build_fake_site()
+    token = site.call("edge-1", key=77)
+    site.feed("edge-1", StopRequested())
+    assert site.hosts["edge-1"].node.readiness() == "stopping"
+    site.run_until(lambda: token in site.answers, 2.0)
+    assert site.outcome(token) == "ok"
+    assert site.try_call("edge-1", key=77) == "ok"
+    site.run_for(3.0)
+    assert site.hosts["edge-1"].node is None
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_troubles_leave_one_holder(seed):
+    """Endpoints crash, drain, join and are cut off while leaders are killed or frozen."""
+    site = build_fake_site(seed=100 + seed, duplication=0.05, loss=0.02)
+    random = site.random
+    number = 60
+    for _ in range(14):
+        tills = [h for h in site.holders.values() if h.up and h.service == "till"]
+        cores = ["core-1", "core-2", "core-3"]
+        match random.randrange(7):
+            case 0 if len(tills) > 3:
+                random.choice(tills).up = False
+            case 1 if len(tills) > 3:
+                random.choice(tills).draining = True
+            case 2:
+                number += 1
+                site.add_holder(FakeHolder(f"till-{number}", number, born_ms=1000 + number))
+            case 3:
+                random.choice(tills).reachable = (random.choice(cores),)
+            case 4:
+                random.choice(tills).reachable = ()
+            case 5 if leader_name(site):
+                name = leader_name(site)
+                site.crash_host(name)
+                site.at(1.5, lambda n=name: site.start_host(n, may_found=False))
+            case 6 if leader_name(site):
+                name = leader_name(site)
+                site.pause_host(name)
+                site.at(random.uniform(0.2, 4.0), lambda n=name: site.resume_host(n))
+        site.run_for(random.uniform(0.3, 5.0))
+        for holder in site.holders.values():
+            if random.random() < 0.5:
+                holder.reachable = None
+    assert site.violations == []
+    for holder in site.holders.values():
+        holder.reachable = None
+    site.run_for(20.0)
+    assert site.violations == []
+    assert served_keys(site) == list(KEYS)
--- /dev/null
+++ b/greengagerock/testing/fake_site.py
@@ -0,0 +1,365 @@
+"""A system with discovered hosts in virtual time, with endpoints that hold keys by report."""
+
+import itertools
+
+import msgspec
+
+from greengagerock.core.seam import (
+    Answer,
+    AttemptFailed,
+    CallArrived,
+    EndpointReported,
+    Forward,
+    ItemsAsked,
+    PatchAsked,
+    Reply,
+    RequestEnded,
+)
+from greengagerock.holdings import EndpointReport, FreedRange, HeldRange
+from greengagerock.holdings.balance import UNIT_KEYS
+from greengagerock.node.controller_node import ControllerNode
+from greengagerock.node.router_node import RouterNode
+from greengagerock.node.site import SiteConfig
+from greengagerock.testing.builders import build_host
+from greengagerock.testing.fake_parts import FakeDisk, FakeHost
+from greengagerock.testing.fakes import MESSAGE_DELAY_S, FakeSystem
+from greengagerock.testing.item_builders import build_first_patch
+
+REPORT_INTERVAL_S = 1.0
+REPORT_TIMEOUT_S = 1.0
+RELEASE_REPORT_S = 0.1
+CALL_DELAY_S = 0.001
+# The clock of an endpoint may run so much slow.
+SLOW_CLOCK = 1.02
+
+
+class SiteHostConfig:
+    """What ``FakeSystem`` has to know of a host.
+
+    Attributes:
+        host: Its record.
+        site: Its ``SiteConfig``.
+    """
+
+    def __init__(self, host, site):
+        self.host = host
+        self.site = site
+
+
+class FakeHolder:
+    """An endpoint that reports, holds keys and checks fences.
+
+    Attributes:
+        name: Its name.
+        holds: Fence and end of the hold by unit, as it believes.
+        seen_fences: Highest fence seen by unit.
+        up: Whether the process lives.
+        reachable: Names of controllers that it can reach, or ``None`` for all.
+        runs: Tuples of request id, unit and time.
+        service_s: Time that a request takes.
+    """
+
+    def __init__(self, name, number, service="till", zone="zone-1", born_ms=1000):
+        self.name = name
+        self.address = f"10.0.9.{number}:80"
+        self.service = service
+        self.zone = zone
+        self.born_ms = born_ms
+        self.sequence = 0
+        self.draining = False
+        self.holds = {}
+        self.freed = {}
+        self.seen_fences = {}
+        self.up = True
+        self.reachable = None
+        self.runs = []
+        self.service_s = 0.01
+
+    def report(self):
+        """Return its next report."""
+        self.sequence += 1
+        return EndpointReport(
+            self.name,
+            self.born_ms,
+            self.sequence,
+            self.address,
+            self.service,
+            self.zone,
+            3,
+            self.draining,
+            0.0,
+            tuple(
+                HeldRange(u * UNIT_KEYS, u * UNIT_KEYS + UNIT_KEYS - 1, fence)
+                for u, (fence, _) in self.holds.items()
+            ),
+            tuple(
+                FreedRange(u * UNIT_KEYS, u * UNIT_KEYS + UNIT_KEYS - 1, token)
+                for u, token in self.freed.items()
+            ),
+        )
+
+    def expire(self, now_s):
+        """Drop holds that have run out."""
+        for unit in [u for u, (_, until_s) in self.holds.items() if until_s <= now_s]:
+            del self.holds[unit]
+
+    def take(self, answer, sent_s, now_s):
+        """Take in the answer to a report that was sent at ``sent_s``."""
+        if answer.grants is None:
+            return
+        until_s = sent_s + answer.hold_s * SLOW_CLOCK
+        wanted = {}
+        for row in answer.grants:
+            for unit in range(row.first // UNIT_KEYS, row.last // UNIT_KEYS + 1):
+                wanted[unit] = row.fence
+        for unit in [u for u in self.holds if u not in wanted]:
+            del self.holds[unit]
+            self.freed[unit] = f"token-{unit}"
+        if until_s <= now_s:
+            return
+        for unit, fence in wanted.items():
+            if fence >= self.seen_fences.get(unit, 0):
+                self.seen_fences[unit] = fence
+                self.holds[unit] = (fence, until_s)
+
+    def holds_key(self, key, now_s):
+        """Return whether it may run a request for a key."""
+        self.expire(now_s)
+        return key // UNIT_KEYS in self.holds
+
+
+class FakeSite(FakeSystem):
+    """Controllers, routers and endpoints in virtual time.
+
+    Args:
+        seed: Seed of delays and nodes.
+        hold_s: Length of a hold.
+        **options: Options of ``FakeSystem``.
+
+    Attributes:
+        holders: ``FakeHolder`` objects by name.
+        replies: Values of ``Reply`` effects by token.
+        violations: Units that two endpoints held at once.
+    """
+
+    def __init__(self, seed=1, hold_s=6.0, **options):
+        super().__init__(seed, **options)
+        self.hold_s = hold_s
+        self.holders = {}
+        self.replies = {}
+        self.violations = []
+        self.calls = {}
+        self._octets = itertools.count(1)
+        self._reporting = {}
+
+    def add_site_host(self, name, zone, seeds, may_found=True, role="controller"):
+        """Add a host and start it."""
+        record = msgspec.structs.replace(build_host(name, zone), address=self.address_of(name))
+        site = SiteConfig(name, zone, record.address, tuple(seeds), may_found, hold_s=self.hold_s)
+        disk = FakeDisk(f"{name}#1") if role == "controller" else None
+        host = FakeHost(SiteHostConfig(record, site), disk)
+        self.hosts[name] = host
+        self.by_address[record.address] = host
+        self.start_host(name)
+        return host
+
+    def address_of(self, name):
+        """Return the link address of a host."""
+        return f"{name}:7000"
+
+    def start_host(self, name, may_found=None):
+        """Start a host's process."""
+        host = self.hosts[name]
+        host.life += 1
+        host.paused_events = None
+        seed = self.random.randrange(1 << 60)
+        changes = {"seed": seed}
+        if may_found is not None:
+            changes["may_found"] = may_found
+        host.config.site = msgspec.structs.replace(host.config.site, **changes)
+        if host.disk is not None:
+            host.node = ControllerNode(
+                host.config.site, host.disk.read(), self.now_s, lambda: int(self.now_s * 1e6)
+            )
+        else:
+            host.node = RouterNode(host.config.site, self.now_s, lambda: int(self.now_s * 1e6))
+        self.on_start(host.node)
+        self._carry_out(host, host.node.start())
+
+    # --- Operators -----------------------------------------------------------------
+
+    def patch(self, host_name, patch):
+        """Send a patch to a controller; returns its token."""
+        token = next(self._tokens)
+        self.feed(host_name, PatchAsked(token, patch))
+        return token
+
+    def patch_until_accepted(self, patch, limit_s=10.0):
+        """Send a patch to controllers in turn until one gives a verdict."""
+        end_s = self.now_s + limit_s
+        while self.now_s < end_s:
+            for name in [n for n, h in self.hosts.items() if h.disk is not None]:
+                token = self.patch(name, patch)
+                self.run_until(lambda t=token: t in self.replies, 1.0)
+                if self.replies.get(token) is not None:
+                    return self.replies[token]
+        raise AssertionError("no controller gave a verdict")
+
+    def read_items(self, host_name):
+        """Return the items that a controller tells, or ``None``."""
+        token = next(self._tokens)
+        self.feed(host_name, ItemsAsked(token))
+        self.run_until(lambda: token in self.replies, 1.5)
+        return self.replies.get(token)
+
+    # --- Endpoints that report -----------------------------------------------------
+
+    def add_holder(self, holder):
+        """Add an endpoint, which begins to report."""
+        self.holders[holder.name] = holder
+        self.at(self.random.uniform(0, REPORT_INTERVAL_S), lambda: self._report(holder))
+        return holder
+
+    def _report(self, holder):
+        if not holder.up or self.holders.get(holder.name) is not holder:
+            return
+        holder.expire(self.now_s)
+        names = [
+            name
+            for name, host in self.hosts.items()
+            if host.disk is not None and (holder.reachable is None or name in holder.reachable)
+        ]
+        report = holder.report()
+        sent_s = self.now_s
+        if not names:
+            self.at(REPORT_INTERVAL_S, lambda: self._report(holder))
+            return
+        token = next(self._tokens)
+        self._reporting[token] = (holder, sent_s)
+        host = self.hosts[self.random.choice(names)]
+        self.at(
+            self.random.uniform(*MESSAGE_DELAY_S),
+            lambda: self._feed(host, EndpointReported(token, report)),
+        )
+        self.at(REPORT_TIMEOUT_S, lambda: self._on_report_answer(token, None))
+
+    def _on_report_answer(self, token, answer):
+        holder, sent_s = self._reporting.pop(token, (None, 0.0))
+        if holder is None or not holder.up:
+            return
+        if answer is None:
+            self.at(0.05, lambda: self._report(holder))
+            return
+        holder.freed = {}
+        before = len(holder.holds)
+        holder.take(answer, sent_s, self.now_s)
+        self.check_single_holders(holder)
+        released = before > len(holder.holds) and holder.freed
+        delay_s = RELEASE_REPORT_S if released else REPORT_INTERVAL_S
+        self.at(delay_s, lambda: self._report(holder))
+
+    def check_single_holders(self, holder):
+        """Note units that another endpoint which is up holds as well."""
+        for other in self.holders.values():
+            if other is holder or not other.up or other.service != holder.service:
+                continue
+            other.expire(self.now_s)
+            shared = holder.holds.keys() & other.holds.keys()
+            if shared:
+                self.violations.append((self.now_s, holder.name, other.name, sorted(shared)[:3]))
+
+    def holder_of(self, service, key):
+        """Return the endpoint that holds a key now, or ``None``."""
+        for holder in self.holders.values():
+            if holder.up and holder.service == service and holder.holds_key(key, self.now_s):
+                return holder
+        return None
+
+    # --- Callers -------------------------------------------------------------------
+
+    def call(self, host_name, route="balance", key=None, method="GET", budget_s=1.0):
+        """Send a caller's request to a router; returns its token."""
+        token = next(self._tokens)
+        path = f"/{route}/{token}"
+        event = CallArrived(token, f"r{token}", method, "shop.example", path, path, budget_s, key)
+        self.calls[token] = event
+        self.request_times[token] = self.now_s
+        self.feed(host_name, event)
+        return token
+
+    def try_call(self, host_name, route="balance", key=None, **options):
+        """Send a request, wait for its end and return ``ok`` or an error code."""
+        token = self.call(host_name, route, key, **options)
+        self.run_until(lambda: token in self.answers, 2.0)
+        return self.outcome(token)
+
+    def _carry_out(self, host, effects):
+        rest = []
+        for effect in effects:
+            match effect:
+                case Reply(token, value):
+                    self._on_reply(token, value)
+                case Forward():
+                    self._forward_call(host, effect)
+                case Answer(token):
+                    self._note_answer(token, effect)
+                case _:
+                    rest.append(effect)
+        super()._carry_out(host, rest)
+
+    def _on_reply(self, token, value):
+        if token in self._reporting:
+            delay_s = self.random.uniform(*MESSAGE_DELAY_S)
+            self.at(delay_s, lambda: self._on_report_answer(token, value))
+        else:
+            self.replies[token] = value
+
+    def _forward_call(self, host, effect):
+        life = host.life
+        holder = self.holders.get(effect.endpoint)
+        call = self.calls[effect.token]
+
+        def arrive():
+            if holder is None or not holder.up:
+                failure = AttemptFailed(effect.token, "connect", False, False)
+                self._end(host, life, effect.token, failure)
+            elif call.key is not None and not holder.holds_key(call.key, self.now_s):
+                failure = AttemptFailed(effect.token, "not-owner", False, False)
+                self._end(host, life, effect.token, failure)
+            else:
+                unit = None if call.key is None else call.key // UNIT_KEYS
+                holder.runs.append((call.request_id, unit, self.now_s))
+                done = RequestEnded(effect.token, True, holder.service_s)
+                self.at(holder.service_s, lambda: self._end(host, life, effect.token, done))
+
+        self.at(CALL_DELAY_S, arrive)
+
+
+def build_fake_site(seed=1, controllers=3, routers=2, holders=6, hold_s=6.0, **options):
+    """Return a settled site with a keyed service, a plain one, and routes to both."""
+    site = FakeSite(seed, hold_s, **options)
+    names = [f"core-{number}" for number in range(1, controllers + 1)]
+    seeds = [site.address_of(name) for name in names[:3]]
+    for number, name in enumerate(names, 1):
+        site.add_site_host(name, f"zone-{number}", seeds)
+    for number in range(1, routers + 1):
+        zone = f"zone-{(number - 1) % controllers + 1}"
+        site.add_site_host(f"edge-{number}", zone, seeds, role="router")
+    site.run_for(2.0)
+    verdict = site.patch_until_accepted(build_first_patch())
+    assert verdict.code == "", verdict
+    for number in range(1, holders + 1):
+        site.add_holder(FakeHolder(f"till-{number}", number))
+    for number in range(1, 3):
+        site.add_holder(FakeHolder(f"docs-{number}", 100 + number, "docs"))
+    site.run_for(5.0)
+    return site
+
+
+def leader_name(site):
+    """Return the name of the host that leads, or ``None``."""
+    for name, host in site.hosts.items():
+        runs = host.node is not None and host.paused_events is None
+        if runs and host.disk is not None and host.node.leadership.is_active():
+            return name
+    return None
