--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -49,6 +49,8 @@
     """Items that changed.
 
     Attributes:
+        since: Log index after which changes are listed; it fits only a router that knows
+            everything up to there.
         revision: Log index up to which this goes.
         complete: Whether what is not listed does not exist.
         routes: Routes that were set.
@@ -58,6 +60,7 @@
         removed_services: Services that were removed.
     """
 
+    since: int
     revision: int
     complete: bool
     routes: tuple[RouteItem, ...] = ()
@@ -72,6 +75,8 @@
 
     Attributes:
         epoch: Term of the leader.
+        since: Change after which changes are listed; it fits only a router that knows
+            everything up to there.
         revision: Number of the leader's last change in that term.
         complete: Whether what is not listed does not exist.
         endpoints: Endpoints that were set.
@@ -80,6 +85,7 @@
     """
 
     epoch: int
+    since: int
     revision: int
     complete: bool
     endpoints: tuple[EndpointRecord, ...] = ()
--- a/greengagerock/view/publisher.py
+++ b/greengagerock/view/publisher.py
@@ -43,6 +43,7 @@
         items = store.items
         if revision < self.loaded_at or revision == 0:
             return ItemsDelta(
+                0,
                 current,
                 True,
                 tuple(items.routes.values()),
@@ -51,6 +52,7 @@
             )
         names = [name for name, index in self.changed_at.items() if index > revision]
         return ItemsDelta(
+            revision,
             current,
             False,
             tuple(items.routes[name] for name in names if name in items.routes),
@@ -133,6 +135,7 @@
         changed = self._owners_since(revision)
         return LiveDelta(
             self.epoch,
+            revision,
             self.revision,
             False,
             tuple(self.endpoints[name] for name in names if name in self.endpoints),
@@ -162,6 +165,7 @@
         )
         return LiveDelta(
             self.epoch,
+            0,
             self.revision,
             complete,
             tuple(self.endpoints.values()),
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -50,7 +50,7 @@
         Returns:
             Whether anything changed.
         """
-        if delta.revision <= self.items_revision:
+        if delta.revision <= self.items_revision or delta.since > self.items_revision:
             return False
         self.items_revision = delta.revision
         if delta.complete:
@@ -72,7 +72,8 @@
         """
         if delta.epoch < self.epoch:
             return [], []
-        if delta.epoch == self.epoch and delta.revision <= self.live_revision:
+        known = self.live_revision if delta.epoch == self.epoch else 0
+        if delta.revision <= known or delta.since > known:
             return [], []
         self.epoch = delta.epoch
         self.live_revision = delta.revision
--- /dev/null
+++ b/greengagerock/view/tests/test_replica.py
@@ -0,0 +1,87 @@
+"""A router takes only what fits to what it has."""
+
+from greengagerock.items import ItemStore, Patch, Removal
+from greengagerock.items.store import encode_patch
+from greengagerock.replication import Entry
+from greengagerock.testing.item_builders import build_first_patch, build_route
+from greengagerock.view import EndpointRecord, ItemsHistory, LiveHistory, ViewReplica
+
+
+def build_history(*patches):
+    """Return the history of a store that took patches as log entries 1, 2, ..."""
+    store = ItemStore()
+    history = ItemsHistory(store)
+    store.on_verdict = lambda index, verdict: history.note(index, verdict.changed)
+    for index, patch in enumerate(patches, 1):
+        store.apply(Entry(index, 1, encode_patch(patch)))
+    return history
+
+
+def test_delta_for_what_another_process_knew_is_ignored():
+    history = build_history(
+        build_first_patch(), Patch(routes=(build_route("balance", version=2, timeout_s=0.5),))
+    )
+    replica = ViewReplica()
+    assert not replica.apply_items(history.delta_since(1))
+    assert not replica.is_filled
+    assert replica.apply_items(history.delta_since(0))
+    assert replica.routes["balance"].version == 2
+    assert set(replica.routes) == {"balance", "charge", "prices"}
+
+
+def test_removed_route_does_not_come_back():
+    first = build_first_patch()
+    history = build_history(first, Patch(removed_routes=(Removal("prices", 5),)))
+    replica = ViewReplica()
+    replica.apply_items(build_history(first).delta_since(0))
+    replica.apply_items(history.delta_since(1))
+    assert "prices" not in replica.routes
+    assert not replica.apply_items(build_history(first).delta_since(0))
+    assert "prices" not in replica.routes
+
+
+def build_live(epoch=1):
+    """Return a history with two endpoints and some holders."""
+    live = LiveHistory(epoch)
+    for name in ("a", "b"):
+        live.set_endpoint(EndpointRecord(name, f"{name}:80", "till", "z", 3))
+    for unit in range(10):
+        live.set_owner("till", unit, "a" if unit < 5 else "b")
+    return live
+
+
+def test_live_delta_with_a_gap_is_ignored():
+    live = build_live()
+    live.settle()
+    known = live.revision
+    live.set_owner("till", 0, "b")
+    replica = ViewReplica()
+    replica.apply_live(live.delta_since(1, known))
+    assert replica.live_revision == 0
+    replica.apply_live(live.delta_since(0, 0))
+    assert replica.owner_of("till", 0) == "b"
+    assert replica.owner_of("till", 9 * 8) == "b"
+
+
+def test_new_leader_does_not_wipe_what_it_has_not_heard_yet():
+    replica = ViewReplica()
+    old = build_live(1)
+    old.settle()
+    replica.apply_live(old.delta_since(0, 0))
+    new = LiveHistory(2)
+    new.set_endpoint(EndpointRecord("a", "a:80", "till", "z", 3))
+    replica.apply_live(new.delta_since(1, replica.live_revision))
+    assert set(replica.endpoints) == {"a", "b"}
+    assert replica.owner_of("till", 9 * 8) == "b"
+    new.settle()
+    replica.apply_live(new.delta_since(2, replica.live_revision))
+    assert set(replica.endpoints) == {"a"}
+
+
+def test_earlier_leader_is_ignored():
+    replica = ViewReplica()
+    new = build_live(2)
+    replica.apply_live(new.delta_since(0, 0))
+    old = LiveHistory(1)
+    old.set_owner("till", 0, "b")
+    assert replica.apply_live(old.delta_since(1, 0)) == ([], [])
