--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -55,7 +55,11 @@
         """Count a message, then send it."""
         sender = host.config.host
         stamp = Timestamp(int(self.system.now_s * 1e6))
-        size = len(encode_envelope(Envelope(sender.name, sender.address, stamp, message)))
+        size = len(
+            encode_envelope(
+                Envelope(sender.name, sender.address, stamp, message, Receipt(1, 1, 1, 1))
+            )
+        )
         self.sent_bytes[sender.name] += size
         self.messages[sender.name] += 1
         self.received_bytes[self.system.by_address[address].config.host.name] += size
--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -9,7 +9,7 @@
 from greengagerock.view import EndpointRecord, ItemsHistory, LiveHistory, ViewDelta
 
 # Changes within this time reach routers in one message, and after the endpoint's own.
-PUSH_AFTER_S = 0.025
+PUSH_AFTER_S = 0.04
 # A router that has not asked for so long is no longer sent changes.
 SUBSCRIBER_SILENCE_S = 2.5
 # An endpoint that leaves gets its last requests so long after the answer to it.
@@ -229,9 +229,18 @@
         for address, subscriber in list(self.subscribers.items()):
             if now_s - subscriber.heard_s > SUBSCRIBER_SILENCE_S:
                 del self.subscribers[address]
-            else:
+            elif self._is_cheap(subscriber.poll):
                 self._send_view(address, subscriber.poll)
 
+    def _is_cheap(self, poll):
+        """Return whether a router lacks little; one that lacks much asks for it itself."""
+        live = self.live
+        return (
+            poll.items_revision > 0
+            and poll.epoch == live.epoch
+            and poll.live_revision >= (live.settled_revision or 1)
+        )
+
     def _publish(self, life):
         report = life.report
         self.live.set_endpoint(
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -137,8 +137,7 @@
         return None if due_s is None else max(0.0, due_s - time.monotonic())
 
     def _take_messages(self):
-        now_s = time.monotonic()
-        for received in self.links.receive(now_s):
+        for received in self.links.receive():
             if isinstance(received, Exception):
                 self.log("bad-message", code="bad-message", detail=received.detail)
                 continue
--- /dev/null
+++ b/greengagerock/items/tests/test_store.py
@@ -0,0 +1,129 @@
+"""Patches are accepted or refused as a whole; for each name the highest version wins."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagerock.items import ItemStore, Patch, Removal
+from greengagerock.testing.item_builders import (
+    build_first_patch,
+    build_limits,
+    build_route,
+)
+
+
+def build_store():
+    """Return a store that took the first patch."""
+    store = ItemStore()
+    assert store.decide(build_first_patch()).code == ""
+    return store
+
+
+def test_first_patch():
+    store = build_store()
+    assert set(store.items.routes) == {"balance", "charge", "prices"}
+    assert store.items.limits == build_limits()
+
+
+def test_higher_version_wins_and_lower_changes_nothing():
+    store = build_store()
+    assert store.decide(Patch(routes=(build_route(version=7, timeout_s=0.4),))).changed
+    assert store.decide(Patch(routes=(build_route(version=5, timeout_s=0.9),))).code == ""
+    assert store.items.routes["balance"].timeout_s == 0.4
+
+
+def test_removed_item_stays_removed_unless_a_higher_version_sets_it():
+    store = build_store()
+    store.decide(Patch(removed_routes=(Removal("prices", 5),)))
+    store.decide(Patch(routes=(build_route("prices", version=4, parts=(("docs", 1),)),)))
+    assert "prices" not in store.items.routes
+    store.decide(Patch(routes=(build_route("prices", version=6, parts=(("docs", 1),)),)))
+    assert "prices" in store.items.routes
+
+
+def test_resent_patch_is_accepted_again_after_its_service_has_gone():
+    store = build_store()
+    patch = Patch(routes=(build_route("extra", parts=(("docs", 1),)),))
+    assert store.decide(patch).code == ""
+    later = Patch(
+        removed_routes=(Removal("extra", 9), Removal("prices", 9)),
+        removed_services=(Removal("docs", 9),),
+    )
+    assert store.decide(later).code == ""
+    assert store.decide(patch) == ItemStore().decide(Patch())
+
+
+def test_equal_version_with_other_content_is_a_conflict():
+    store = build_store()
+    verdict = store.decide(Patch(routes=(build_route(timeout_s=0.2),)))
+    assert verdict.code == "version-conflict"
+    assert store.items.routes["balance"].timeout_s == 1.0
+
+
+@pytest.mark.parametrize(
+    "route",
+    [
+        build_route("new", timeout_s=0.0),
+        build_route("new", attempts=0),
+        build_route("new", parts=(("till", -1), ("docs", 2))),
+        build_route("new", parts=(("nowhere", 1),)),
+        build_route("new", prefix="/balance/"),
+        build_route("new", objective_s=61.0),
+        build_route("new", prefix="/open"),
+        build_route("new", parts=()),
+    ],
+)
+def test_invalid_route_refuses_the_whole_patch(route):
+    store = build_store()
+    good = build_route("good", parts=(("docs", 1),))
+    verdict = store.decide(Patch(routes=(good, route)))
+    assert verdict.code == "invalid-item"
+    assert set(store.items.routes) == {"balance", "charge", "prices"}
+
+
+def test_service_in_use_cannot_be_removed():
+    store = build_store()
+    assert store.decide(Patch(removed_services=(Removal("docs", 9),))).code == "invalid-item"
+
+
+def test_snapshot_keeps_tombstones_and_accepted_patches():
+    store = build_store()
+    store.decide(Patch(removed_routes=(Removal("prices", 5),)))
+    other = ItemStore()
+    other.load(store.dump())
+    assert other.items == store.items
+    other.decide(Patch(routes=(build_route("prices", version=4, parts=(("docs", 1),)),)))
+    assert "prices" not in other.items.routes
+    assert other.decide(build_first_patch()).code == ""
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a", "b", "c"]), st.integers(1, 12), st.booleans(), st.integers(1, 3)
+        ),
+        max_size=25,
+    )
+)
+def test_same_as_a_naive_store(changes):
+    """The newest version of each name, computed from all accepted changes at once."""
+    store = build_store()
+    accepted = []
+    for name, version, removes, tenths in changes:
+        if removes:
+            patch = Patch(removed_routes=(Removal(name, version),))
+        else:
+            patch = Patch(routes=(build_route(name, version=version, timeout_s=tenths / 10),))
+        if store.decide(patch).code == "":
+            accepted.append((name, version, removes, tenths))
+    for name in ("a", "b", "c"):
+        newest = None
+        for change in accepted:
+            if change[0] == name and (newest is None or change[1] > newest[1]):
+                newest = change
+        route = store.items.routes.get(name)
+        if newest is None or newest[2]:
+            assert route is None
+        else:
+            assert (route.version, route.timeout_s) == (newest[1], newest[3] / 10)
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -159,8 +159,12 @@
         if delta.items is not None:
             self._on_items(delta.items)
         if live is not None:
+            is_first = live.since == 0 and live.epoch != self.replica.epoch
             names, units = self.replica.apply_live(live)
             self.dispatcher.on_live(names, units)
+            if is_first:
+                # Changes are sent unasked only to those who are known to have the rest.
+                self.outbox.send(address, self.replica.poll({}))
 
     def _on_items(self, items):
         limits = self.replica.limits
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -25,6 +25,8 @@
 KEY_WAIT_SHARE = 0.3
 # From then on the loop watches whether the caller is still there.
 WATCH_AFTER_S = 0.2
+# Requests that an urgent route may have at an endpoint beyond the limit.
+URGENT_EXTRA = 2
 # A request with less time left than this is not worth sending.
 MIN_SEND_S = 0.005
 # Times after which a refused caller finds room or a holder, by code.
@@ -68,6 +70,7 @@
         self.outbox = outbox
         self.report_crash = report_crash
         self.places = Places()
+        self.lowest_priority = {}
         self.parts = PartPicker(random)
         self.observed = ObservedEndpoints()
         self.health = EndpointHealth()
@@ -116,14 +119,12 @@
             return
         match event.reason:
             case r if r == REASON_REFUSED:
-                self.observed.of(endpoint).shed_s = now_s
+                self.observed.of(endpoint).note_shed(now_s)
                 self._try_again_or(call, "endpoint-refused", OUTCOME_NOT_RUN)
             case r if r == REASON_NOT_OWNER:
                 self._on_not_owner(call, endpoint)
             case r if r == REASON_CONNECT or not event.bytes_left:
-                self.health.note_failure(endpoint, now_s)
-                call.arrivals -= 1
-                self._try_again_or(call, "connect-failed", OUTCOME_NOT_RUN)
+                self._on_unreachable(call, endpoint)
             case r if r == REASON_TIMEOUT:
                 self.health.note_failure(endpoint, now_s)
                 self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
@@ -139,7 +140,8 @@
         endpoint = self._end_attempt(call)
         outcome = "answered" if event.complete else "cut-off"
         if event.took_s:
-            self.observed.of(endpoint).note_answer(event.took_s)
+            seen = self.observed.of(endpoint)
+            seen.note_answer(event.took_s, call.route.objective_s, self.timers.now_s)
         if event.complete:
             self.health.note_success(endpoint)
             self.answered.note(call.fingerprint)
@@ -162,7 +164,9 @@
 
     def on_items(self):
         """Use the newest routes."""
-        self.places = Places(self.replica.routes.values())
+        routes = self.replica.routes.values()
+        self.places = Places(routes)
+        self.lowest_priority = lowest_priorities(routes)
 
     def on_live(self, changed_endpoints, changed_units):
         """Use the newest endpoints and holders."""
@@ -193,13 +197,33 @@
         record = self.replica.endpoints.get(name)
         if record is None:
             self._wait_for_holder(call)
+            return
+        now_s = self.timers.now_s
+        seen = self.observed.of(name)
+        is_doubtful = seen.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
+        if is_doubtful and not seen.may_probe(now_s):
+            self._refuse(call, "connect-failed", f"endpoint {name} does not answer")
+        elif not seen.has_room(self._extra_room(call)):
+            self._refuse(call, "no-room", f"{seen.in_flight} requests are at {name}")
         else:
             self._forward(call, record)
 
+    def _extra_room(self, call):
+        """Return how many requests beyond the limit a call's priority allows.
+
+        An endpoint's queue is first come, first served, so what is urgent can only be
+        preferred by holding back the rest.
+        """
+        lowest = self.lowest_priority.get(call.service)
+        priority = call.route.priority
+        if lowest is None or priority is None or priority >= lowest:
+            return 0
+        return URGENT_EXTRA
+
     def _send_to_any(self, call):
         names = self.replica.by_service.get(call.service, ())
         records = [self.replica.endpoints[name] for name in names]
-        record = self.picker.pick(records, call.tried, self.timers.now_s)
+        record = self.picker.pick(records, call.tried, self._extra_room(call), self.timers.now_s)
         if record is None:
             code = "no-room" if call.tried else "no-endpoint"
             self._refuse(call, code, f"service {call.service} has {len(records)} endpoints")
@@ -213,7 +237,7 @@
         call.arrivals += 1
         if record.name not in call.tried:
             call.tried.append(record.name)
-        self.observed.of(record.name).in_flight += 1
+        self.observed.of(record.name).note_sent(now_s)
         call.stop_timer()
         call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch(call))
         self.outbox.add(
@@ -261,10 +285,25 @@
         endpoint, call.endpoint = call.endpoint, ""
         call.stop_timer()
         if endpoint:
-            seen = self.observed.of(endpoint)
-            seen.in_flight = max(0, seen.in_flight - 1)
+            self.observed.of(endpoint).note_ended()
         return endpoint
 
+    def _on_unreachable(self, call, endpoint):
+        """No connection could be opened, so the request was certainly not run."""
+        now_s = self.timers.now_s
+        seen = self.observed.of(endpoint)
+        is_news = not seen.is_unreachable
+        seen.is_unreachable = True
+        seen.probed_s = now_s
+        self.health.note_failure(endpoint, now_s)
+        call.arrivals -= 1
+        record = self.replica.endpoints.get(endpoint)
+        if self._is_keyed(call) and is_news and record is not None and not call.body_used:
+            # A lost packet looks the same; only a second failure tells that it is gone.
+            self._forward(call, record)
+        else:
+            self._try_again_or(call, "connect-failed", OUTCOME_NOT_RUN)
+
     def _on_not_owner(self, call, endpoint):
         """The endpoint does not hold the key, or another endpoint has its address."""
         if not self._may_send_again(call):
@@ -375,3 +414,20 @@
             bytes_left=event.bytes_left,
             after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
         )
+
+
+def lowest_priorities(routes):
+    """Return the rank of the least urgent route of each service.
+
+    Examples:
+        >>> from greengagerock.testing.item_builders import build_route
+        >>> lowest_priorities([build_route("a", priority=1), build_route("b", priority=2)])
+        {'till': 2}
+    """
+    lowest = {}
+    for route in routes:
+        if route.priority is None:
+            continue
+        for part in route.parts:
+            lowest[part.service] = max(lowest.get(part.service, 0), route.priority)
+    return lowest
--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -1,30 +1,139 @@
-"""What a router has seen of each endpoint's answers."""
+"""What a router has seen of each endpoint, and how much more it may send there.
+
+Answers the load of days on which an endpoint gets more than it can run: many callers ask
+for one key, or an endpoint is slow, silent or gone. Routers do not count together; each
+lowers its own limit when answers become late and raises it when they are in time.
+"""
 
 # Weight of the newest answer in the running mean.
 MEAN_SHARE = 0.15
 # Assumed before the first answer.
 FIRST_GUESS_S = 0.06
 
+FIRST_LIMIT = 6.0
+# An endpoint runs a few requests at once and queues a dozen; more from one router is too much.
+HIGHEST_LIMIT = 16.0
+LOWEST_LIMIT = 1.0
+# Answers that take a larger share of the latency objective are late.
+LATE_SHARE = 0.9
+DECREASE = 0.8
+DECREASE_AFTER_SHED = 0.6
+
+# Without any answer for this long, or this many mean times, an endpoint counts as silent.
+SILENCE_S = 0.5
+SILENCE_MEANS = 5
+# Meanwhile one request goes there so often, to find out when it is back.
+PROBE_INTERVAL_S = 0.25
+
 
 class Observed:
     """One endpoint as seen from one router.
 
     Attributes:
         in_flight: Requests of this router that are there now.
-        mean_s: Running mean of the time to the head of an answer.
+        mean_s: Running mean of the time to an answer.
         shed_s: When it last refused a request for lack of room.
+        limit: How many requests this router has there at most.
+        waiting_since_s: When the last sign of life came, or the first request after it.
+        is_unreachable: Whether the last connection could not be opened.
+        probed_s: When a request was last sent there to find out whether it is back.
+        lowered_s: When the limit was last lowered.
+
+    Examples:
+        >>> seen = Observed()
+        >>> seen.has_room(0), seen.is_doubtful(0.0)
+        (True, False)
+        >>> seen.note_sent(0.0)
+        >>> seen.is_doubtful(0.3), seen.is_doubtful(0.9)
+        (False, True)
     """
 
-    __slots__ = ("in_flight", "mean_s", "shed_s")
+    __slots__ = (
+        "in_flight",
+        "is_unreachable",
+        "limit",
+        "lowered_s",
+        "mean_s",
+        "probed_s",
+        "shed_s",
+        "waiting_since_s",
+    )
 
     def __init__(self):
         self.in_flight = 0
         self.mean_s = FIRST_GUESS_S
         self.shed_s = float("-inf")
+        self.limit = FIRST_LIMIT
+        self.waiting_since_s = 0.0
+        self.is_unreachable = False
+        self.probed_s = float("-inf")
+        self.lowered_s = float("-inf")
+
+    def note_sent(self, now_s):
+        """Take a request into account that is sent now."""
+        if self.in_flight == 0:
+            self.waiting_since_s = now_s
+        self.in_flight += 1
+
+    def note_ended(self):
+        """Take into account that a request is no longer there."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def note_answer(self, elapsed_s, objective_s, now_s):
+        """Take the time of an answer into account.
 
-    def note_answer(self, elapsed_s):
-        """Take the time of an answer into account."""
+        Args:
+            elapsed_s: Time to the answer, in seconds.
+            objective_s: Latency objective of its route, or ``None``.
+            now_s: Monotonic time in seconds.
+        """
+        self.note_alive(now_s)
         self.mean_s += MEAN_SHARE * (elapsed_s - self.mean_s)
+        if objective_s is None:
+            return
+        if elapsed_s <= LATE_SHARE * objective_s:
+            self.limit = min(HIGHEST_LIMIT, self.limit + 1 / self.limit)
+        else:
+            self._lower(DECREASE, now_s)
+
+    def note_shed(self, now_s):
+        """Take into account that it refused a request for lack of room."""
+        self.note_alive(now_s)
+        self.shed_s = now_s
+        self._lower(DECREASE_AFTER_SHED, now_s)
+
+    def note_alive(self, now_s):
+        """Take a sign of life into account."""
+        self.waiting_since_s = now_s
+        self.is_unreachable = False
+
+    def has_room(self, extra):
+        """Return whether one more request may go there.
+
+        Args:
+            extra: Requests beyond the limit that the request's priority allows.
+        """
+        return self.in_flight < self.limit + extra
+
+    def is_doubtful(self, now_s):
+        """Return whether it cannot be reached, or has been silent for too long."""
+        if self.is_unreachable:
+            return True
+        silence_s = max(SILENCE_S, SILENCE_MEANS * self.mean_s)
+        return self.in_flight > 0 and now_s - self.waiting_since_s > silence_s
+
+    def may_probe(self, now_s):
+        """Return whether a request may go to a doubtful endpoint, and count it if so."""
+        if now_s - self.probed_s < PROBE_INTERVAL_S:
+            return False
+        self.probed_s = now_s
+        return True
+
+    def _lower(self, factor, now_s):
+        # Requests that were sent before the limit fell say nothing about the new one.
+        if now_s - self.lowered_s >= self.mean_s:
+            self.lowered_s = now_s
+            self.limit = max(LOWEST_LIMIT, self.limit * factor)
 
 
 class ObservedEndpoints:
--- a/greengagerock/routing/picker.py
+++ b/greengagerock/routing/picker.py
@@ -31,26 +31,32 @@
         self.health = health
         self.random = random
 
-    def pick(self, records, tried, now_s):
+    def pick(self, records, tried, extra, now_s):
         """Return an ``EndpointRecord``, or ``None`` if there is none to try.
 
         Args:
             records: Endpoints of the service.
             tried: Names of endpoints to leave out.
+            extra: Requests beyond an endpoint's limit that the priority allows.
             now_s: Monotonic time in seconds.
         """
         open_to = [r for r in records if not r.leaving and r.name not in tried]
         if not open_to:
             return None
-        sound = [r for r in open_to if self._is_sound(r, now_s)] or open_to
+        sound = [r for r in open_to if self._is_sound(r, extra, now_s)]
+        if not sound:
+            sound = [r for r in open_to if self.observed.of(r.name).may_probe(now_s)]
+        if not sound:
+            return None
         own_zone = [r for r in sound if r.zone == self.zone]
         candidates = self._two_of(own_zone) + self._two_of(sound)
         return min(candidates, key=self._cost_s)
 
-    def _is_sound(self, record, now_s):
-        if self.health.is_avoided(record.name, now_s):
+    def _is_sound(self, record, extra, now_s):
+        seen = self.observed.of(record.name)
+        if self.health.is_avoided(record.name, now_s) or seen.is_doubtful(now_s):
             return False
-        return now_s - self.observed.of(record.name).shed_s > SHED_PAUSE_S
+        return seen.has_room(extra) and now_s - seen.shed_s > SHED_PAUSE_S
 
     def _two_of(self, records):
         if len(records) <= 2:
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -37,6 +37,7 @@
     MemoryShare,
 )
 from greengagerock.routing.suspects import CrashReport
+from greengagerock.transport.monitor import Receipt
 from greengagerock.view import NotLeading, ViewDelta, ViewPoll
 
 Message = (
@@ -87,12 +88,14 @@
         address: Link address of the sender.
         sent_at: The sender's hybrid logical timestamp.
         message: The message.
+        receipt: Which message this is, and which one the sender received last.
     """
 
     host: str
     address: str
     sent_at: Timestamp
     message: Message
+    receipt: Receipt
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -1,5 +1,7 @@
 """Point-to-point links between the system's processes."""
 
+import secrets
+
 import pynng
 
 from greengagerock.core import GreengageError
@@ -62,7 +64,7 @@
         self.host = host
         self.address = address
         self.stats = LinkStats()
-        self.monitor = LinkMonitor(silence_limit_s)
+        self.monitor = LinkMonitor(secrets.randbits(32) | 1, silence_limit_s)
         self.dialled = {}
         try:
             self.listener = pynng.Pull0(
@@ -87,9 +89,10 @@
             now_s: Monotonic time in seconds.
         """
         if self.monitor.is_suspect(address, now_s):
-            self._redial(address, now_s)
+            self._redial(address)
         socket = self.dialled.get(address) or self._dial(address)
-        data = encode_envelope(Envelope(self.host, self.address, sent_at, message))
+        receipt = self.monitor.note_sent(address, now_s)
+        data = encode_envelope(Envelope(self.host, self.address, sent_at, message, receipt))
         try:
             socket.send(data, block=False)
         except pynng.NNGException:
@@ -97,14 +100,10 @@
         else:
             self.stats.sent_messages += 1
             self.stats.sent_bytes += len(data)
-        self.monitor.note_sent(address, now_s)
 
-    def receive(self, now_s):
+    def receive(self):
         """Return waiting envelopes, and the errors of those that could not be decoded.
 
-        Args:
-            now_s: Monotonic time in seconds.
-
         Returns:
             A list of ``Envelope`` and ``GreengageError`` objects.
         """
@@ -114,7 +113,7 @@
                 data = self.listener.recv(block=False)
             except pynng.NNGException:
                 break
-            received.append(self._decode(data, now_s))
+            received.append(self._decode(data))
         return received
 
     def close(self):
@@ -123,7 +122,7 @@
         for socket in self.dialled.values():
             socket.close()
 
-    def _decode(self, data, now_s):
+    def _decode(self, data):
         self.stats.received_messages += 1
         self.stats.received_bytes += len(data)
         try:
@@ -131,7 +130,7 @@
         except GreengageError as error:
             self.stats.undecodable += 1
             return error
-        self.monitor.note_received(envelope.address, now_s)
+        self.monitor.note_received(envelope.address, envelope.receipt)
         return envelope
 
     def _dial(self, address):
@@ -144,9 +143,9 @@
         self.dialled[address] = socket
         return socket
 
-    def _redial(self, address, now_s):
+    def _redial(self, address):
         socket = self.dialled.pop(address, None)
         if socket is not None:
             socket.close()
             self.stats.redialled += 1
-        self.monitor.note_dialled(address, now_s)
+        self.monitor.note_dialled(address)
--- a/greengagerock/transport/tests/test_links.py
+++ b/greengagerock/transport/tests/test_links.py
@@ -14,10 +14,10 @@
 WAIT_S = 10.0
 
 
-def receive(links, now_s=0.0):
+def receive(links):
     """Return the next envelopes or errors that arrive."""
     while select.select([links.receive_fd], [], [], WAIT_S)[0]:
-        received = links.receive(now_s)
+        received = links.receive()
         if received:
             return received
     raise AssertionError("nothing arrived")
@@ -55,13 +55,26 @@
     assert a.stats.redialled == 1
     assert receive(b)[0].message == KeeperHere(2)
     b.send(A, KeeperHere(3), Timestamp(3), 3.0)
-    receive(a, 3.0)
+    receive(a)
     a.send(B, KeeperHere(4), Timestamp(4), 5.0)
     assert a.stats.redialled == 1
     a.close()
     b.close()
 
 
+def test_link_that_is_dead_in_one_direction_is_dialled_anew():
+    """The peer's messages go on arriving, but confirm nothing that was sent to it."""
+    a, b = Links("a", A), Links("b", B)
+    a.send(B, KeeperHere(1), Timestamp(1), 0.0)
+    for number in range(5):
+        b.send(A, KeeperHere(number), Timestamp(number), 0.1)
+        receive(a)
+    a.send(B, KeeperHere(2), Timestamp(2), LINK_SILENCE_LIMIT_S + 0.1)
+    assert a.stats.redialled == 1
+    a.close()
+    b.close()
+
+
 def test_unreachable_peer_blocks_nothing():
     a = Links("a", A)
     for number in range(1000):
