--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -21,6 +21,7 @@
     settle,
 )
 from greengagerock.transport import Envelope, encode_envelope
+from greengagerock.transport.monitor import Receipt
 
 IDLE_S = 10.0
 CHANGES = 40
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -1,5 +1,6 @@
 """Wires the decision core of a host with discovered peers to sockets, files and time."""
 
+import os
 import secrets
 import signal
 import sys
@@ -296,7 +297,7 @@
         path: The settings file.
 
     Returns:
-        The exit status: 0 after a planned stop, 1 after a failure.
+        The exit status 1 if the daemon could not start; after a stop the process ends.
     """
     pump = LinePump()
     log = make_site_log(settings, pump)
@@ -313,4 +314,6 @@
     signal.signal(signal.SIGHUP, lambda *_: watch.signal())
     code = daemon.run()
     pump.close()
-    return EXIT_FAILED if code else EXIT_OK
+    # Workers may be blocked on callers' idle connections, and the interpreter would wait for
+    # them until the process is killed.
+    os._exit(EXIT_FAILED if code else EXIT_OK)
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -29,8 +29,9 @@
 POLL_INTERVAL_S = 0.5
 # While the leader is not known, everybody is asked this often.
 SEARCH_INTERVAL_S = 0.2
-# The balancer asks once per second and takes a host out after two misses.
-UNREADY_PERIOD_S = 2.6
+# The balancer asks once per second and takes a host out after two misses; callers with open
+# connections are asked to close them with the next answer.
+UNREADY_PERIOD_S = 3.2
 # What is left of the grace period when the process ends at the latest.
 STOP_MARGIN_S = 0.6
 
@@ -69,6 +70,7 @@
         self.stats = self.dispatcher.stats
         self.had_leader = False
         self.stopping = False
+        self.may_end = False
         self.stopped = False
         self._poll()
 
@@ -193,15 +195,15 @@
         self.stopping = True
         self.dispatcher.closing = True
         self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
-        self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new)
+        self.timers.subscribe(UNREADY_PERIOD_S, self._end_when_idle)
         self.timers.subscribe(self.config.stop_grace_s - STOP_MARGIN_S, self._stop)
 
-    def _refuse_new(self):
-        self.dispatcher.stopping = True
+    def _end_when_idle(self):
+        self.may_end = True
         self._stop_if_idle()
 
     def _stop_if_idle(self):
-        if self.dispatcher.stopping and not self.dispatcher.calls:
+        if self.may_end and not self.dispatcher.calls:
             self._stop()
 
     def _stop(self):
