--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -23,6 +23,8 @@
 from greengagerock.storage import DataFolder
 from greengagerock.transport import Links
 from greengagerock.web import CallerApplication, HttpServer, Metrics, Upstream
+from greengagerock.web.calls import OwnCallDialect
+from greengagerock.web.control import ControlApplication
 from greengagerock.web.metrics import SiteCollector
 
 EXIT_OK = 0
@@ -82,15 +84,15 @@
 
     Args:
         settings: The ``SiteSettings``.
-        dialect: Names on the wire between callers and endpoints.
-        control_application: Makes the WSGI application for endpoints and operators.
         log: Callable that writes one log line.
+        dialect: Names on the wire between callers and endpoints.
+        control_dialect: Names on the wire between controllers, endpoints and operators.
 
     Raises:
         GreengageError: If the data folder or a port cannot be used.
     """
 
-    def __init__(self, settings, dialect, control_application, log):
+    def __init__(self, settings, log, dialect=None, control_dialect=None):
         self.settings = settings
         self.log = log
         self.bridge = Bridge()
@@ -109,9 +111,14 @@
         self.bridge.unwatch_caller = self.loop.unwatch_caller
         self.metrics.registry.register(SiteCollector(self.node, self.links))
         self.callers = CallerApplication(
-            settings.host, self.bridge, self.upstream, self.metrics, log, dialect
+            settings.host,
+            self.bridge,
+            self.upstream,
+            self.metrics,
+            log,
+            dialect or OwnCallDialect(),
         )
-        self.control = control_application(self.bridge, log)
+        self.control = ControlApplication(self.bridge, log, control_dialect)
         self.caller_server = None
         self.servers = self._make_servers()
 
@@ -286,15 +293,15 @@
     return log
 
 
-def serve_site(settings, load, dialect, control_application, path):
+def serve_site(settings, load, path, dialect=None, control_dialect=None):
     """Serve until SIGTERM.
 
     Args:
         settings: The ``SiteSettings``.
         load: Callable that reads the settings anew.
-        dialect: Names on the wire between callers and endpoints.
-        control_application: Makes the WSGI application for endpoints and operators.
         path: The settings file.
+        dialect: Names on the wire between callers and endpoints.
+        control_dialect: Names on the wire between controllers, endpoints and operators.
 
     Returns:
         The exit status 1 if the daemon could not start; after a stop the process ends.
@@ -303,7 +310,7 @@
     log = make_site_log(settings, pump)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
-        daemon = SiteDaemon(settings, dialect, control_application, log)
+        daemon = SiteDaemon(settings, log, dialect, control_dialect)
     except GreengageError as error:
         log("fatal", code=error.code, detail=error.detail)
         pump.close()
--- a/greengagerock/platform/run.py
+++ b/greengagerock/platform/run.py
@@ -9,7 +9,7 @@
 
 from greengagerock.core import GreengageError
 from greengagerock.daemon.site import serve_site
-from greengagerock.platform.control import ControlApplication
+from greengagerock.platform.control import InfrastructureControlDialect
 from greengagerock.platform.ingress import InfrastructureDialect
 from greengagerock.platform.wire_settings import read_settings
 
@@ -44,7 +44,9 @@
     except GreengageError as error:
         print(f"event=fatal code={error.code} detail={error.detail!r}", flush=True)
         return EXIT_BAD_SETTINGS
-    return serve_site(settings, load, InfrastructureDialect(), ControlApplication, path)
+    return serve_site(
+        settings, load, path, InfrastructureDialect(), InfrastructureControlDialect()
+    )
 
 
 if __name__ == "__main__":
