--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -1,7 +1,13 @@
 """Decides about each caller's request of a system with named routes."""
 
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
-from greengagerock.core.seam import Answer, CancelAttempt, Forward, WatchCaller
+from greengagerock.core.seam import (
+    Answer,
+    CancelAttempt,
+    DropConnections,
+    Forward,
+    WatchCaller,
+)
 from greengagerock.holdings.balance import UNIT_KEYS
 from greengagerock.routing.calls import Call
 from greengagerock.routing.failures import (
@@ -141,6 +147,8 @@
         outcome = "answered" if event.complete else "cut-off"
         if event.took_s:
             seen = self.observed.of(endpoint)
+            if seen.is_doubtful(self.timers.now_s):
+                self._give_up_silent(endpoint, call.sent_s)
             seen.note_answer(event.took_s, call.route.objective_s, self.timers.now_s)
         if event.complete:
             self.health.note_success(endpoint)
@@ -203,11 +211,30 @@
         is_doubtful = seen.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
         if is_doubtful and not seen.may_probe(now_s):
             self._refuse(call, "connect-failed", f"endpoint {name} does not answer")
+        elif is_doubtful:
+            self._probe(call, record)
         elif not seen.has_room(self._extra_room(call)):
             self._refuse(call, "no-room", f"{seen.in_flight} requests are at {name}")
         else:
             self._forward(call, record)
 
+    def _probe(self, call, record):
+        """Find out on a new connection whether a doubtful endpoint answers.
+
+        Open connections may have gone silent while new ones work.
+        """
+        self.outbox.add(DropConnections(record.address))
+        self._forward(call, record)
+
+    def _give_up_silent(self, endpoint, sent_s):
+        """Cancel older attempts at an endpoint that has answered a later one at once."""
+        now_s = self.timers.now_s
+        silence_s = self.observed.of(endpoint).silence_s
+        for call in self.calls.values():
+            is_older = call.sent_s < min(sent_s, now_s - silence_s)
+            if call.endpoint == endpoint and is_older and call.route.is_idempotent:
+                self.outbox.add(CancelAttempt(call.token, only_reused=True))
+
     def _extra_room(self, call):
         """Return how many requests beyond the limit a call's priority allows.
 
--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -119,8 +119,12 @@
         """Return whether it cannot be reached, or has been silent for too long."""
         if self.is_unreachable:
             return True
-        silence_s = max(SILENCE_S, SILENCE_MEANS * self.mean_s)
-        return self.in_flight > 0 and now_s - self.waiting_since_s > silence_s
+        return self.in_flight > 0 and now_s - self.waiting_since_s > self.silence_s
+
+    @property
+    def silence_s(self):
+        """How long no answer may come before it counts as silent."""
+        return max(SILENCE_S, SILENCE_MEANS * self.mean_s)
 
     def may_probe(self, now_s):
         """Return whether a request may go to a doubtful endpoint, and count it if so."""
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
     CallArrived,
     CallerGone,
     CancelAttempt,
+    DropConnections,
     Forward,
     LogEvent,
     Outbox,
@@ -187,7 +188,7 @@
     assert bench.effects()[0].code == "connect-failed"
     bench.timers.advance(10.5)
     token = bench.call()
-    assert isinstance(bench.effects()[0], Forward)
+    assert isinstance(bench.effects()[-1], Forward)
     bench.dispatcher.on_ended(RequestEnded(token, True, 0.05))
     bench.call()
     assert isinstance(bench.effects()[0], Forward)
@@ -201,10 +202,24 @@
     outcomes = []
     for _ in range(5):
         bench.call()
-        outcomes.append(type(bench.effects()[0]))
+        outcomes.append(type(bench.effects()[-1]))
     assert outcomes.count(Forward) == 1
 
 
+def test_requests_on_silent_connections_are_given_up_when_a_new_one_is_answered():
+    bench = Bench()
+    stuck = bench.call()
+    bench.timers.advance(10.9)
+    bench.effects()
+    probe = bench.call()
+    drop, forward = bench.effects()
+    assert (drop, forward.token) == (DropConnections("t:1"), probe)
+    bench.dispatcher.on_ended(RequestEnded(probe, True, 0.03))
+    assert bench.effects() == [CancelAttempt(stuck, only_reused=True)]
+    bench.fail(stuck, "lost")
+    assert isinstance(bench.effects()[0], Forward)
+
+
 def test_overloaded_holder_gets_urgent_calls_only():
     """Callers ask for one key far beyond what its holder can run in time."""
     bench = Bench()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -141,6 +141,9 @@
         while True:
             chunk = self.stream.read(BODY_CHUNK_BYTES)
             if not chunk:
+                if getattr(self.stream, "remaining", 0):
+                    # The endpoint must not take a part for the whole.
+                    raise ConnectionAbortedError("the caller left in the middle of its body")
                 return
             self.used = True
             yield chunk
