--- a/greengagerock/daemon/main.py
+++ b/greengagerock/daemon/main.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from pathlib import Path
 from typing import Annotated
 
 from cyclopts import App, Parameter
@@ -9,7 +10,9 @@
 from greengagerock.core import GreengageError
 from greengagerock.daemon.daemon import Daemon
 from greengagerock.daemon.logs import configure_logs, make_event_log
+from greengagerock.daemon.site import serve_site
 from greengagerock.settings import SettingsError, load_settings
+from greengagerock.settings.site import SiteSettings
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -37,6 +40,8 @@
         for fault in error.faults:
             print(f"{settings}: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    if isinstance(checked, SiteSettings):
+        return serve_site(checked, lambda: load_settings(settings), Path(settings))
     configure_logs(checked)
     log = make_event_log(checked)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
--- a/greengagerock/settings/checker.py
+++ b/greengagerock/settings/checker.py
@@ -8,6 +8,7 @@
 
 from greengagerock.core import GreengageError
 from greengagerock.settings.schema import Settings
+from greengagerock.settings.site import SiteSettings
 
 
 class SettingsFault(msgspec.Struct, frozen=True):
@@ -48,7 +49,7 @@
         path: The file.
 
     Returns:
-        A ``Settings`` object.
+        A ``Settings`` object, or a ``SiteSettings`` object if the file names a ``role``.
 
     Raises:
         SettingsError: With all faults at once.
@@ -70,6 +71,10 @@
     Examples:
         >>> parse_settings("host: h1\navailability_zone: z1").host
         'h1'
+        >>> parse_settings("host: h1\navailability_zone: z1\nrole: router\n"
+        ...                "link_address: 10.0.0.1:80\nseeds: [10.0.0.2:80]\n"
+        ...                "callers: 10.0.0.1:81").role
+        'router'
     """
     try:
         data = yaml.safe_load(text)
@@ -80,11 +85,13 @@
         fault = SettingsFault("", line, getattr(error, "problem", None) or str(error))
         raise SettingsError([fault]) from error
     checker = _Checker(lines)
-    checker.check(Settings, data, ())
+    kind = SiteSettings if isinstance(data, dict) and "role" in data else Settings
+    checker.check(kind, data, ())
     if checker.faults:
         raise SettingsError(checker.faults)
-    settings = msgspec.convert(data, Settings)
-    faults = _check_together(settings, checker)
+    settings = msgspec.convert(data, kind)
+    together = _check_site_together if kind is SiteSettings else _check_together
+    faults = together(settings, checker)
     if faults:
         raise SettingsError(faults)
     return settings
@@ -169,6 +176,18 @@
     return faults
 
 
+def _check_site_together(settings, checker):
+    """Check what concerns several fields of a host with discovered peers."""
+    faults = []
+    if not settings.seeds:
+        faults.append(checker.make_fault(("seeds",), "at least one seed is needed"))
+    if settings.role == "controller" and not settings.data_folder:
+        faults.append(checker.make_fault(("data_folder",), "a controller needs a data folder"))
+    if settings.role == "router" and not settings.callers:
+        faults.append(checker.make_fault(("callers",), "a router needs an address for callers"))
+    return faults
+
+
 def _check_voters(settings, checker):
     faults = []
     names = [voter.host for voter in settings.voters]
--- a/greengagerock/settings/tests/test_checker.py
+++ b/greengagerock/settings/tests/test_checker.py
@@ -17,6 +17,22 @@
 """
 
 
+SITE = """
+host: h1
+availability_zone: z1
+link_address: 10.0.0.1:8083
+"""
+
+
+def test_site_settings_report_all_faults():
+    with pytest.raises(SettingsError) as raised:
+        parse_settings(SITE + "role: controller\nseeds: []")
+    problems = " ".join(str(fault) for fault in raised.value.faults)
+    assert "seeds" in problems and "data_folder" in problems
+    with pytest.raises(SettingsError):
+        parse_settings(SITE + "role: keeper\nseeds: [10.0.0.1:1]")
+
+
 def faults_of(text):
     with pytest.raises(SettingsError) as caught:
         parse_settings(text)
--- /dev/null
+++ b/greengagerock/testing/launch_site.py
@@ -0,0 +1,192 @@
+"""Starts a site on loopback addresses: controllers and routers found through seeds.
+
+``python -m greengagerock.testing.launch_site`` runs three controllers, two routers and
+eight endpoints in separate processes and threads, until it is told to stop.
+"""
+
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import urllib3
+import yaml
+
+from greengagerock.testing.holder import Holder
+
+START_LIMIT_S = 60.0
+STOP_LIMIT_S = 20.0
+POLL_INTERVAL_S = 0.1
+CALLER_PORT = 8480
+READY_PORT = 8481
+CONTROL_PORT = 8482
+LINK_PORT = 8483
+ENDPOINT_PORT = 8490
+ZONES = ("zone-1", "zone-2", "zone-3")
+
+ITEMS = """
+set service till version 1 health /health connections 100 keyed warm 2s;
+set service docs version 1 health /health connections 100;
+set limits version 1 headers 16384 body 1048576 header_timeout 3s idle_timeout 15s;
+set route balance version 1 host shop.example prefix /balance/ to till
+    kind safe timeout 2s attempts 2 objective 300ms priority 2;
+set route charge version 1 host shop.example prefix /charge/ to till
+    kind unsafe timeout 2s attempts 2 objective 400ms priority 1;
+set route prices version 1 host shop.example prefix /prices/ to docs
+    kind safe timeout 2s attempts 2 objective 150ms priority 1
+"""
+
+
+class SiteProcesses:
+    """The processes of a site.
+
+    Args:
+        folder: Where settings and data are kept.
+        network: First two bytes of its loopback addresses.
+
+    Attributes:
+        processes: Running daemons by host name.
+        holders: ``Holder`` objects by name.
+    """
+
+    def __init__(self, folder, network="127.5"):
+        self.folder = Path(folder)
+        self.network = network
+        self.processes = {}
+        self.holders = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.controllers = [f"{network}.0.{number}" for number in (1, 2, 3)]
+        self.routers = [f"{network}.1.{number}" for number in (1, 2)]
+
+    def start(self, tills=6, docs=2):
+        """Start everything and wait until all keys are held."""
+        for number, ip in enumerate(self.controllers, 1):
+            self.start_daemon(f"core-{number}", ip, "controller", ZONES[number - 1], True)
+        for number, ip in enumerate(self.routers, 1):
+            self.start_daemon(f"edge-{number}", ip, "router", ZONES[number - 1], True)
+        self.wait_for(lambda: self.apply_items(ITEMS))
+        for number in range(1, tills + 1):
+            self.add_holder(f"till-{number}", "till", number)
+        for number in range(1, docs + 1):
+            self.add_holder(f"docs-{number}", "docs", 100 + number)
+        self.wait_for(self._is_complete)
+
+    def add_holder(self, name, service, number):
+        """Start an endpoint on a thread of this process."""
+        address = f"{self.network}.2.{number}:{ENDPOINT_PORT}"
+        zone = ZONES[number % len(ZONES)]
+        controllers = [f"{ip}:{CONTROL_PORT}" for ip in self.controllers]
+        holder = Holder(name, service, zone, address, controllers)
+        self.holders[name] = holder
+        holder.start()
+        return holder
+
+    def start_daemon(self, name, ip, role, zone, may_found=False):
+        """Write settings and start one daemon."""
+        settings = {
+            "host": name,
+            "availability_zone": zone,
+            "role": role,
+            "link_address": f"{ip}:{LINK_PORT}",
+            "seeds": [f"{seed}:{LINK_PORT}" for seed in self.controllers],
+            "may_found": may_found,
+            "report_interval_s": 0.3,
+            "hold_s": 2.0,
+        }
+        if role == "router":
+            settings["callers"] = f"{ip}:{CALLER_PORT}"
+            settings["readiness"] = f"{ip}:{READY_PORT}"
+        else:
+            settings["control"] = f"{ip}:{CONTROL_PORT}"
+            settings["data_folder"] = str(self.folder / name)
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        command = [sys.executable, "-m", "greengagerock.daemon.main", str(path)]
+        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+        log.close()
+
+    def apply_items(self, text):
+        """Send statements to the controllers; returns whether one accepted them."""
+        for ip in self.controllers:
+            url = f"http://{ip}:{CONTROL_PORT}/items"
+            try:
+                if self.http.request("POST", url, body=text.encode()).status == 200:
+                    return True
+            except urllib3.exceptions.HTTPError:
+                # It is not listening yet, or was stopped; the next one may answer.
+                continue
+        return False
+
+    def call(self, path, key=None, router=0, method="GET", body=None, headers=None):
+        """Send a caller's request; returns a response."""
+        sent = {"Host": "shop.example", **(headers or {})}
+        if key is not None:
+            sent["Greengage-Key"] = str(key)
+        url = f"http://{self.routers[router]}:{CALLER_PORT}{path}"
+        return self.http.request(method, url, headers=sent, body=body)
+
+    def wait_for(self, condition):
+        """Wait until a condition holds.
+
+        Raises:
+            TimeoutError: If that takes longer than ``START_LIMIT_S``.
+        """
+        deadline_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline_s:
+            if condition():
+                return
+            time.sleep(POLL_INTERVAL_S)
+        raise TimeoutError("the site did not get there in time")
+
+    def _is_complete(self):
+        try:
+            return all(
+                self.call("/balance/x", key, router).status == 200
+                for key in range(0, 65_536, 4096)
+                for router in range(len(self.routers))
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def stop(self):
+        """Stop all processes politely, then the rest by force."""
+        for holder in self.holders.values():
+            holder.stop()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_LIMIT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def main():
+    """Run a site until told to stop."""
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    with tempfile.TemporaryDirectory(prefix="greengagerock-site-") as folder:
+        site = SiteProcesses(folder)
+        try:
+            site.start()
+            print(f"ready: callers on {site.routers[0]}:{CALLER_PORT}; try", flush=True)
+            print(
+                f"  curl -H 'Host: shop.example' -H 'Greengage-Key: 7' "
+                f"http://{site.routers[0]}:{CALLER_PORT}/balance/card-1",
+                flush=True,
+            )
+            stopped.wait()
+        finally:
+            site.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -4,7 +4,7 @@
 import threading
 
 from cheroot.connections import ConnectionManager
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 from cherrypy._cpserver import Server
 from cherrypy._cpwsgi_server import CPWSGIServer
@@ -23,9 +23,61 @@
 }
 
 
+# Headers that say where a request ends or goes; two of them can be read in two ways.
+_SINGLE_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"host"})
+
+
+class CheckedHeaderLines:
+    """Header lines of a request; those that servers read in different ways are refused.
+
+    Args:
+        rfile: Where lines come from.
+    """
+
+    def __init__(self, rfile):
+        self.rfile = rfile
+        self.seen = set()
+
+    def readline(self, *size):
+        """Return the next line.
+
+        Raises:
+            ValueError: If it repeats a header that frames the request, continues the line
+                before it, or holds a lone carriage return.
+        """
+        line = self.rfile.readline(*size)
+        if line[:1] in (b" ", b"\t"):
+            raise ValueError("a header line is continued")
+        if b"\r" in line[:-2]:
+            raise ValueError("a header line holds a carriage return")
+        name, _, value = line.partition(b":")
+        name = name.lower()
+        if name in _SINGLE_HEADERS:
+            if name in self.seen:
+                raise ValueError("a header that frames the request is repeated")
+            self.seen.add(name)
+            if name == b"content-length" and not value.strip().isdigit():
+                raise ValueError("the length is not a number")
+        return line
+
+
+class StrictHeaderReader(HeaderReader):
+    """Reads headers and refuses ambiguous ones."""
+
+    def __call__(self, rfile, hdict=None):
+        """Read headers into ``hdict`` and return it."""
+        return super().__call__(CheckedHeaderLines(rfile), hdict)
+
+    def _allow_header(self, key_name):
+        # WSGI would give a name with an underscore the key of the one with a dash.
+        return b"_" not in key_name
+
+
 class CodedRequest(HTTPRequest):
     """A request whose protocol faults are answered with a coded JSON body."""
 
+    header_reader = StrictHeaderReader()
+
     def read_request_headers(self):
         """Read the headers, and refuse a body that is framed in two ways."""
         if not super().read_request_headers():
--- /dev/null
+++ b/tests/test_site_processes.py
@@ -0,0 +1,204 @@
+"""A site of real processes on loopback addresses, with endpoints that misbehave."""
+
+import signal
+import socket
+import threading
+
+import pytest
+
+from greengagerock.testing.launch_site import CALLER_PORT, READY_PORT, SiteProcesses
+
+SOCKET_TIMEOUT_S = 10.0
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    running = SiteProcesses(tmp_path_factory.mktemp("site"), "127.8")
+    try:
+        running.start()
+        yield running
+    finally:
+        running.stop()
+
+
+@pytest.fixture(autouse=True)
+def sound_holders(request):
+    """Let all endpoints behave again after a test."""
+    yield
+    if "site" in request.fixturenames:
+        for holder in request.getfixturevalue("site").holders.values():
+            holder.behaviour = "whole"
+            holder.delay_s = 0.0
+
+
+def raw_exchange(site, data):
+    """Send bytes to a router and return all that comes back until it closes."""
+    with socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S) as sock:
+        sock.sendall(data)
+        received = b""
+        while chunk := sock.recv(65_536):
+            received += chunk
+        return received
+
+
+def runs(site):
+    """Return how many requests ran at all endpoints together."""
+    return sum(sum(holder.runs.values()) for holder in site.holders.values())
+
+
+def holder_of(site, key):
+    """Return the endpoint that holds a key."""
+    return next(h for h in site.holders.values() if h.service == "till" and h.holds_key(key))
+
+
+def test_request_reaches_the_holder_unchanged(site):
+    head = b"GET /balance/a%2fb?x=%41&y HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 4242\r\n"
+    received = raw_exchange(site, head + b"Connection: close\r\n\r\n")
+    assert received.split()[1] == b"200"
+    assert b"Request-Path: /balance/a%2fb?x=%41&y\r\n" in received
+    assert holder_of(site, 4242).name.encode() in received
+
+
+def test_body_reaches_the_holder_unchanged(site):
+    response = site.call("/charge/1", 9, method="POST", body=b"\x00\xff" * 500)
+    assert response.status == 200
+    assert response.data.endswith(b"\x00\xff" * 500)
+
+
+def test_long_and_chunked_bodies(site):
+    body = bytes(range(256)) * 800
+    assert site.call("/charge/2", 9, method="POST", body=body).data.endswith(body)
+    chunks = (body[at : at + 5000] for at in range(0, len(body), 5000))
+    assert site.call("/charge/3", 9, method="POST", body=chunks).data.endswith(body)
+
+
+def test_unknown_route(site):
+    assert site.call("/nowhere/x", 1).status == 404
+
+
+def test_stray_answer_reaches_nobody(site):
+    for holder in site.holders.values():
+        holder.behaviour = "extra"
+    answers = [site.call(f"/prices/{number}") for number in range(20)]
+    assert all(answer.status in (200, 502) for answer in answers)
+    assert all(
+        answer.data.split()[-1] == f"/prices/{number}".encode()
+        for number, answer in enumerate(answers)
+        if answer.status == 200
+    )
+
+
+def test_torn_answer_is_not_passed_on_as_whole(site):
+    for holder in site.holders.values():
+        holder.behaviour = "torn"
+    assert site.call("/prices/torn").status == 502
+
+
+def test_unsafe_request_runs_once_when_its_answer_is_lost(site):
+    holder = holder_of(site, 77)
+    holder.behaviour = "close"
+    before = sum(holder.runs.values())
+    response = site.call("/charge/lost", 77, method="POST", body=b"1")
+    assert response.status == 502
+    assert sum(holder.runs.values()) == before + 1
+
+
+def test_refusal_promises_that_nothing_ran(site):
+    holder = holder_of(site, 77)
+    holder.behaviour = "full"
+    before = sum(holder.runs.values())
+    response = site.call("/charge/full", 77, method="POST", body=b"1")
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) > 0
+    assert sum(holder.runs.values()) == before
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+        b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: -1\r\n\r\n",
+        b"Content-Length: 5\n\r\nabcde",
+        b"Bad Header\r\n\r\n",
+    ],
+)
+def test_ambiguous_framing_runs_nothing(site, framing):
+    before = runs(site)
+    head = b"POST /charge/x HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 3\r\n"
+    smuggled = b"GET /balance/smuggled HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+    received = raw_exchange(site, head + framing + smuggled)
+    assert received.split()[1] in (b"400", b"501")
+    assert runs(site) == before
+
+
+def test_pipelined_requests_are_answered_in_order(site):
+    request = "GET /prices/{} HTTP/1.1\r\nHost: shop.example\r\n{}\r\n"
+    data = request.format("one", "") + request.format("two", "Connection: close\r\n")
+    received = raw_exchange(site, data.encode())
+    assert received.index(b"/prices/one") < received.index(b"/prices/two")
+
+
+def test_caller_that_sends_half_a_body_runs_nothing(site):
+    before = runs(site)
+    head = b"POST /charge/half HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 3\r\n"
+    with socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S) as sock:
+        sock.sendall(head + b"Content-Length: 1000\r\n\r\nabc")
+    assert site.call("/balance/after", 3).status == 200
+    assert runs(site) == before + 1
+
+
+def test_many_silent_callers_hold_no_thread(site):
+    silent = [
+        socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S)
+        for _ in range(120)
+    ]
+    assert site.call("/prices/besides").status == 200
+    for sock in silent:
+        sock.close()
+
+
+def test_request_in_progress_survives_a_planned_stop(site):
+    for holder in site.holders.values():
+        holder.delay_s = 1.0
+    answers = []
+    before = runs(site)
+
+    def ask():
+        answers.append(site.call("/prices/slow", router=1))
+
+    asking = threading.Thread(target=ask)
+    asking.start()
+    site.wait_for(lambda: runs(site) > before)
+    process = site.processes["edge-2"]
+    process.send_signal(signal.SIGTERM)
+    asking.join()
+    assert answers[0].status == 200
+    assert process.wait(SOCKET_TIMEOUT_S) == 0
+    site.start_daemon("edge-2", site.routers[1], "router", "zone-2")
+    site.wait_for(lambda: _is_ready(site, 1))
+    assert site.call("/balance/again", 5, router=1).status == 200
+
+
+def _is_ready(site, router):
+    try:
+        url = f"http://{site.routers[router]}:{READY_PORT}/-/ready"
+        return site.http.request("GET", url).status == 200
+    except Exception:
+        return False
+
+
+def test_killed_controllers_come_back_with_the_items(site):
+    for number in (1, 2, 3):
+        site.processes[f"core-{number}"].kill()
+        site.processes[f"core-{number}"].wait()
+    for number, ip in enumerate(site.controllers, 1):
+        site.start_daemon(f"core-{number}", ip, "controller", f"zone-{number}")
+    new = (
+        "set route more version 1 host shop.example prefix /more/ to docs"
+        " kind safe timeout 1s attempts 1"
+    )
+    site.wait_for(lambda: site.apply_items(new))
+    site.wait_for(lambda: site.call("/more/x").status == 200)
+    site.wait_for(site._is_complete)
