Share keys out by the speed of endpoints, learnt from the times of their answers

Weights follow the routers' answer times; moves wait for pairs of endpoints that report shortly after each other.

--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -205,6 +205,11 @@
         if address not in self.subscribers:
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
+        for name, (count, mean_s) in poll.answers.items():
+            life = self.directory.lives.get(name)
+            ledger = self.ledgers.get(life.report.service) if life else None
+            if ledger is not None:
+                ledger.speeds.note(name, count, mean_s)
         self._send_view(address, poll)
 
     def _send_view(self, address, poll):
--- a/greengagerock/holdings/balance.py
+++ b/greengagerock/holdings/balance.py
@@ -1,27 +1,35 @@
 """Shares keys out among endpoints: pure functions over counts."""
 
+import math
+
 from greengagerock.holdings.report import KEY_COUNT
 
 # Neighbouring keys that are always granted together.
 UNIT_KEYS = 8
 UNITS = KEY_COUNT // UNIT_KEYS
 
-# A life below this share of its target gets keys from others.
+# Moves are planned only when a life is beyond one of these shares of its target.
 SHORT_SHARE = 0.75
+LONG_SHARE = 1.35
 # Largest share of a donor's units that one plan takes.
 MAX_DONATED_SHARE = 0.5
 
 
-def targets(lives):
+def targets(lives, weight_of=lambda life: 1.0):
     """Return how many units each life should hold.
 
+    Args:
+        lives: The lives that take work.
+        weight_of: Function that returns a life's share relative to an even one.
+
     Examples:
         >>> targets(["a", "b"])["a"]
         4096
+        >>> targets(["a", "b"], {"a": 0.5, "b": 1.5}.get)["b"]
+        6144
     """
-    if not lives:
-        return {}
-    return dict.fromkeys(lives, -(-UNITS // len(lives)))
+    total = sum(weight_of(life) for life in lives)
+    return {life: math.ceil(UNITS * weight_of(life) / total) for life in lives}
 
 
 def deal_blocks(units, width, lives):
@@ -86,45 +94,47 @@
     return chosen
 
 
-def plan_moves(counts, held, width, aligned):
-    """Plan moves from lives with many units to those that have too few.
+def plan_moves(counts, wanted, held, width, aligned):
+    """Plan moves from lives with too many units to those with too few.
 
     Args:
         counts: Units held now by each life that takes work.
+        wanted: Units that each of them should hold.
         held: The units of each life.
         width: Units of a stripe.
         aligned: Function of a donor and a taker: whether the taker usually reports
             soon after the donor, so that the keys are without a holder for a short time.
 
     Returns:
-        For each donor, a list of (taker, units) pairs.
+        For each donor, a list of (taker, units) pairs; empty while no life is far from
+        what it should hold.
     """
-    if not counts:
-        return {}
-    wanted = targets(list(counts))
-    short = [life for life in counts if counts[life] < SHORT_SHARE * wanted[life]]
-    if not short:
+    far = any(
+        counts[life] < SHORT_SHARE * wanted[life] or counts[life] > LONG_SHARE * wanted[life]
+        for life in counts
+    )
+    if not far:
         return {}
+    need = {life: wanted[life] - counts[life] for life in counts if counts[life] < wanted[life]}
     spare = {
         life: min(counts[life] - wanted[life], int(counts[life] * MAX_DONATED_SHARE))
         for life in counts
         if counts[life] > wanted[life]
     }
     plans = {}
-    for taker in short:
-        need = wanted[taker] - counts[taker]
+    for taker in sorted(need, key=need.get, reverse=True):
         donors = [life for life, units in spare.items() if units >= width]
         donors = [life for life in donors if aligned(life, taker)] or donors
         if not donors:
             break
-        each = max(width, -(-need // len(donors)))
+        each = max(width, -(-need[taker] // len(donors)))
         for donor in donors:
-            amount = min(each, spare[donor], need)
+            amount = min(each, spare[donor], need[taker])
             if amount < width:
                 continue
-            taken = {u for _, units in plans.get(donor, ()) for u in units}
+            taken = {unit for _, units in plans.get(donor, ()) for unit in units}
             units = choose_blocks(held[donor] - taken, amount, width, amount // width)
             plans.setdefault(donor, []).append((taker, units))
             spare[donor] -= len(units)
-            need -= len(units)
+            need[taker] -= len(units)
     return plans
--- a/greengagerock/holdings/ledger.py
+++ b/greengagerock/holdings/ledger.py
@@ -15,6 +15,7 @@
     targets,
 )
 from greengagerock.holdings.report import GrantRow
+from greengagerock.holdings.speeds import SpeedBook
 from greengagerock.model.timing import PAUSE_ALLOWANCE_S
 
 # The clock of an endpoint may run 2 % slow (PROTOCOL of the infrastructure).
@@ -23,14 +24,17 @@
 FIRST_DEAL_WAIT_S = 2.0
 # An answer of 4 KiB has room for about 150 rows of at most 26 bytes.
 MAX_ROWS = 140
-# A pool of free units is spread over about this share of the endpoints.
-POOL_SPREAD = 4
+# The first of many endpoints to report take up to so many times their share of free keys, so
+# that these are without a holder for a part of the report interval only.
+POOL_HASTE = 4.0
 # Released keys wait for nobody longer than this; then any endpoint may take them.
 RESERVATION_S = 2.5
 # A donor lets keys go when their taker reports within this time.
-HANDOVER_WINDOW_S = 0.45
+HANDOVER_WINDOW_S = 0.3
+# A taker waits so many report intervals for a donor that reports just before it.
+PATIENCE_INTERVALS = 2
 # An endpoint reports within 0.1 s that it has released keys; less is too short a gap.
-HANDOVER_MIN_S = 0.1
+HANDOVER_MIN_S = 0.08
 
 
 def lender_hold_s(hold_s):
@@ -68,6 +72,7 @@
         fences: Newest known fence of each unit.
         free: Units that nobody holds.
         unknown: Units that somebody may hold whom this leader has not heard.
+        speeds: How much of the load each endpoint should get.
         leaving_units: Units that their holder was told to release, with the time at which
             its hold runs out in any case.
     """
@@ -88,7 +93,9 @@
         self.handovers = {}
         self.reserved = {}
         self.moves = {}
+        self.speeds = SpeedBook()
         self.replan_s = 0.0
+        self.short_since_s = {}
         self.first_report_s = None
         self.is_dealt = False
         self.block_units = 1
@@ -132,6 +139,7 @@
             self._free(unit)
         self.held.pop(life, None)
         self.moves.pop(life, None)
+        self.speeds.forget(life.name)
 
     def withdraw(self, life):
         """Stop sending requests to a life that leaves, while its hold runs out."""
@@ -163,6 +171,7 @@
 
     def plan(self, lives, now_s):
         """Decide which units should move to even out the load."""
+        self.speeds.adjust(now_s)
         if not self.is_dealt or self.unknown:
             return
         if self.free - self.reserved.keys():
@@ -175,10 +184,32 @@
             return
         self.replan_s = now_s + 2 * self.interval_s
         ready = self._ready(lives, now_s)
+        if not ready:
+            return
         counts = {life: len(self.held.get(life, ())) for life in ready}
-        self.moves = plan_moves(counts, self.held, self.block_units, self._reports_just_before)
+        wanted = targets(ready, self._weight_of)
+        self.moves = plan_moves(
+            counts, wanted, self.held, self.block_units, self._reports_just_before
+        )
+        takers = {taker for planned in self.moves.values() for taker, _ in planned}
+        self.short_since_s = {life: self.short_since_s.get(life, now_s) for life in takers}
+
+    def _weight_of(self, life):
+        return self.speeds.weight(life.name)
+
+    def _has_waited(self, taker, now_s):
+        """Return whether a taker gets keys even if they are without a holder for longer.
+
+        Reports come at much the same intervals, so no donor may ever report just before it.
+        """
+        if taker not in self.held:
+            return True
+        waited_s = now_s - self.short_since_s.get(taker, now_s)
+        return waited_s > PATIENCE_INTERVALS * self.interval_s
 
     def _reports_just_before(self, donor, taker):
+        if self._has_waited(taker, max(taker.heard_s, donor.heard_s)):
+            return True
         gap_s = (taker.heard_s - donor.heard_s) % self.interval_s
         return HANDOVER_MIN_S < gap_s < HANDOVER_WINDOW_S
 
@@ -269,7 +300,7 @@
             if taker.is_leaving:
                 continue
             is_timely = HANDOVER_MIN_S < due_s < HANDOVER_WINDOW_S
-            if is_timely or now_s > self.replan_s - 0.8 * self.interval_s:
+            if is_timely or self._has_waited(taker, now_s):
                 mine = self.held.get(life, ())
                 self._release(life, [u for u in units if u in mine], now_s, taker)
             else:
@@ -283,9 +314,9 @@
             pool = self.free - self.reserved.keys()
             if pool:
                 ready = self._ready(lives, now_s)
-                wanted = targets(ready)[life] if life in ready else 0
+                wanted = targets(ready, self._weight_of)[life] if life in ready else 0
                 held = len(self.held.get(life, ())) + len(mine)
-                quota = max(wanted - held, POOL_SPREAD * self.pool_size // max(len(ready), 1))
+                quota = max(wanted - held, self._hasty_quota(len(ready)))
                 mine += self._choose(life, pool, quota)
         if not mine:
             return
@@ -299,6 +330,10 @@
         if not self.free:
             self.pool_size = 0
 
+    def _hasty_quota(self, endpoints):
+        haste = min(POOL_HASTE, max(1.5, endpoints / 4))
+        return int(haste * self.pool_size / max(endpoints, 1))
+
     def _choose(self, life, pool, quota):
         """Choose free units, as far as the answer has room for them.
 
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -135,7 +135,7 @@
             self.outbox.log(event, leader=self.finder.leader)
         interval_s = POLL_INTERVAL_S if has_leader else SEARCH_INTERVAL_S
         self.timers.subscribe(interval_s, self._poll)
-        poll = self.replica.poll({})
+        poll = self.replica.poll(self.dispatcher.observed.collect_answers())
         for address in self.finder.whom_to_ask(now_s):
             self.outbox.send(address, poll)
 
--- a/greengagerock/node/tests/test_site.py
+++ b/greengagerock/node/tests/test_site.py
@@ -35,6 +35,23 @@
     assert len(owners) >= 4
 
 
+def test_slow_endpoint_gets_fewer_keys():
+    """Callers press all endpoints; one takes four times as long as the others."""
+    site = build_fake_site(holders=6)
+    slow = site.holders["till-1"]
+    for holder in site.holders.values():
+        holder.service_s = 0.05
+    slow.service_s = 0.2
+    for _ in range(14):
+        for key in range(0, 65_536, 200):
+            site.at(site.random.uniform(0, 1.0), lambda k=key: site.call("edge-1", key=k))
+        site.run_for(1.0)
+    counts = {h.name: len(h.holds) for h in site.holders.values() if h.service == "till"}
+    assert counts["till-1"] < 0.6 * 8192 / 6
+    assert min(counts[n] for n in counts if n != "till-1") > 0.9 * 8192 / 6
+    assert site.violations == []
+
+
 def test_lost_endpoint():
     site = build_fake_site()
     victim = site.holder_of("till", 4096)
--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -38,6 +38,8 @@
         is_unreachable: Whether the last connection could not be opened.
         probed_s: When a request was last sent there to find out whether it is back.
         lowered_s: When the limit was last lowered.
+        answers: Answers since they were last collected.
+        answers_s: The sum of their times, in seconds.
 
     Examples:
         >>> seen = Observed()
@@ -49,6 +51,8 @@
     """
 
     __slots__ = (
+        "answers",
+        "answers_s",
         "in_flight",
         "is_unreachable",
         "limit",
@@ -68,6 +72,8 @@
         self.is_unreachable = False
         self.probed_s = float("-inf")
         self.lowered_s = float("-inf")
+        self.answers = 0
+        self.answers_s = 0.0
 
     def note_sent(self, now_s):
         """Take a request into account that is sent now."""
@@ -89,6 +95,8 @@
         """
         self.note_alive(now_s)
         self.mean_s += MEAN_SHARE * (elapsed_s - self.mean_s)
+        self.answers += 1
+        self.answers_s += elapsed_s
         if objective_s is None:
             return
         if elapsed_s <= LATE_SHARE * objective_s:
@@ -161,6 +169,15 @@
             found = self.known[endpoint] = Observed()
         return found
 
+    def collect_answers(self):
+        """Return count and mean time of the answers of each endpoint, and start anew."""
+        collected = {}
+        for name, seen in self.known.items():
+            if seen.answers:
+                collected[name] = (seen.answers, seen.answers_s / seen.answers)
+                seen.answers, seen.answers_s = 0, 0.0
+        return collected
+
     def forget(self, endpoint):
         """Drop the observations of an endpoint that is gone."""
         self.known.pop(endpoint, None)
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -100,13 +100,14 @@
         items_revision: Log index up to which it knows items.
         epoch: Term of the leader that it has endpoints from.
         live_revision: That leader's last change that it knows.
-        demand: Requests of the last seconds by service and unit.
+        answers: Number of answers and their mean time in seconds, since the last poll, of
+            each endpoint that answered.
     """
 
     items_revision: int
     epoch: int
     live_revision: int
-    demand: dict[str, dict[int, int]] = {}
+    answers: dict[str, tuple[int, float]] = {}
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -36,9 +36,13 @@
         """Whether the configuration is known."""
         return self.items_revision > 0
 
-    def poll(self, demand):
-        """Return the message that asks for what is missing."""
-        return ViewPoll(self.items_revision, self.epoch, self.live_revision, demand)
+    def poll(self, answers):
+        """Return the message that asks for what is missing.
+
+        Args:
+            answers: What this router has seen of endpoints' answers since the last poll.
+        """
+        return ViewPoll(self.items_revision, self.epoch, self.live_revision, answers)
 
     def owner_of(self, service, key):
         """Return the name of the endpoint that holds a key, empty if none is known."""
