--- a/greengagerock/cli/main.py
+++ b/greengagerock/cli/main.py
@@ -11,6 +11,7 @@
 from cyclopts import App, Parameter
 
 from greengagerock.cli.client import OperatorClient
+from greengagerock.cli.explain import explain_request, read_log_line
 from greengagerock.cli.output import OutputFormat, render_rows
 from greengagerock.control.operators import OperatorRequest
 from greengagerock.core import ERROR_KINDS, GreengageError, merge_timelines
@@ -60,6 +61,17 @@
     return EXIT_OK
 
 
+@app.command
+def explain(request_id: str, logs: list[Path]) -> int:
+    """Show what collected logs say about one request, and what was believed before it.
+
+    Args:
+        request_id: Id of the request.
+        logs: Log files of all hosts.
+    """
+    return run_command(lambda: print_explanation(request_id, logs))
+
+
 @app.command
 def query(
     text: str, *, address: Address = DEFAULT_ADDRESS, format: Format = OutputFormat.TABLE
@@ -143,6 +155,20 @@
         return EXIT_UNREACHABLE
 
 
+def print_explanation(request_id, logs):
+    """Print the lines of a request, then changes of belief shortly before."""
+    texts = (text for path in logs for text in path.read_text(errors="replace").splitlines())
+    lines = [line for line in map(read_log_line, texts) if line is not None]
+    own, context = explain_request(request_id, lines)
+    print(f"request {request_id}:")
+    for line in own:
+        print(f"  {line.text}")
+    print("what its hosts learnt in the seconds before:")
+    for line in context:
+        print(f"  {line.text}")
+    return EXIT_OK
+
+
 def author_name():
     """Return the name of the user, for the history of changes."""
     try:
