--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -31,6 +31,9 @@
 KEY_WAIT_SHARE = 0.3
 # From then on the loop watches whether the caller is still there.
 WATCH_AFTER_S = 0.2
+# A holder that refuses though it is not full is asked again after so long, and so often.
+REFUSED_PAUSE_S = 0.02
+MAX_ARRIVALS = 3
 # Requests that an urgent route may have at an endpoint beyond the limit.
 URGENT_EXTRA = 2
 # A request with less time left than this is not worth sending.
@@ -125,8 +128,7 @@
             return
         match event.reason:
             case r if r == REASON_REFUSED:
-                self.observed.of(endpoint).note_shed(now_s)
-                self._try_again_or(call, "endpoint-refused", OUTCOME_NOT_RUN)
+                self._on_refused(call, endpoint)
             case r if r == REASON_NOT_OWNER:
                 self._on_not_owner(call, endpoint)
             case r if r == REASON_CONNECT or not event.bytes_left:
@@ -315,6 +317,25 @@
             self.observed.of(endpoint).note_ended()
         return endpoint
 
+    def _on_refused(self, call, endpoint):
+        """The endpoint said that it did not run the request."""
+        now_s = self.timers.now_s
+        seen = self.observed.of(endpoint)
+        seen.note_shed(call.route.objective_s, now_s)
+        is_worth_it = not seen.is_busy(call.route.objective_s) and call.arrivals < MAX_ARRIVALS
+        if not self._is_keyed(call):
+            self._try_again_or(call, "endpoint-refused", OUTCOME_NOT_RUN)
+        elif is_worth_it and self._may_send_again(call):
+            # Nobody else may answer, and an endpoint that is not full may accept it now.
+            call.timer = self.timers.subscribe(REFUSED_PAUSE_S, lambda: self._send_late(call))
+        else:
+            self._finish(call, "endpoint-refused", OUTCOME_NOT_RUN)
+
+    def _send_late(self, call):
+        call.timer = None
+        if call.token in self.calls:
+            self._send(call)
+
     def _on_unreachable(self, call, endpoint):
         """No connection could be opened, so the request was certainly not run."""
         now_s = self.timers.now_s
--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -16,6 +16,8 @@
 LOWEST_LIMIT = 1.0
 # Answers that take a larger share of the latency objective are late.
 LATE_SHARE = 0.9
+# Mean answer times above this share of it mean that requests wait for a slot.
+BUSY_SHARE = 0.6
 DECREASE = 0.8
 DECREASE_AFTER_SHED = 0.6
 
@@ -104,11 +106,24 @@
         else:
             self._lower(DECREASE, now_s)
 
-    def note_shed(self, now_s):
-        """Take into account that it refused a request for lack of room."""
+    def note_shed(self, objective_s, now_s):
+        """Take into account that it refused a request.
+
+        An endpoint that is full answers late as well; one that answers in time refuses
+        for other reasons, and sending less would not help.
+
+        Args:
+            objective_s: Latency objective of the request's route, or ``None``.
+            now_s: Monotonic time in seconds.
+        """
         self.note_alive(now_s)
         self.shed_s = now_s
-        self._lower(DECREASE_AFTER_SHED, now_s)
+        if self.is_busy(objective_s):
+            self._lower(DECREASE_AFTER_SHED, now_s)
+
+    def is_busy(self, objective_s):
+        """Return whether its answers take a large part of the latency objective."""
+        return objective_s is None or self.mean_s > BUSY_SHARE * objective_s
 
     def note_alive(self, now_s):
         """Take a sign of life into account."""
