--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run run-zones test bench format
+.PHONY: run run-zones run-site test bench format
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 run-zones: $(VENV)/.installed
 	$(BIN)/python -m greengagerock.testing.launch examples/zones
 
+run-site: $(VENV)/.installed
+	$(BIN)/python -m greengagerock.testing.launch_site
+
 test: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
