Acknowledge a leave only once a majority knows of it

Cause: a leader that died with the acknowledgement took it along, and its successor went on sending requests to the endpoint for the length of a hold. Found by reading; the test failed first.

--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -4,7 +4,7 @@
 from greengagerock.core import GreengageError
 from greengagerock.holdings import Directory, EndpointLeaving, Ledger, ReportAnswer
 from greengagerock.holdings.ledger import lender_hold_s
-from greengagerock.items.store import encode_patch
+from greengagerock.items.store import Leaver, encode_leaver, encode_patch
 from greengagerock.routing.suspects import BAN_S, CrashBook
 from greengagerock.view import EndpointRecord, ItemsHistory, LiveHistory, ViewDelta
 
@@ -63,6 +63,7 @@
         self.pending = {}
         self.subscribers = {}
         store.on_verdict = self._on_verdict
+        store.on_leaver = self._on_leaver
         store.on_load = lambda: self.items_history.reset(voter.log.snapshot.index)
         if voter.log.snapshot.data:
             self.items_history.reset(voter.log.snapshot.index)
@@ -85,8 +86,8 @@
     def end(self):
         """Stop leading; whoever waits is told that nobody could answer."""
         pending, self.pending = self.pending, {}
-        for reply, token in pending.values():
-            reply(RelayAnswer(token))
+        for reply, waiting in pending.values():
+            reply(RelayAnswer(waiting.token))
         self._reset()
 
     def is_active(self):
@@ -107,23 +108,44 @@
             return
         match request:
             case ReportRelay(token, EndpointLeaving() as leaving):
-                self._on_leaving(leaving)
-                reply(RelayAnswer(token, report=ReportAnswer()))
+                self._on_leaving(token, leaving, reply)
             case ReportRelay(token, report):
-                reply(RelayAnswer(token, report=self._on_report(report)))
+                answer = self._on_report(report)
+                if report.draining and answer.code == "":
+                    leaver = Leaver(report.endpoint, report.born_ms)
+                    self._acknowledge_leave(token, leaver, answer, reply)
+                else:
+                    reply(RelayAnswer(token, report=answer))
             case PatchRelay(token, patch):
                 self._on_patch(token, patch, reply)
             case ItemsRelay(token):
                 reply(RelayAnswer(token, items=self.store.items))
 
     def _on_patch(self, token, patch, reply):
+        self._propose(encode_patch(patch), reply, RelayAnswer(token))
+
+    def _propose(self, payload, reply, waiting):
+        """Append to the log; ``waiting`` is the answer as far as it is known."""
         try:
-            index = self.voter.propose(encode_patch(patch))
+            index = self.voter.propose(payload)
         except GreengageError as error:
-            self.outbox.log("patch-not-proposed", code=error.code, detail=error.detail)
-            reply(RelayAnswer(token))
+            self.outbox.log("not-proposed", code=error.code, detail=error.detail)
+            reply(RelayAnswer(waiting.token))
             return
-        self.pending[index] = (reply, token)
+        self.pending[index] = (reply, waiting)
+
+    def _acknowledge_leave(self, token, leaver, answer, reply):
+        """Answer once a majority knows of the leave, which binds every later leader."""
+        if self.store.leavers.get(leaver.endpoint) == leaver.born_ms:
+            reply(RelayAnswer(token, report=answer))
+        else:
+            self._propose(encode_leaver(leaver), reply, RelayAnswer(token, report=answer))
+
+    def _on_leaver(self, index, leaver):
+        waiting = self.pending.pop(index, None)
+        if waiting is not None:
+            reply, answer = waiting
+            reply(answer)
 
     def _on_verdict(self, index, verdict):
         if verdict.changed:
@@ -139,8 +161,8 @@
         )
         waiting = self.pending.pop(index, None)
         if waiting is not None:
-            reply, token = waiting
-            reply(RelayAnswer(token, verdict=verdict))
+            reply, answer = waiting
+            reply(RelayAnswer(answer.token, verdict=verdict))
 
     def _on_report(self, report):
         service = self.store.items.services.get(report.service)
@@ -163,6 +185,9 @@
                 born_ms=report.born_ms,
             )
             return ReportAnswer("stale-report")
+        if not life.is_leaving and self.store.leavers.get(life.name) == report.born_ms:
+            # An earlier leader has acknowledged that it leaves.
+            life.leaving_s = now_s
         if admission.is_new or admission.is_changed:
             self._publish(life)
             self.outbox.log(
@@ -181,11 +206,15 @@
         grants = ledger.renew(life, lives, now_s, self.config.hold_s)
         return ReportAnswer("", grants, self.config.hold_s)
 
-    def _on_leaving(self, leaving):
+    def _on_leaving(self, token, leaving, reply):
+        known = self.directory.lives.get(leaving.endpoint)
         life = self.directory.leave(leaving, self.timers.now_s)
         if life is not None:
             self._publish(life)
             self.outbox.log("endpoint-leaving", endpoint=life.name, born_ms=leaving.born_ms)
+        born_ms = leaving.born_ms or (known.report.born_ms if known else 0)
+        leaver = Leaver(leaving.endpoint, born_ms)
+        self._acknowledge_leave(token, leaver, ReportAnswer(), reply)
 
     def on_crash(self, report):
         """Take in a router's report that a request broke off an endpoint."""
@@ -296,6 +325,9 @@
         is_first_leader = first is not None and first.term == self.voter.term
         wait_s = 0.0 if is_first_leader else lender_hold_s(self.config.hold_s)
         self.settled_s = now_s + wait_s
+        for name in self.store.leavers:
+            if name not in self.directory.lives:
+                self.live.remove_endpoint(name)
         self.outbox.log("leader-begins", term=self.voter.term, waits_s=round(wait_s, 3))
 
     def _ledger(self, service):
--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -7,12 +7,33 @@
 from greengagerock.items.item import Items, Patch
 from greengagerock.items.validity import check_patch
 
+# Endpoints that left longest ago are forgotten first; they have ended by then.
+REMEMBERED_LEAVERS = 1024
 # Enough for the resends of hundreds of changes; each digest takes 8 bytes.
 REMEMBERED_PATCHES = 4096
 
 _encoder = msgspec.msgpack.Encoder()
 _patch_decoder = msgspec.msgpack.Decoder(Patch)
 
+# First byte of an entry's payload.
+_PATCH = b"P"
+_LEAVER = b"L"
+
+
+class Leaver(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint whose leave was acknowledged.
+
+    Attributes:
+        endpoint: Its name.
+        born_ms: Start of the life that ends.
+    """
+
+    endpoint: str
+    born_ms: int
+
+
+_leaver_decoder = msgspec.msgpack.Decoder(Leaver)
+
 
 class PatchVerdict(msgspec.Struct, frozen=True):
     """What became of a patch.
@@ -35,19 +56,26 @@
         items: All items that stand.
         tombstones: Versions of removed items by kind and name.
         accepted: Digests of the newest accepted patches, oldest first.
+        leavers: Starts of the lives of endpoints that leave, by name.
     """
 
     items: Items
     tombstones: dict[str, int]
     accepted: list[int]
+    leavers: dict[str, int]
 
 
 _stored_decoder = msgspec.msgpack.Decoder(StoredItems)
 
 
 def encode_patch(patch):
-    """Return the bytes of a patch."""
-    return _encoder.encode(patch)
+    """Return the payload of a log entry that carries a patch."""
+    return _PATCH + _encoder.encode(patch)
+
+
+def encode_leaver(leaver):
+    """Return the payload of a log entry that carries a ``Leaver``."""
+    return _LEAVER + _encoder.encode(leaver)
 
 
 class ItemStore:
@@ -60,6 +88,8 @@
     Attributes:
         items: The ``Items`` that stand.
         revision: Log index of the last accepted patch that changed something.
+        leavers: Starts of the lives of endpoints that leave, by name. They are kept here
+            so that a new leader knows what its predecessor has acknowledged.
 
     Examples:
         >>> from greengagerock.items import Patch, ServiceItem
@@ -75,20 +105,30 @@
         self.items = Items()
         self.tombstones = {}
         self.accepted = {}
+        self.leavers = {}
         self.revision = 0
         self.on_verdict = lambda index, verdict: None
+        self.on_leaver = lambda index, leaver: None
         self.on_load = lambda: None
 
     def apply(self, entry):
         """Carry out a committed entry of the log."""
-        verdict = self.decide(_patch_decoder.decode(entry.payload))
+        kind, data = entry.payload[:1], entry.payload[1:]
+        if kind == _LEAVER:
+            leaver = _leaver_decoder.decode(data)
+            self._remember_leaver(leaver)
+            self.on_leaver(entry.index, leaver)
+            return
+        verdict = self.decide(_patch_decoder.decode(data))
         if verdict.changed:
             self.revision = entry.index
         self.on_verdict(entry.index, verdict)
 
     def dump(self):
         """Return the encoded state."""
-        return _encoder.encode(StoredItems(self.items, self.tombstones, list(self.accepted)))
+        return _encoder.encode(
+            StoredItems(self.items, self.tombstones, list(self.accepted), self.leavers)
+        )
 
     def load(self, data):
         """Replace the state by an encoded one."""
@@ -96,6 +136,7 @@
         self.items = stored.items
         self.tombstones = stored.tombstones
         self.accepted = dict.fromkeys(stored.accepted)
+        self.leavers = stored.leavers
         self.on_load()
 
     def decide(self, patch):
@@ -121,6 +162,12 @@
         self._remember(digest)
         return PatchVerdict(changed=tuple(changed))
 
+    def _remember_leaver(self, leaver):
+        self.leavers.pop(leaver.endpoint, None)
+        self.leavers[leaver.endpoint] = leaver.born_ms
+        if len(self.leavers) > REMEMBERED_LEAVERS:
+            self.leavers.pop(next(iter(self.leavers)))
+
     def _remember(self, digest):
         self.accepted[digest] = None
         if len(self.accepted) > REMEMBERED_PATCHES:
--- a/greengagerock/items/tests/test_store.py
+++ b/greengagerock/items/tests/test_store.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 
 from greengagerock.items import ItemStore, Patch, Removal
+from greengagerock.items.store import Leaver, encode_leaver
+from greengagerock.replication import Entry
 from greengagerock.testing.item_builders import (
     build_first_patch,
     build_limits,
@@ -97,6 +99,14 @@
     assert other.decide(build_first_patch()).code == ""
 
 
+def test_leavers_are_kept_over_snapshots():
+    store = build_store()
+    store.apply(Entry(2, 1, encode_leaver(Leaver("i-1", 1000))))
+    other = ItemStore()
+    other.load(store.dump())
+    assert other.leavers == {"i-1": 1000}
+
+
 @settings(max_examples=150, deadline=None)
 @given(
     st.lists(
--- a/greengagerock/node/tests/test_site.py
+++ b/greengagerock/node/tests/test_site.py
@@ -103,6 +103,26 @@
     assert site.violations == []
 
 
+def test_leave_survives_the_leader_that_acknowledged_it():
+    """The leader dies with the acknowledgement, before it tells any router."""
+    site = build_fake_site()
+    leader = leader_name(site)
+    leaver = site.holders["docs-1"]
+    site.cut([leader], ["edge-1", "edge-2"])
+    token = 10**9
+    site.feed(leader, EndpointReported(token, EndpointLeaving(leaver.name, leaver.born_ms)))
+    site.run_until(lambda: token in site.replies, 1.0)
+    assert site.replies[token].code == ""
+    site.crash_host(leader)
+    leaver.reachable = ()
+    site.heal()
+    site.run_for(3.0)
+    runs_before = len(leaver.runs)
+    for _ in range(40):
+        site.try_call("edge-1", "prices")
+    assert len(leaver.runs) == runs_before
+
+
 def test_joiner_gets_a_share_soon():
     site = build_fake_site()
     joiner = site.add_holder(FakeHolder("till-new", 50, born_ms=9000))
--- a/greengagerock/view/publisher.py
+++ b/greengagerock/view/publisher.py
@@ -99,10 +99,10 @@
         self.endpoint_changes[record.name] = self.revision
 
     def remove_endpoint(self, name):
-        """Note that an endpoint is gone."""
-        if self.endpoints.pop(name, None) is not None:
-            self.revision += 1
-            self.endpoint_changes[name] = self.revision
+        """Note that an endpoint is gone; routers may know it from an earlier leader."""
+        self.endpoints.pop(name, None)
+        self.revision += 1
+        self.endpoint_changes[name] = self.revision
 
     def set_owner(self, service, unit, endpoint):
         """Note the holder of a unit; nothing happens if it is the same as before."""
@@ -169,7 +169,7 @@
             self.revision,
             complete,
             tuple(self.endpoints.values()),
-            (),
+            tuple(name for name in self.endpoint_changes if name not in self.endpoints),
             runs_of(owners),
         )
 
