--- a/greengagerock/holdings/balance.py
+++ b/greengagerock/holdings/balance.py
@@ -9,8 +9,8 @@
 UNITS = KEY_COUNT // UNIT_KEYS
 
 # Moves are planned only when a life is beyond one of these shares of its target.
-SHORT_SHARE = 0.75
-LONG_SHARE = 1.35
+SHORT_SHARE = 0.7
+LONG_SHARE = 1.4
 # Largest share of a donor's units that one plan takes.
 MAX_DONATED_SHARE = 0.5
 
--- a/greengagerock/holdings/speeds.py
+++ b/greengagerock/holdings/speeds.py
@@ -4,16 +4,16 @@
 equal shares the slow ones are overloaded while the fast ones idle.
 """
 
-ADJUST_INTERVAL_S = 1.5
+ADJUST_INTERVAL_S = 2.0
 # Fewer answers than this in an interval say little about an endpoint.
-MIN_ANSWERS = 8
+MIN_ANSWERS = 20
 # A weight changes by at most this factor in one step, so that noise moves few keys.
 MAX_DECREASE = 0.75
 MAX_INCREASE = 1.2
 LOWEST_WEIGHT = 0.25
 HIGHEST_WEIGHT = 2.0
 # Endpoints whose answers take about the average time keep their weight.
-TOLERANCE = 0.12
+TOLERANCE = 0.2
 
 
 class SpeedBook:
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -35,14 +35,14 @@
 REFUSED_PAUSE_S = 0.02
 MAX_ARRIVALS = 3
 # Requests that an urgent route may have at an endpoint beyond the limit.
-URGENT_EXTRA = 2
+URGENT_EXTRA = 1
 # A request with less time left than this is not worth sending.
 MIN_SEND_S = 0.005
 # Times after which a refused caller finds room or a holder, by code.
 RETRY_AFTER_S = {
     "key-moving": 0.3,
-    "endpoint-refused": 0.15,
-    "no-room": 0.15,
+    "endpoint-refused": 0.25,
+    "no-room": 0.35,
     "connect-failed": 0.3,
     "no-endpoint": 0.5,
     "not-ready": 0.5,
@@ -215,7 +215,7 @@
             self._refuse(call, "connect-failed", f"endpoint {name} does not answer")
         elif is_doubtful:
             self._probe(call, record)
-        elif not seen.has_room(self._extra_room(call)):
+        elif not seen.has_room(self._extra_room(call), now_s):
             self._refuse(call, "no-room", f"{seen.in_flight} requests are at {name}")
         else:
             self._forward(call, record)
--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -13,12 +13,16 @@
 FIRST_LIMIT = 6.0
 # An endpoint runs a few requests at once and queues a dozen; more from one router is too much.
 HIGHEST_LIMIT = 16.0
-LOWEST_LIMIT = 1.0
-# Answers that take a larger share of the latency objective are late.
-LATE_SHARE = 0.9
+# A dozen routers that each send one request at a time already fill an endpoint's queue. Below
+# one a router pauses between requests instead.
+LOWEST_LIMIT = 0.1
+# Answers within this share of the latency objective leave room for more.
+EARLY_SHARE = 0.6
+INCREASE = 1.2
+INCREASE_STEP = 0.5
 # Mean answer times above this share of it mean that requests wait for a slot.
 BUSY_SHARE = 0.6
-DECREASE = 0.8
+DECREASE = 0.85
 DECREASE_AFTER_SHED = 0.6
 
 # Without any answer for this long, or this many mean times, an endpoint counts as silent.
@@ -35,7 +39,9 @@
         in_flight: Requests of this router that are there now.
         mean_s: Running mean of the time to an answer.
         shed_s: When it last refused a request for lack of room.
-        limit: How many requests this router has there at most.
+        limit: How many requests this router has there at most; below one, the share of
+            the time in which it has one there.
+        sent_s: When the newest request was sent there.
         waiting_since_s: When the last sign of life came, or the first request after it.
         is_unreachable: Whether the last connection could not be opened.
         probed_s: When a request was last sent there to find out whether it is back.
@@ -45,7 +51,7 @@
 
     Examples:
         >>> seen = Observed()
-        >>> seen.has_room(0), seen.is_doubtful(0.0)
+        >>> seen.has_room(0, 0.0), seen.is_doubtful(0.0)
         (True, False)
         >>> seen.note_sent(0.0)
         >>> seen.is_doubtful(0.3), seen.is_doubtful(0.9)
@@ -61,6 +67,7 @@
         "lowered_s",
         "mean_s",
         "probed_s",
+        "sent_s",
         "shed_s",
         "waiting_since_s",
     )
@@ -73,6 +80,7 @@
         self.waiting_since_s = 0.0
         self.is_unreachable = False
         self.probed_s = float("-inf")
+        self.sent_s = float("-inf")
         self.lowered_s = float("-inf")
         self.answers = 0
         self.answers_s = 0.0
@@ -81,6 +89,7 @@
         """Take a request into account that is sent now."""
         if self.in_flight == 0:
             self.waiting_since_s = now_s
+        self.sent_s = now_s
         self.in_flight += 1
 
     def note_ended(self):
@@ -101,10 +110,10 @@
         self.answers_s += elapsed_s
         if objective_s is None:
             return
-        if elapsed_s <= LATE_SHARE * objective_s:
-            self.limit = min(HIGHEST_LIMIT, self.limit + 1 / self.limit)
-        else:
+        if elapsed_s > objective_s:
             self._lower(DECREASE, now_s)
+        elif elapsed_s <= EARLY_SHARE * objective_s:
+            self._raise()
 
     def note_shed(self, objective_s, now_s):
         """Take into account that it refused a request.
@@ -130,13 +139,17 @@
         self.waiting_since_s = now_s
         self.is_unreachable = False
 
-    def has_room(self, extra):
+    def has_room(self, extra, now_s):
         """Return whether one more request may go there.
 
         Args:
             extra: Requests beyond the limit that the request's priority allows.
+            now_s: Monotonic time in seconds.
         """
-        return self.in_flight < self.limit + extra
+        if self.limit + extra >= 1:
+            return self.in_flight < self.limit + extra
+        pause_s = self.mean_s * (1 / self.limit - 1)
+        return self.in_flight == 0 and now_s - self.sent_s >= pause_s
 
     def is_doubtful(self, now_s):
         """Return whether it cannot be reached, or has been silent for too long."""
@@ -156,6 +169,12 @@
         self.probed_s = now_s
         return True
 
+    def _raise(self):
+        if self.limit < 1:
+            self.limit *= INCREASE
+        else:
+            self.limit = min(HIGHEST_LIMIT, self.limit + INCREASE_STEP / self.limit)
+
     def _lower(self, factor, now_s):
         # Requests that were sent before the limit fell say nothing about the new one.
         if now_s - self.lowered_s >= self.mean_s:
--- a/greengagerock/routing/picker.py
+++ b/greengagerock/routing/picker.py
@@ -56,7 +56,7 @@
         seen = self.observed.of(record.name)
         if self.health.is_avoided(record.name, now_s) or seen.is_doubtful(now_s):
             return False
-        return seen.has_room(extra) and now_s - seen.shed_s > SHED_PAUSE_S
+        return seen.has_room(extra, now_s) and now_s - seen.shed_s > SHED_PAUSE_S
 
     def _two_of(self, records):
         if len(records) <= 2:
