--- a/greengagerock/platform/ingress.py
+++ b/greengagerock/platform/ingress.py
@@ -1,13 +1,11 @@
 """Headers and paths between callers, this host and endpoints on the infrastructure."""
 
 import msgspec
-import xxhash
 
-from greengagerock.core import ERROR_KINDS, GreengageError
-from greengagerock.core.seam import CallArrived
-from greengagerock.holdings.report import KEY_COUNT
+from greengagerock.core import ERROR_KINDS
 from greengagerock.routing.failures import REASON_LOST, REASON_NOT_OWNER, REASON_REFUSED
-from greengagerock.web.dialect import HOP_BY_HOP, origin_form
+from greengagerock.web.calls import CallDialect
+from greengagerock.web.dialect import HOP_BY_HOP
 
 READY_PATH = "/greengagerock/ready"
 
@@ -34,48 +32,18 @@
 }
 
 
-class InfrastructureDialect:
+class InfrastructureDialect(CallDialect):
     """Translates between the infrastructure's requests and the product's events."""
 
     ready_path = READY_PATH
     dropped_from_answers = HOP_BY_HOP
-    buffers_short_messages = True
+    key_header = KEY
+    time_left_header = TIME_LEFT
 
     def request_id(self, headers, fallback):
         """Return the caller's id of the request, or ``fallback`` if there is none."""
         return headers.get(REQUEST_ID) or fallback
 
-    def target(self, environ):
-        """Return the path and query to ask an endpoint for, as the caller wrote them."""
-        return origin_form(environ["REQUEST_URI"])
-
-    def arrival(self, token, request_id, environ, headers, body):
-        """Return the ``CallArrived`` event of a request.
-
-        Raises:
-            GreengageError: ``bad-request`` if the key or the time left is not a number.
-        """
-        target = self.target(environ)
-        data = getattr(body, "data", None)
-        digest = headers.get("content-length", "")
-        if data is not None:
-            digest = xxhash.xxh3_64_hexdigest(data)
-        return CallArrived(
-            token,
-            request_id,
-            environ["REQUEST_METHOD"],
-            headers.get("host", ""),
-            target.partition("?")[0],
-            target,
-            read_time_left_s(headers.get(TIME_LEFT)),
-            read_key(headers.get(KEY)),
-            digest,
-        )
-
-    def service_label(self, event):
-        """Return the name under which the request's time is counted."""
-        return ""
-
     def outgoing_headers(self, headers, forward):
         """Return the headers to send to an endpoint, without the framing of the body."""
         dropped = HOP_BY_HOP | _OWN
@@ -115,33 +83,3 @@
         if answer.retry_after_s is not None and status in (429, 503):
             headers.append(("Retry-After", f"{answer.retry_after_s:g}"))
         return f"{status} {_REASONS.get(status, 'Error')}", headers, body
-
-
-def read_time_left_s(value):
-    """Return the time that a caller has left, in seconds; unbounded if it says nothing.
-
-    Raises:
-        GreengageError: ``bad-request`` if it is not a positive number of milliseconds.
-    """
-    if value is None:
-        return float("inf")
-    try:
-        milliseconds = float(value)
-    except ValueError:
-        milliseconds = 0.0
-    if not 0 < milliseconds < float("inf"):
-        raise GreengageError("bad-request", f"time left {value!r} is not a positive number")
-    return milliseconds / 1000
-
-
-def read_key(value):
-    """Return a request's key, or ``None`` if it has none.
-
-    Raises:
-        GreengageError: ``bad-request`` if it is not a whole number in the range of keys.
-    """
-    if value is None:
-        return None
-    if not (value.isascii() and value.isdigit() and int(value) < KEY_COUNT):
-        raise GreengageError("bad-request", f"key {value!r} is not a number below {KEY_COUNT}")
-    return int(value)
--- a/greengagerock/web/calls.py
+++ b/greengagerock/web/calls.py
@@ -1,4 +1,4 @@
-"""The product's own names on the wire for callers of named routes."""
+"""Names on the wire for callers of named routes, and the product's own ones."""
 
 import xxhash
 
@@ -15,20 +15,29 @@
 NOT_OWNER_VALUE = "not-owner"
 
 
-class OwnCallDialect(OwnDialect):
-    """Headers of callers whose requests are routed by host and path prefix."""
+class CallDialect:
+    """What all dialects of callers of named routes share.
 
+    Attributes:
+        key_header: Lower-case name of the header with the key.
+        time_left_header: Lower-case name of the header with the milliseconds that are left.
+        buffers_short_messages: Whether short bodies are read before a request is routed,
+            and short answers before they are passed on.
+    """
+
+    key_header = ""
+    time_left_header = ""
     buffers_short_messages = True
 
     def target(self, environ):
-        """Return the path and query to ask an endpoint for."""
+        """Return the path and query to ask an endpoint for, as the caller wrote them."""
         return origin_form(environ["REQUEST_URI"])
 
     def arrival(self, token, request_id, environ, headers, body):
         """Return the ``CallArrived`` event of a request.
 
         Raises:
-            GreengageError: ``bad-deadline`` or ``missing-key`` if a header is malformed.
+            GreengageError: ``bad-request`` if the key or the time left is malformed.
         """
         target = self.target(environ)
         data = getattr(body, "data", None)
@@ -42,15 +51,25 @@
             headers.get("host", ""),
             target.partition("?")[0],
             target,
-            self._budget_s(headers.get(TIMEOUT_HEADER)),
-            self._key(headers.get(KEY_HEADER)),
+            read_time_left_s(headers.get(self.time_left_header)),
+            read_key(headers.get(self.key_header)),
             digest,
         )
 
     def service_label(self, event):
-        """Return the name under which the request's time is counted."""
+        """Return the name under which the request's time is counted.
+
+        The service is not known before the request is routed.
+        """
         return ""
 
+
+class OwnCallDialect(CallDialect, OwnDialect):
+    """The product's own headers for callers of named routes."""
+
+    key_header = KEY_HEADER
+    time_left_header = TIMEOUT_HEADER
+
     def outgoing_headers(self, headers, forward):
         """Return the headers to send to an endpoint, without the framing of the body."""
         sent = super().outgoing_headers(headers, forward)
@@ -68,16 +87,32 @@
             return None
         return REASON_NOT_OWNER if refused == NOT_OWNER_VALUE else REASON_REFUSED
 
-    def _budget_s(self, value):
-        if value is None:
-            return float("inf")
-        if not (value.isascii() and value.isdigit() and int(value) > 0):
-            raise GreengageError("bad-deadline", f"{value!r} is not a number of milliseconds")
-        return int(value) / 1000
 
-    def _key(self, value):
-        if value is None:
-            return None
-        if not (value.isascii() and value.isdigit() and int(value) < KEY_COUNT):
-            raise GreengageError("missing-key", f"{value!r} is not a number below {KEY_COUNT}")
-        return int(value)
+def read_time_left_s(value):
+    """Return the time that a caller has left, in seconds; unbounded if it says nothing.
+
+    Raises:
+        GreengageError: ``bad-request`` if it is not a positive number of milliseconds.
+    """
+    if value is None:
+        return float("inf")
+    try:
+        milliseconds = float(value)
+    except ValueError:
+        milliseconds = 0.0
+    if not 0 < milliseconds < float("inf"):
+        raise GreengageError("bad-request", f"time left {value!r} is not a positive number")
+    return milliseconds / 1000
+
+
+def read_key(value):
+    """Return a request's key, or ``None`` if it has none.
+
+    Raises:
+        GreengageError: ``bad-request`` if it is not a whole number in the range of keys.
+    """
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdigit() and int(value) < KEY_COUNT):
+        raise GreengageError("bad-request", f"key {value!r} is not a number below {KEY_COUNT}")
+    return int(value)
