--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -252,7 +252,10 @@
     def _send_to_any(self, call):
         names = self.replica.by_service.get(call.service, ())
         records = [self.replica.endpoints[name] for name in names]
-        record = self.picker.pick(records, call.tried, self._extra_room(call), self.timers.now_s)
+        is_long = call.route.kind == "download"
+        record = self.picker.pick(
+            records, call.tried, self._extra_room(call), is_long, self.timers.now_s
+        )
         if record is None:
             code = "no-room" if call.tried else "no-endpoint"
             self._refuse(call, code, f"service {call.service} has {len(records)} endpoints")
--- a/greengagerock/routing/picker.py
+++ b/greengagerock/routing/picker.py
@@ -2,8 +2,10 @@
 
 # A shed endpoint is left alone for so long.
 SHED_PAUSE_S = 0.15
-# What crossing to another zone has to save, in seconds of expected time.
-ZONE_PENALTY_S = 0.02
+# What crossing to another zone has to save, in seconds of expected time. Bytes between zones
+# are paid for, so short answers go there before long ones do.
+SHORT_ZONE_PENALTY_S = 0.005
+LONG_ZONE_PENALTY_S = 0.08
 
 
 class EndpointPicker:
@@ -31,13 +33,14 @@
         self.health = health
         self.random = random
 
-    def pick(self, records, tried, extra, now_s):
+    def pick(self, records, tried, extra, is_long, now_s):
         """Return an ``EndpointRecord``, or ``None`` if there is none to try.
 
         Args:
             records: Endpoints of the service.
             tried: Names of endpoints to leave out.
             extra: Requests beyond an endpoint's limit that the priority allows.
+            is_long: Whether a long answer is expected.
             now_s: Monotonic time in seconds.
         """
         open_to = [r for r in records if not r.leaving and r.name not in tried]
@@ -50,7 +53,8 @@
             return None
         own_zone = [r for r in sound if r.zone == self.zone]
         candidates = self._two_of(own_zone) + self._two_of(sound)
-        return min(candidates, key=self._cost_s)
+        penalty_s = LONG_ZONE_PENALTY_S if is_long else SHORT_ZONE_PENALTY_S
+        return min(candidates, key=lambda record: self._cost_s(record, penalty_s))
 
     def _is_sound(self, record, extra, now_s):
         seen = self.observed.of(record.name)
@@ -63,9 +67,9 @@
             return list(records)
         return self.random.sample(records, 2)
 
-    def _cost_s(self, record):
+    def _cost_s(self, record, penalty_s):
         seen = self.observed.of(record.name)
         cost_s = seen.mean_s * (1 + seen.in_flight / max(record.slots, 1))
         if record.cold_s > 0:
             cost_s += seen.mean_s
-        return cost_s + (0.0 if record.zone == self.zone else ZONE_PENALTY_S)
+        return cost_s + (0.0 if record.zone == self.zone else penalty_s)
--- /dev/null
+++ b/greengagerock/routing/tests/test_picker.py
@@ -0,0 +1,56 @@
+"""Which endpoint gets a request that any of its service may answer."""
+
+from collections import Counter
+from random import Random
+
+from greengagerock.routing.health import EndpointHealth
+from greengagerock.routing.observed import ObservedEndpoints
+from greengagerock.routing.picker import EndpointPicker
+from greengagerock.view import EndpointRecord
+
+
+def build_picker(zones):
+    """Return a picker in zone ``a`` and one endpoint in each of ``zones``."""
+    records = [EndpointRecord(f"e{n}", "x:1", "docs", zone, 3) for n, zone in enumerate(zones)]
+    observed = ObservedEndpoints()
+    return EndpointPicker("a", observed, EndpointHealth(), Random(1)), records, observed
+
+
+def load(picker, records, observed, is_long, count=6):
+    """Let requests arrive that are not answered yet; returns how many went to each zone."""
+    zones = Counter()
+    for _ in range(count):
+        record = picker.pick(records, (), 0, is_long, 0.0)
+        observed.of(record.name).note_sent(0.0)
+        zones[record.zone] += 1
+    return zones
+
+
+def test_own_zone_first():
+    picker, records, observed = build_picker("ab")
+    assert load(picker, records, observed, False, 1) == {"a": 1}
+
+
+def test_short_answers_cross_zones_before_long_ones():
+    assert load(*build_picker("ab"), False)["b"] >= 2
+    assert load(*build_picker("ab"), True)["b"] <= 1
+
+
+def test_faster_endpoint_gets_more():
+    picker, records, observed = build_picker("aa")
+    observed.of("e0").mean_s = 0.2
+    names = Counter()
+    for _ in range(8):
+        record = picker.pick(records, (), 0, False, 0.0)
+        observed.of(record.name).note_sent(0.0)
+        names[record.name] += 1
+    assert names["e1"] > names["e0"]
+
+
+def test_leaving_tried_and_silent_endpoints_are_left_out():
+    picker, records, observed = build_picker("aab")
+    observed.of("e0").is_unreachable = True
+    observed.of("e0").probed_s = 10.0
+    assert picker.pick(records, ("e1",), 0, False, 10.1).name == "e2"
+    assert picker.pick(records[:1], (), 0, False, 10.1) is None
+    assert picker.pick(records[:1], (), 0, False, 10.5).name == "e0"
