--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -24,6 +24,8 @@
         "endpoint-joined",
         "endpoint-leaving",
         "items-changed",
+        "keys-all-held",
+        "keys-without-holder",
         "leader-begins",
         "leader-elected",
         "leader-found",
@@ -105,7 +107,7 @@
         and (
             line.fields.get("host") in hosts
             or line.fields.get("endpoint") in endpoints
-            or line.event.startswith(("leader", "voters"))
+            or line.event.startswith(("keys", "leader", "voters"))
         )
     ]
     return own, context[-MAX_CONTEXT_LINES:]
--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -78,6 +78,7 @@
         self.fence_count = 0
         self.push_timer = None
         self.withdrawn = set()
+        self.missing = {}
 
     def begin(self):
         """Start a term as the leader."""
@@ -315,10 +316,19 @@
             lives = self.directory.of_service(service)
             ledger.advance(lives, now_s)
             ledger.plan(lives, now_s)
+            self._note_missing(service, len(ledger.free) + len(ledger.unknown))
         for fingerprint in [f for f, until_s in self.bans.items() if until_s < now_s]:
             del self.bans[fingerprint]
             self.crash_book.forget(fingerprint)
 
+    def _note_missing(self, service, missing):
+        """Say when units of a service come to be without a holder, and when all have one."""
+        before = self.missing.get(service, 0)
+        self.missing[service] = missing
+        if bool(before) != bool(missing):
+            event = "keys-without-holder" if missing else "keys-all-held"
+            self.outbox.log(event, service=service, units=missing or before)
+
     def _take_over(self, now_s):
         """Find out how long others may still hold keys by an earlier leader's grant."""
         first = self.voter.log.entry_at(2)
