--- a/bench/all.py
+++ b/bench/all.py
@@ -11,6 +11,7 @@
     "control_cost",
     "charges",
     "placement",
+    "site_cost",
 )
 
 
--- /dev/null
+++ b/bench/site_cost.py
@@ -0,0 +1,71 @@
+"""Control cost of a site with discovered hosts: processor time and bytes by role and size."""
+
+import time
+from collections import defaultdict
+
+from bench.report import write_report
+from greengagerock.core import Timestamp
+from greengagerock.testing.fake_site import FakeHolder, build_fake_site, leader_name
+from greengagerock.transport import Envelope, encode_envelope
+from greengagerock.transport.monitor import Receipt
+
+SIZES = ((12, 31), (24, 62), (48, 124), (88, 194))
+CALM_S = 10.0
+RECEIPT = Receipt(1 << 31, 1000, 1 << 31, 1000)
+
+
+class CostMeter:
+    """Counts bytes and processor time of each host of a site.
+
+    Args:
+        site: The ``FakeSite``.
+    """
+
+    def __init__(self, site):
+        self.site = site
+        self.cpu_s = defaultdict(float)
+        self.sent_bytes = defaultdict(int)
+        self._send, self._feed = site._send, site._feed
+        site._send, site._feed = self.send, self.feed
+
+    def send(self, host, address, message):
+        """Count a message, then send it."""
+        name = host.config.host.name
+        envelope = Envelope(name, host.config.host.address, Timestamp(1), message, RECEIPT)
+        self.sent_bytes[name] += len(encode_envelope(envelope))
+        self._send(host, address, message)
+
+    def feed(self, host, event):
+        """Time an event."""
+        start_s = time.process_time()
+        self._feed(host, event)
+        self.cpu_s[host.config.host.name] += time.process_time() - start_s
+
+
+def measure(routers, holders):
+    """Return a row of figures for a calm site of this size."""
+    site = build_fake_site(routers=routers, holders=6)
+    for number in range(7, holders + 1):
+        site.add_holder(FakeHolder(f"till-{number}", 1000 + number, born_ms=1000 + number))
+    site.run_for(30.0)
+    meter = CostMeter(site)
+    site.run_for(CALM_S)
+    leader = leader_name(site)
+    edges = [name for name in site.hosts if name.startswith("edge")]
+    return {
+        "routers": routers,
+        "endpoints": holders,
+        "leader_core_share": round(meter.cpu_s[leader] / CALM_S, 4),
+        "leader_bytes_per_s": round(meter.sent_bytes[leader] / CALM_S),
+        "router_core_share": round(sum(meter.cpu_s[n] for n in edges) / len(edges) / CALM_S, 5),
+        "router_bytes_per_s": round(sum(meter.sent_bytes[n] for n in edges) / len(edges) / CALM_S),
+    }
+
+
+def main():
+    """Measure all sizes and write a report."""
+    write_report("site_cost", [measure(*size) for size in SIZES])
+
+
+if __name__ == "__main__":
+    main()
