--- a/greengagerock/holdings/balance.py
+++ b/greengagerock/holdings/balance.py
@@ -2,11 +2,7 @@
 
 import math
 
-from greengagerock.holdings.report import KEY_COUNT
-
-# Neighbouring keys that are always granted together.
-UNIT_KEYS = 8
-UNITS = KEY_COUNT // UNIT_KEYS
+from greengagerock.holdings.units import UNITS
 
 # Moves are planned only when a life is beyond one of these shares of its target.
 SHORT_SHARE = 0.7
--- a/greengagerock/holdings/ledger.py
+++ b/greengagerock/holdings/ledger.py
@@ -6,8 +6,6 @@
 """
 
 from greengagerock.holdings.balance import (
-    UNIT_KEYS,
-    UNITS,
     choose_blocks,
     choose_neighbours,
     deal_blocks,
@@ -16,6 +14,7 @@
 )
 from greengagerock.holdings.report import GrantRow
 from greengagerock.holdings.speeds import SpeedBook
+from greengagerock.holdings.units import UNIT_KEYS, UNITS, stripe_width, tokens_of, units_of
 from greengagerock.model.timing import PAUSE_ALLOWANCE_S
 
 # The clock of an endpoint may run 2 % slow (PROTOCOL of the infrastructure).
@@ -386,34 +385,3 @@
                     continue
             rows.append([first, last, fence, handover])
         return tuple(GrantRow(*row) for row in rows)
-
-
-def stripe_width(endpoints):
-    """Return how many units a stripe has, so that an endpoint gets at most 90 of them.
-
-    Examples:
-        >>> stripe_width(25), stripe_width(8), stripe_width(200)
-        (4, 16, 1)
-    """
-    width = 1
-    while UNITS // width > 90 * max(endpoints, 1):
-        width *= 2
-    return width
-
-
-def units_of(ranges):
-    """Return the fences of the units that ranges cover, in whole or in part."""
-    units = {}
-    for held in ranges:
-        for unit in range(held.first // UNIT_KEYS, held.last // UNIT_KEYS + 1):
-            units[unit] = max(units.get(unit, 0), held.fence)
-    return units
-
-
-def tokens_of(ranges):
-    """Return the handover tokens of the units that lie in freed ranges."""
-    tokens = {}
-    for freed in ranges:
-        for unit in range(freed.first // UNIT_KEYS, freed.last // UNIT_KEYS + 1):
-            tokens[unit] = freed.handover
-    return tokens
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -193,7 +193,7 @@
         if self.stopping:
             return
         self.stopping = True
-        self.dispatcher.closing = True
+        self.dispatcher.answers.closing = True
         self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
         self.timers.subscribe(UNREADY_PERIOD_S, self._end_when_idle)
         self.timers.subscribe(self.config.stop_grace_s - STOP_MARGIN_S, self._stop)
--- /dev/null
+++ b/greengagerock/routing/answers.py
@@ -0,0 +1,98 @@
+"""Answers of a router that are not an endpoint's, and what is logged about them."""
+
+from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from greengagerock.core.seam import Answer
+
+# Times after which a refused caller finds room or a holder, by code.
+RETRY_AFTER_S = {
+    "key-moving": 0.3,
+    "endpoint-refused": 0.25,
+    "no-room": 0.35,
+    "connect-failed": 0.3,
+    "no-endpoint": 0.5,
+    "not-ready": 0.5,
+    "stopping": 0.0,
+    "request-suspended": 5.0,
+}
+
+
+class AnswerDesk:
+    """Answers calls that no endpoint answers.
+
+    Args:
+        replica: The ``ViewReplica``, whose versions are logged.
+        stats: The ``RouterStats``.
+        timers: The timer service.
+        outbox: Receives effects.
+
+    Attributes:
+        closing: Whether callers are asked to use other hosts.
+    """
+
+    def __init__(self, replica, stats, timers, outbox):
+        self.replica = replica
+        self.stats = stats
+        self.timers = timers
+        self.outbox = outbox
+        self.closing = False
+
+    def refuse_unrouted(self, event, code):
+        """Refuse a ``CallArrived`` that has no route here."""
+        self.stats.count("", code)
+        self.outbox.log(
+            "request-refused",
+            request_id=event.request_id,
+            code=code,
+            host_header=event.host,
+            path=event.path,
+            items_revision=self.replica.items_revision,
+        )
+        close = code == "stopping"
+        retry_s = RETRY_AFTER_S.get(code)
+        self.outbox.add(Answer(event.token, code, OUTCOME_NOT_RUN, "", close, retry_s))
+
+    def answer(self, call, code, outcome, detail):
+        """Answer a call.
+
+        Args:
+            call: The ``Call``.
+            code: A registered error code.
+            outcome: What is known of this attempt; an earlier one may have been run.
+            detail: What went wrong.
+        """
+        if call.may_have_run and outcome == OUTCOME_NOT_RUN:
+            detail = detail or code
+            code, outcome = "answer-lost", OUTCOME_UNKNOWN
+        self.stats.count(call.service, code)
+        self._log(call, code, outcome, detail)
+        retry_s = RETRY_AFTER_S.get(code) if outcome == OUTCOME_NOT_RUN else None
+        self.outbox.add(Answer(call.token, code, outcome, detail, self.closing, retry_s))
+
+    def note_failed(self, call, event, endpoint):
+        """Log an attempt that failed, whatever becomes of its call."""
+        self.outbox.log(
+            "attempt-failed",
+            request_id=call.request_id,
+            endpoint=endpoint,
+            reason=event.reason,
+            bytes_left=event.bytes_left,
+            after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
+        )
+
+    def _log(self, call, code, outcome, detail):
+        now_s = self.timers.now_s
+        self.outbox.log(
+            "request-failed",
+            request_id=call.request_id,
+            code=code,
+            outcome=outcome,
+            route=call.route.name,
+            service=call.service,
+            key=call.key,
+            tried=",".join(call.tried),
+            waited_ms=round(1000 * (now_s - call.arrived_s)),
+            left_ms=round(1000 * (call.deadline_s - now_s)),
+            items_revision=self.replica.items_revision,
+            live=f"{self.replica.epoch}.{self.replica.live_revision}",
+            detail=detail,
+        )
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -2,13 +2,13 @@
 
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.core.seam import (
-    Answer,
     CancelAttempt,
     DropConnections,
     Forward,
     WatchCaller,
 )
-from greengagerock.holdings.balance import UNIT_KEYS
+from greengagerock.holdings.units import UNIT_KEYS
+from greengagerock.routing.answers import AnswerDesk
 from greengagerock.routing.calls import Call
 from greengagerock.routing.failures import (
     REASON_CONNECT,
@@ -22,6 +22,7 @@
 from greengagerock.routing.parts import PartPicker
 from greengagerock.routing.picker import EndpointPicker
 from greengagerock.routing.places import Places
+from greengagerock.routing.priorities import lowest_priorities
 from greengagerock.routing.stats import RouterStats
 from greengagerock.routing.suspects import AnsweredRequests, CrashReport, fingerprint_call
 
@@ -38,17 +39,6 @@
 URGENT_EXTRA = 1
 # A request with less time left than this is not worth sending.
 MIN_SEND_S = 0.005
-# Times after which a refused caller finds room or a holder, by code.
-RETRY_AFTER_S = {
-    "key-moving": 0.3,
-    "endpoint-refused": 0.25,
-    "no-room": 0.35,
-    "connect-failed": 0.3,
-    "no-endpoint": 0.5,
-    "not-ready": 0.5,
-    "stopping": 0.0,
-    "request-suspended": 5.0,
-}
 
 
 class Dispatcher:
@@ -65,7 +55,7 @@
 
     Attributes:
         calls: Calls in progress by token.
-        closing: Whether callers are asked to use other hosts.
+        answers: The ``AnswerDesk``.
         stopping: Whether new requests are refused.
         banned: Fingerprints of requests that crashed several endpoints.
         stats: The ``RouterStats``.
@@ -86,10 +76,10 @@
         self.picker = EndpointPicker(zone, self.observed, self.health, random)
         self.answered = AnsweredRequests()
         self.stats = RouterStats()
+        self.answers = AnswerDesk(replica, self.stats, timers, outbox)
         self.calls = {}
         self.waiting = {}
         self.banned = frozenset()
-        self.closing = False
         self.stopping = False
 
     # --- Events --------------------------------------------------------------------
@@ -98,11 +88,11 @@
         """Take in a ``CallArrived``."""
         now_s = self.timers.now_s
         if self.stopping or not self.replica.is_filled:
-            self._refuse_unrouted(event, "stopping" if self.stopping else "not-ready")
+            self.answers.refuse_unrouted(event, "stopping" if self.stopping else "not-ready")
             return
         route = self.places.find(event.host, event.path)
         if route is None:
-            self._refuse_unrouted(event, "unknown-route")
+            self.answers.refuse_unrouted(event, "unknown-route")
             return
         deadline_s = now_s + min(event.budget_s, route.timeout_s)
         call = Call(event, route, self.parts.pick(route), now_s, deadline_s)
@@ -122,7 +112,7 @@
         endpoint = self._end_attempt(call)
         now_s = self.timers.now_s
         call.body_used = call.body_used or event.body_used
-        self._log_failed(call, event, endpoint)
+        self.answers.note_failed(call, event, endpoint)
         if call.is_abandoned:
             self._finish(call, "caller-gone", OUTCOME_UNKNOWN)
             return
@@ -279,7 +269,7 @@
                 record.address,
                 {},
                 call.deadline_s - now_s,
-                self.closing,
+                self.answers.closing,
             )
         )
 
@@ -410,21 +400,7 @@
         service = self.replica.services.get(call.service)
         return service is not None and service.keyed is not None and call.key is not None
 
-    # --- Answers -------------------------------------------------------------------
-
-    def _refuse_unrouted(self, event, code):
-        self.stats.count("", code)
-        self.outbox.log(
-            "request-refused",
-            request_id=event.request_id,
-            code=code,
-            host_header=event.host,
-            path=event.path,
-            items_revision=self.replica.items_revision,
-        )
-        retry_s = RETRY_AFTER_S.get(code)
-        close = code == "stopping"
-        self.outbox.add(Answer(event.token, code, OUTCOME_NOT_RUN, "", close, retry_s))
+    # --- Ends ----------------------------------------------------------------------
 
     def _refuse(self, call, code, detail):
         self._finish(call, code, OUTCOME_NOT_RUN, detail)
@@ -432,53 +408,4 @@
     def _finish(self, call, code, outcome, detail=""):
         self.calls.pop(call.token, None)
         call.stop_timer()
-        if call.may_have_run and outcome == OUTCOME_NOT_RUN:
-            # This attempt was not run, but an earlier one may have been.
-            detail = detail or code
-            code, outcome = "answer-lost", OUTCOME_UNKNOWN
-        now_s = self.timers.now_s
-        self.stats.count(call.service, code)
-        self.outbox.log(
-            "request-failed",
-            request_id=call.request_id,
-            code=code,
-            outcome=outcome,
-            route=call.route.name,
-            service=call.service,
-            key=call.key,
-            tried=",".join(call.tried),
-            waited_ms=round(1000 * (now_s - call.arrived_s)),
-            left_ms=round(1000 * (call.deadline_s - now_s)),
-            items_revision=self.replica.items_revision,
-            live=f"{self.replica.epoch}.{self.replica.live_revision}",
-            detail=detail,
-        )
-        retry_s = RETRY_AFTER_S.get(code) if outcome == OUTCOME_NOT_RUN else None
-        self.outbox.add(Answer(call.token, code, outcome, detail, self.closing, retry_s))
-
-    def _log_failed(self, call, event, endpoint):
-        self.outbox.log(
-            "attempt-failed",
-            request_id=call.request_id,
-            endpoint=endpoint,
-            reason=event.reason,
-            bytes_left=event.bytes_left,
-            after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
-        )
-
-
-def lowest_priorities(routes):
-    """Return the rank of the least urgent route of each service.
-
-    Examples:
-        >>> from greengagerock.testing.item_builders import build_route
-        >>> lowest_priorities([build_route("a", priority=1), build_route("b", priority=2)])
-        {'till': 2}
-    """
-    lowest = {}
-    for route in routes:
-        if route.priority is None:
-            continue
-        for part in route.parts:
-            lowest[part.service] = max(lowest.get(part.service, 0), route.priority)
-    return lowest
+        self.answers.answer(call, code, outcome, detail)
--- /dev/null
+++ b/greengagerock/routing/priorities.py
@@ -0,0 +1,18 @@
+"""Which routes of a service give way to others."""
+
+
+def lowest_priorities(routes):
+    """Return the rank of the least urgent route of each service.
+
+    Examples:
+        >>> from greengagerock.testing.item_builders import build_route
+        >>> lowest_priorities([build_route("a", priority=1), build_route("b", priority=2)])
+        {'till': 2}
+    """
+    lowest = {}
+    for route in routes:
+        if route.priority is None:
+            continue
+        for part in route.parts:
+            lowest[part.service] = max(lowest.get(part.service, 0), route.priority)
+    return lowest
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -16,7 +16,7 @@
     RequestEnded,
 )
 from greengagerock.holdings import EndpointReport, FreedRange, HeldRange
-from greengagerock.holdings.balance import UNIT_KEYS
+from greengagerock.holdings.units import UNIT_KEYS
 from greengagerock.node.controller_node import ControllerNode
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site import SiteConfig
--- a/greengagerock/testing/holder.py
+++ b/greengagerock/testing/holder.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from greengagerock.holdings import EndpointReport, FreedRange, HeldRange, ReportAnswer
-from greengagerock.holdings.balance import UNIT_KEYS
+from greengagerock.holdings.units import UNIT_KEYS
 from greengagerock.web.calls import KEY_HEADER, NOT_OWNER_VALUE, REQUEST_ID_HEADER
 from greengagerock.web.dialect import REFUSED_HEADER
 
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -1,6 +1,6 @@
 """A router's copy of the items, endpoints and holders."""
 
-from greengagerock.holdings.balance import UNIT_KEYS
+from greengagerock.holdings.units import UNIT_KEYS
 from greengagerock.view.messages import ViewPoll
 
 
