--- a/greengagerock/platform/wire_settings.py
+++ b/greengagerock/platform/wire_settings.py
@@ -13,8 +13,8 @@
 # Links between zones take a few milliseconds; an endpoint that does not accept in this time is
 # cut off or full.
 CONNECT_TIMEOUT_S = 0.15
-# Longest hold that the daemon chooses by itself; see docs/decisions on the length of holds.
-PREFERRED_HOLD_S = 6.0
+# Longest hold that the daemon chooses by itself: docs/decisions/0009-length-of-holds.md.
+PREFERRED_HOLD_S = 9.0
 DEFAULT_REPORT_INTERVAL = "1s"
 
 
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -59,7 +59,7 @@
     data_folder: str = ""
     may_found: bool = False
     report_interval_s: Seconds = 1.0
-    hold_s: Seconds = 6.0
+    hold_s: Seconds = 9.0
     stop_grace_s: Seconds = 6.0
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
