--- a/greengagerock/core/errors.py
+++ b/greengagerock/core/errors.py
@@ -63,7 +63,6 @@
     ErrorKind("unknown-route", 404, "No route has this host and path."),
     ErrorKind("no-room", 503, "No endpoint can answer in time.", 1),
     ErrorKind("key-moving", 503, "The key is between two owners.", 1),
-    ErrorKind("bad-answer", 502, "The endpoint's answer could not be used."),
     ErrorKind("request-suspended", 503, "This request crashed several endpoints.", 5),
     ErrorKind("caller-gone", 502, "The caller left before its request was sent on."),
     ErrorKind("request-id-reused", 409, "The request id was used for a different change."),
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -116,18 +116,17 @@
         if call.is_abandoned:
             self._finish(call, "caller-gone", OUTCOME_UNKNOWN)
             return
-        match event.reason:
-            case r if r == REASON_REFUSED:
-                self._on_refused(call, endpoint)
-            case r if r == REASON_NOT_OWNER:
-                self._on_not_owner(call, endpoint)
-            case r if r == REASON_CONNECT or not event.bytes_left:
-                self._on_unreachable(call, endpoint)
-            case r if r == REASON_TIMEOUT:
-                self.health.note_failure(endpoint, now_s)
-                self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
-            case _:
-                self._on_lost(call, event, endpoint)
+        if event.reason == REASON_REFUSED:
+            self._on_refused(call, endpoint)
+        elif event.reason == REASON_NOT_OWNER:
+            self._on_not_owner(call, endpoint)
+        elif event.reason == REASON_CONNECT or not event.bytes_left:
+            self._on_unreachable(call, endpoint)
+        elif event.reason == REASON_TIMEOUT:
+            self.health.note_failure(endpoint, now_s)
+            self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
+        else:
+            self._on_lost(call, event, endpoint)
 
     def on_ended(self, event):
         """Take in a ``RequestEnded``."""
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -202,6 +202,7 @@
     def start(self):
         """Start listening, then serve on a thread."""
         self.server.prepare()
+        # The server has no setting for its connection manager.
         self.server._connections._selector.close()
         self.server._connections = PatientConnectionManager(self.server)
         self.thread = threading.Thread(target=self.server.serve, name="http", daemon=True)
