--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -88,20 +88,30 @@
     def _watch_caller(self, token):
         """Report it when the caller of an attempt closes its connection."""
         attempt = self.bridge.attempt_of(token)
-        descriptor = attempt.begin_watch() if attempt else None
-        if descriptor is None:
-            return
-        self._watched[descriptor] = token
+        if attempt is not None:
+            attempt.begin_watch(lambda descriptor: self._register(descriptor, token))
+
+    def _register(self, descriptor, token):
+        """Watch a descriptor; returns whether that worked."""
         try:
             self._poll.register(descriptor, select.EPOLLRDHUP)
         except OSError:
             # The caller has already gone; sending the answer will fail.
-            self._watched.pop(descriptor, None)
+            return False
+        self._watched[descriptor] = token
+        return True
 
     def unwatch_caller(self, descriptor):
         """Stop watching a caller, before its connection is used for the answer."""
         if self._watched.pop(descriptor, None) is not None:
+            self._unregister(descriptor)
+
+    def _unregister(self, descriptor):
+        try:
             self._poll.unregister(descriptor)
+        except OSError:
+            # Its connection was closed meanwhile, which unregisters it as well.
+            return
 
     def run(self):
         """Run until the node asks to stop."""
@@ -129,7 +139,7 @@
         for descriptor in ready:
             token = self._watched.pop(descriptor, None)
             if token is not None:
-                self._poll.unregister(descriptor)
+                self._unregister(descriptor)
                 self._inbox.append(CallerGone(token))
 
     def _idle_s(self):
--- /dev/null
+++ b/greengagerock/web/tests/test_attempt.py
@@ -0,0 +1,43 @@
+"""The watch of a caller's connection begins and ends in order."""
+
+import threading
+
+from greengagerock.web.upstream import Attempt
+
+DESCRIPTOR = 77
+
+
+def test_attempt_does_not_end_while_its_watch_begins():
+    """Otherwise the connection is unregistered before it is registered, which is an error."""
+    attempt = Attempt(DESCRIPTOR)
+    ended = threading.Event()
+    results = []
+
+    def end():
+        results.append(attempt.end())
+        ended.set()
+
+    def register(descriptor):
+        threading.Thread(target=end).start()
+        assert not ended.wait(0.05)
+        return descriptor == DESCRIPTOR
+
+    attempt.begin_watch(register)
+    assert ended.wait(5.0)
+    assert results == [DESCRIPTOR]
+
+
+def test_attempt_that_has_ended_is_not_watched():
+    attempt = Attempt(DESCRIPTOR)
+    assert attempt.end() is None
+    registered = []
+    attempt.begin_watch(registered.append)
+    assert registered == []
+    results = []
+    assert results == []
+
+
+def test_failed_registration_is_not_undone():
+    attempt = Attempt(DESCRIPTOR)
+    attempt.begin_watch(lambda descriptor: False)
+    assert attempt.end() is None
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -69,11 +69,18 @@
         self.is_new = False
         self.target = ""
 
-    def begin_watch(self):
-        """Return the descriptor of the caller's socket, or ``None`` if not to be watched."""
+    def begin_watch(self, register):
+        """Have the caller's socket watched, unless the attempt has ended.
+
+        The attempt cannot end meanwhile, so the watch never ends before it begins.
+
+        Args:
+            register: Takes the descriptor of the socket and returns whether it is
+                watched now.
+        """
         with self._lock:
-            self._watched = self._caller is not None
-            return self._caller
+            if self._caller is not None:
+                self._watched = register(self._caller)
 
     def end(self):
         """End the attempt; returns the descriptor if it was being watched, else ``None``."""
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -202,3 +202,24 @@
     site.wait_for(lambda: site.apply_items(new))
     site.wait_for(lambda: site.call("/more/x").status == 200)
     site.wait_for(site._is_complete)
+
+
+def test_callers_that_leave_at_any_moment_harm_nothing(site):
+    """Callers close their connections while the end of their request is on its way."""
+    for holder in site.holders.values():
+        holder.delay_s = 0.22
+    request = b"GET /balance/leaver HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 5\r\n\r\n"
+    socks = []
+    for _ in range(60):
+        sock = socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S)
+        sock.sendall(request)
+        socks.append(sock)
+    for number, sock in enumerate(socks):
+        threading.Timer(0.1 + 0.005 * number, sock.close).start()
+    site.wait_for(lambda: all(sock.fileno() < 0 for sock in socks))
+    for holder in site.holders.values():
+        holder.delay_s = 0.0
+    site.wait_for(lambda: site.call("/balance/after", 6).status == 200)
+    log = (site.folder / "edge-1.log").read_text()
+    assert "internal-error" not in log and "Traceback" not in log
+    assert site.processes["edge-1"].poll() is None
