--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -90,10 +90,11 @@
         """
         if self.monitor.is_suspect(address, now_s):
             self._redial(address)
-        socket = self.dialled.get(address) or self._dial(address)
         receipt = self.monitor.note_sent(address, now_s)
         data = encode_envelope(Envelope(self.host, self.address, sent_at, message, receipt))
         try:
+            # Dialling fails as well when the process has no descriptor left.
+            socket = self.dialled.get(address) or self._dial(address)
             socket.send(data, block=False)
         except pynng.NNGException:
             self.stats.dropped += 1
@@ -137,9 +138,13 @@
         socket = pynng.Push0(
             send_buffer_size=SEND_BUFFER_MESSAGES,
         )
-        socket.reconnect_time_min = RECONNECT_MIN_MS
-        socket.reconnect_time_max = RECONNECT_MAX_MS
-        socket.dial(f"tcp://{address}", block=False)
+        try:
+            socket.reconnect_time_min = RECONNECT_MIN_MS
+            socket.reconnect_time_max = RECONNECT_MAX_MS
+            socket.dial(f"tcp://{address}", block=False)
+        except pynng.NNGException:
+            socket.close()
+            raise
         self.dialled[address] = socket
         return socket
 
--- a/greengagerock/transport/tests/test_links.py
+++ b/greengagerock/transport/tests/test_links.py
@@ -92,3 +92,10 @@
     else:
         raise AssertionError("two listeners on one address")
     a.close()
+
+
+def test_link_that_cannot_be_dialled_drops_the_message():
+    a = Links("a", A)
+    a.send("not-an-address", KeeperHere(1), Timestamp(1), 0.0)
+    assert a.stats.dropped == 1
+    a.close()
