--- a/greengagerock/cli/client.py
+++ b/greengagerock/cli/client.py
@@ -44,6 +44,39 @@
         """
         return self._call("GET", "/timeline", tuple[TimelineEvent, ...], fields=fields)
 
+    def read_items(self):
+        """Return the configuration items of a controller as statements.
+
+        Raises:
+            GreengageError: ``unreachable`` if the controller cannot be reached, or the code
+                that it answers.
+        """
+        return self._exchange("GET", "/items").decode()
+
+    def apply_items(self, text):
+        """Send statements about configuration items to a controller.
+
+        Raises:
+            GreengageError: ``unreachable`` if the controller cannot be reached, or the code
+                with which it refuses all of the statements.
+        """
+        self._exchange("POST", "/items", body=text.encode())
+
+    def _exchange(self, method, path, **arguments):
+        url = f"http://{self.address}{path}"
+        try:
+            response = self.http.request(method, url, **arguments)
+        except urllib3.exceptions.HTTPError as error:
+            raise GreengageError("unreachable", f"{self.address}: {error}") from error
+        if response.status == 200:
+            return response.data
+        try:
+            refusal = msgspec.json.decode(response.data, type=dict)
+            raise GreengageError(refusal["code"], refusal.get("detail", ""))
+        except (msgspec.MsgspecError, KeyError) as error:
+            detail = f"{self.address} answered {response.status}"
+            raise GreengageError("unreachable", detail) from error
+
     def _call(self, method, path, kind, **arguments):
         url = f"http://{self.address}{path}"
         try:
--- a/greengagerock/cli/main.py
+++ b/greengagerock/cli/main.py
@@ -61,6 +61,17 @@
     return EXIT_OK
 
 
+@app.command
+def items(file: Path | None = None, *, address: Address = DEFAULT_ADDRESS) -> int:
+    """Show the configuration items of a system with discovered hosts, or change them.
+
+    Args:
+        file: Statements to apply, all or none; without it the items that stand are shown.
+        address: Control port of any controller, IP:PORT.
+    """
+    return run_command(lambda: show_or_apply_items(file, address))
+
+
 @app.command
 def explain(request_id: str, logs: list[Path]) -> int:
     """Show what collected logs say about one request, and what was believed before it.
@@ -155,6 +166,17 @@
         return EXIT_UNREACHABLE
 
 
+def show_or_apply_items(file, address):
+    """Print the items of a controller, or apply the statements of a file."""
+    client = OperatorClient(address)
+    if file is None:
+        print(client.read_items(), end="")
+    else:
+        client.apply_items(file.read_text())
+        print("accepted")
+    return EXIT_OK
+
+
 def print_explanation(request_id, logs):
     """Print the lines of a request, then changes of belief shortly before."""
     texts = (text for path in logs for text in path.read_text(errors="replace").splitlines())
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from greengagerock.testing.launch_site import CALLER_PORT, READY_PORT, SiteProcesses
+from greengagerock.cli.main import app
+from greengagerock.testing.launch_site import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    READY_PORT,
+    SiteProcesses,
+)
 
 SOCKET_TIMEOUT_S = 10.0
 
@@ -189,6 +195,21 @@
         return False
 
 
+def test_items_command(site, tmp_path, capsys):
+    address = f"{site.controllers[0]}:{CONTROL_PORT}"
+    statements = tmp_path / "items.txt"
+    statements.write_text("remove route no-such-route version 7")
+    assert app(["items", str(statements), "--address", address], result_action="return_value") == 0
+    assert app(["items", "--address", address], result_action="return_value") == 0
+    shown = capsys.readouterr().out
+    assert 'set route "balance" version 1' in shown
+    statements.write_text(
+        "set route bad version 1 host h prefix /x/ to nowhere kind safe timeout 1s attempts 1"
+    )
+    assert app(["items", str(statements), "--address", address], result_action="return_value") != 0
+    assert "invalid-item" in capsys.readouterr().err
+
+
 def test_killed_controllers_come_back_with_the_items(site):
     for number in (1, 2, 3):
         site.processes[f"core-{number}"].kill()
