--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -338,7 +338,9 @@
         self.health.note_failure(endpoint, now_s)
         call.arrivals -= 1
         record = self.replica.endpoints.get(endpoint)
-        if self._is_keyed(call) and is_news and record is not None and not call.body_used:
+        if call.deadline_s - now_s < MIN_SEND_S:
+            self._refuse(call, "no-room", "no time is left")
+        elif self._is_keyed(call) and is_news and record is not None and not call.body_used:
             # A lost packet looks the same; only a second failure tells that it is gone.
             self._forward(call, record)
         else:
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -209,6 +209,17 @@
     assert isinstance(bench.effects()[0], Forward)
 
 
+def test_nothing_is_sent_after_the_deadline():
+    bench = Bench()
+    token = bench.call(budget_s=0.2)
+    bench.effects()
+    bench.timers.advance(10.2005)
+    bench.effects()
+    bench.fail(token, "connect", False)
+    (answer,) = bench.effects()
+    assert (answer.code, answer.outcome) == ("no-room", "not-run")
+
+
 def test_silent_holder_gets_only_probes():
     bench = Bench()
     bench.call()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -17,6 +17,8 @@
 
 CONNECTIONS_PER_ENDPOINT = 32
 BODY_CHUNK_BYTES = 64 * 1024
+# urllib3 refuses a timeout of 0, which a request on its deadline would have.
+SHORTEST_TIMEOUT_S = 0.001
 
 # Retries are decided by the core; one shared object spares building it each time.
 NO_RETRIES = urllib3.Retry(total=False, redirect=0)
@@ -221,8 +223,9 @@
         Returns:
             A urllib3 response whose body is unread, or an ``AttemptFailed`` event.
         """
-        connect_s = min(self.limits.connect_timeout_s, forward.timeout_s)
-        timeout = urllib3.Timeout(connect=connect_s, read=max(forward.timeout_s, 0.001))
+        left_s = max(forward.timeout_s, SHORTEST_TIMEOUT_S)
+        connect_s = min(self.limits.connect_timeout_s, left_s)
+        timeout = urllib3.Timeout(connect=connect_s, read=left_s)
         attempt.target = uri
         _current.attempt = attempt
         try:
