--- a/greengagerock/web/tests/test_attempt.py
+++ b/greengagerock/web/tests/test_attempt.py
@@ -33,8 +33,6 @@
     registered = []
     attempt.begin_watch(registered.append)
     assert registered == []
-    results = []
-    assert results == []
 
 
 def test_failed_registration_is_not_undone():
