Spread hot keys over endpoints: routers count demand by block, the leader moves hot units

Routers count requests by block of eight keys (Space-Saving) and say so in their polls; the leader keeps decaying counts and moves hot units with handover to endpoints with room, and back 20 s after they cooled down.

--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -240,6 +240,9 @@
             ledger = self.ledgers.get(life.report.service) if life else None
             if ledger is not None:
                 ledger.speeds.note(name, count, mean_s)
+        for service, requests in poll.demand.items():
+            if service in self.ledgers:
+                self.ledgers[service].hot.loads.note(requests, self.timers.now_s)
         self._send_view(address, poll)
 
     def _send_view(self, address, poll):
@@ -316,11 +319,23 @@
             lives = self.directory.of_service(service)
             ledger.advance(lives, now_s)
             ledger.plan(lives, now_s)
+            self._relieve(service, ledger, lives, now_s)
             self._note_missing(service, len(ledger.free) + len(ledger.unknown))
         for fingerprint in [f for f, until_s in self.bans.items() if until_s < now_s]:
             del self.bans[fingerprint]
             self.crash_book.forget(fingerprint)
 
+    def _relieve(self, service, ledger, lives, now_s):
+        plans = ledger.relieve(lives, now_s)
+        for donor, pieces in plans.items():
+            self.outbox.log(
+                "hot-keys-spread",
+                service=service,
+                endpoint=donor.name,
+                units=sum(len(piece.units) for piece in pieces),
+                takers=",".join(sorted({piece.taker.name for piece in pieces})),
+            )
+
     def _note_missing(self, service, missing):
         """Say when units of a service come to be without a holder, and when all have one."""
         before = self.missing.get(service, 0)
--- a/greengagerock/holdings/ledger.py
+++ b/greengagerock/holdings/ledger.py
@@ -14,6 +14,7 @@
 )
 from greengagerock.holdings.report import GrantRow
 from greengagerock.holdings.speeds import SpeedBook
+from greengagerock.holdings.spreading import HotKeys
 from greengagerock.holdings.units import UNIT_KEYS, UNITS, stripe_width, tokens_of, units_of
 from greengagerock.model.timing import PAUSE_ALLOWANCE_S
 
@@ -72,6 +73,7 @@
         free: Units that nobody holds.
         unknown: Units that somebody may hold whom this leader has not heard.
         speeds: How much of the load each endpoint should get.
+        hot: The ``HotKeys`` that are spread over more endpoints.
         leaving_units: Units that their holder was told to release, with the time at which
             its hold runs out in any case.
     """
@@ -93,6 +95,7 @@
         self.reserved = {}
         self.moves = {}
         self.speeds = SpeedBook()
+        self.hot = HotKeys()
         self.replan_s = 0.0
         self.short_since_s = {}
         self.first_report_s = None
@@ -139,6 +142,7 @@
         self.held.pop(life, None)
         self.moves.pop(life, None)
         self.speeds.forget(life.name)
+        self.hot.forget(life)
 
     def withdraw(self, life):
         """Stop sending requests to a life that leaves, while its hold runs out."""
@@ -193,6 +197,25 @@
         takers = {taker for planned in self.moves.values() for taker, _ in planned}
         self.short_since_s = {life: self.short_since_s.get(life, now_s) for life in takers}
 
+    def relieve(self, lives, now_s):
+        """Plan to spread hot units over more endpoints.
+
+        Args:
+            lives: All lives of the service.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            The new ``Piece`` objects by the life that gives them.
+        """
+        ready = self._ready(lives, now_s)
+        if not self.is_dealt or self.unknown or not ready:
+            return {}
+        return self.hot.plan(ready, self, self._reports_soon_after, now_s)
+
+    def count_rows(self, life):
+        """Return the number of rows of an answer to a life."""
+        return len(self._rows(life))
+
     def _weight_of(self, life):
         return self.speeds.weight(life.name)
 
@@ -209,6 +232,9 @@
     def _reports_just_before(self, donor, taker):
         if self._has_waited(taker, max(taker.heard_s, donor.heard_s)):
             return True
+        return self._reports_soon_after(donor, taker)
+
+    def _reports_soon_after(self, donor, taker):
         gap_s = (taker.heard_s - donor.heard_s) % self.interval_s
         return HANDOVER_MIN_S < gap_s < HANDOVER_WINDOW_S
 
@@ -290,6 +316,11 @@
         self.moved_units += len(units)
 
     def _release_moves(self, life, now_s):
+        mine = self.held.get(life, set())
+        for piece in self.hot.take_due(life):
+            if not piece.taker.is_leaving:
+                units = [unit for unit in piece.units if unit in mine]
+                self._release(life, units, now_s, piece.taker)
         planned = self.moves.get(life)
         if not planned:
             return
--- a/greengagerock/holdings/speeds.py
+++ b/greengagerock/holdings/speeds.py
@@ -19,6 +19,10 @@
 class SpeedBook:
     """Weights of a service's endpoints, which equalise the times of their answers.
 
+    Attributes:
+        weights: Learnt shares by endpoint name.
+        average_s: Mean time of an answer in the last interval, in seconds.
+
     Examples:
         >>> book = SpeedBook()
         >>> book.note("slow", 20, 0.2)
@@ -29,9 +33,10 @@
         True
     """
 
-    __slots__ = ("adjusted_s", "answers", "weights")
+    __slots__ = ("adjusted_s", "answers", "average_s", "weights")
 
     def __init__(self):
+        self.average_s = 0.0
         self.weights = {}
         self.answers = {}
         self.adjusted_s = 0.0
@@ -61,6 +66,7 @@
         if not total:
             return False
         average_s = sum(time_s for _, time_s in answers.values()) / total
+        self.average_s = average_s
         for endpoint, (count, time_s) in answers.items():
             if count >= MIN_ANSWERS and time_s > 0:
                 self._move(endpoint, average_s / (time_s / count))
--- a/greengagerock/holdings/units.py
+++ b/greengagerock/holdings/units.py
@@ -4,6 +4,8 @@
 
 UNIT_KEYS = 8
 UNITS = KEY_COUNT // UNIT_KEYS
+# Load is counted for so many neighbouring keys together.
+BLOCK_KEYS = 8
 # More stripes would not fit into an answer after some endpoints have gone.
 MAX_STRIPES = 90
 
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -134,7 +134,10 @@
             self.outbox.log(event, leader=self.finder.leader)
         interval_s = POLL_INTERVAL_S if has_leader else SEARCH_INTERVAL_S
         self.timers.subscribe(interval_s, self._poll)
-        poll = self.replica.poll(self.dispatcher.observed.collect_answers())
+        dispatcher = self.dispatcher
+        poll = self.replica.poll(
+            dispatcher.observed.collect_answers(), dispatcher.demand.collect()
+        )
         for address in self.finder.whom_to_ask(now_s):
             self.outbox.send(address, poll)
 
@@ -145,7 +148,7 @@
             case NotLeading(leader, controllers):
                 other = self.finder.note_other(address, leader, controllers)
                 if other:
-                    self.outbox.send(other, self.replica.poll({}))
+                    self.outbox.send(other, self.replica.poll({}, {}))
             case _:
                 self.outbox.log("bad-message", code="bad-message", detail=type(message).__name__)
 
@@ -165,7 +168,7 @@
             self.dispatcher.on_live(names, units)
             if is_first:
                 # Changes are sent unasked only to those who are known to have the rest.
-                self.outbox.send(address, self.replica.poll({}))
+                self.outbox.send(address, self.replica.poll({}, {}))
 
     def _on_items(self, items):
         limits = self.replica.limits
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -10,6 +10,7 @@
 from greengagerock.holdings.units import UNIT_KEYS
 from greengagerock.routing.answers import AnswerDesk
 from greengagerock.routing.calls import Call
+from greengagerock.routing.demand import KeyDemand
 from greengagerock.routing.failures import (
     REASON_CONNECT,
     REASON_LOST,
@@ -56,6 +57,7 @@
     Attributes:
         calls: Calls in progress by token.
         answers: The ``AnswerDesk``.
+        demand: The ``KeyDemand``.
         stopping: Whether new requests are refused.
         banned: Fingerprints of requests that crashed several endpoints.
         stats: The ``RouterStats``.
@@ -75,6 +77,7 @@
         self.health = EndpointHealth()
         self.picker = EndpointPicker(zone, self.observed, self.health, random)
         self.answered = AnsweredRequests()
+        self.demand = KeyDemand()
         self.stats = RouterStats()
         self.answers = AnswerDesk(replica, self.stats, timers, outbox)
         self.calls = {}
@@ -96,6 +99,8 @@
             return
         deadline_s = now_s + min(event.budget_s, route.timeout_s)
         call = Call(event, route, self.parts.pick(route), now_s, deadline_s)
+        if self._is_keyed(call):
+            self.demand.count(call.service, call.key)
         call.fingerprint = fingerprint_call(event, route)
         self.calls[call.token] = call
         self.budget.count_request(call.service, now_s)
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -29,6 +29,8 @@
 REPORT_TIMEOUT_S = 1.0
 RELEASE_REPORT_S = 0.1
 CALL_DELAY_S = 0.001
+# Requests that an endpoint works on at once.
+SLOTS = 3
 # The clock of an endpoint may run so much slow.
 SLOW_CLOCK = 1.02
 
@@ -57,6 +59,8 @@
         reachable: Names of controllers that it can reach, or ``None`` for all.
         runs: Tuples of request id, unit and time.
         service_s: Time that a request takes.
+        queue_limit: Requests that may wait for one of its slots, or ``None`` if it works on
+            any number at once.
     """
 
     def __init__(self, name, number, service="till", zone="zone-1", born_ms=1000):
@@ -74,6 +78,19 @@
         self.reachable = None
         self.runs = []
         self.service_s = 0.01
+        self.queue_limit = None
+        self._busy_until_s = [0.0] * SLOTS
+
+    def admit(self, now_s):
+        """Return how long a request that comes now takes, or ``None`` if the queue is full."""
+        if self.queue_limit is None:
+            return self.service_s
+        slot = self._busy_until_s.index(min(self._busy_until_s))
+        wait_s = max(0.0, self._busy_until_s[slot] - now_s)
+        if wait_s * SLOTS >= self.queue_limit * self.service_s and wait_s > 0:
+            return None
+        self._busy_until_s[slot] = now_s + wait_s + self.service_s
+        return wait_s + self.service_s
 
     def report(self):
         """Return its next report."""
@@ -85,7 +102,7 @@
             self.address,
             self.service,
             self.zone,
-            3,
+            SLOTS,
             self.draining,
             0.0,
             tuple(
@@ -327,13 +344,21 @@
                 failure = AttemptFailed(effect.token, "not-owner", False, False)
                 self._end(host, life, effect.token, failure)
             else:
-                unit = None if call.key is None else call.key // UNIT_KEYS
-                holder.runs.append((call.request_id, unit, self.now_s))
-                done = RequestEnded(effect.token, True, holder.service_s)
-                self.at(holder.service_s, lambda: self._end(host, life, effect.token, done))
+                self._run_call(host, life, holder, call)
 
         self.at(CALL_DELAY_S, arrive)
 
+    def _run_call(self, host, life, holder, call):
+        took_s = holder.admit(self.now_s)
+        if took_s is None:
+            failure = AttemptFailed(call.token, "refused", True, False)
+            self._end(host, life, call.token, failure)
+            return
+        unit = None if call.key is None else call.key // UNIT_KEYS
+        holder.runs.append((call.request_id, unit, self.now_s))
+        done = RequestEnded(call.token, True, took_s)
+        self.at(took_s, lambda: self._end(host, life, call.token, done))
+
 
 def build_fake_site(seed=1, controllers=3, routers=2, holders=6, hold_s=6.0, **options):
     """Return a settled site with a keyed service, a plain one, and routes to both."""
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -102,12 +102,14 @@
         live_revision: That leader's last change that it knows.
         answers: Number of answers and their mean time in seconds, since the last poll, of
             each endpoint that answered.
+        demand: Number of requests since the last poll, by service and block of keys.
     """
 
     items_revision: int
     epoch: int
     live_revision: int
     answers: dict[str, tuple[int, float]] = {}
+    demand: dict[str, dict[int, int]] = {}
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -36,13 +36,14 @@
         """Whether the configuration is known."""
         return self.items_revision > 0
 
-    def poll(self, answers):
+    def poll(self, answers, demand):
         """Return the message that asks for what is missing.
 
         Args:
             answers: What this router has seen of endpoints' answers since the last poll.
+            demand: Requests by service and block of keys since the last poll.
         """
-        return ViewPoll(self.items_revision, self.epoch, self.live_revision, answers)
+        return ViewPoll(self.items_revision, self.epoch, self.live_revision, answers, demand)
 
     def owner_of(self, service, key):
         """Return the name of the endpoint that holds a key, empty if none is known."""
