--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -320,7 +320,7 @@
             ledger.advance(lives, now_s)
             ledger.plan(lives, now_s)
             self._relieve(service, ledger, lives, now_s)
-            self._note_missing(service, len(ledger.free) + len(ledger.unknown))
+            self._note_missing(service, len(ledger.pool.free) + len(ledger.unknown))
         for fingerprint in [f for f, until_s in self.bans.items() if until_s < now_s]:
             del self.bans[fingerprint]
             self.crash_book.forget(fingerprint)
--- a/greengagerock/holdings/ledger.py
+++ b/greengagerock/holdings/ledger.py
@@ -12,6 +12,7 @@
     plan_moves,
     targets,
 )
+from greengagerock.holdings.free_units import FreeUnits
 from greengagerock.holdings.report import GrantRow
 from greengagerock.holdings.speeds import SpeedBook
 from greengagerock.holdings.spreading import HotKeys
@@ -42,21 +43,6 @@
     return hold_s * (1 + HOLD_CLOCK_SHARE) + PAUSE_ALLOWANCE_S
 
 
-class Reservation:
-    """Free units kept for one taker.
-
-    Attributes:
-        taker: The ``Life`` that gets them.
-        until_s: When anybody may take them.
-    """
-
-    __slots__ = ("taker", "until_s")
-
-    def __init__(self, taker, until_s):
-        self.taker = taker
-        self.until_s = until_s
-
-
 class Ledger:
     """The holders of one service's keys.
 
@@ -70,12 +56,12 @@
     Attributes:
         owners: The ``Life`` that holds each unit, or ``None``.
         fences: Newest known fence of each unit.
-        free: Units that nobody holds.
+        pool: The ``FreeUnits`` that nobody holds.
         unknown: Units that somebody may hold whom this leader has not heard.
         speeds: How much of the load each endpoint should get.
         hot: The ``HotKeys`` that are spread over more endpoints.
-        leaving_units: Units that their holder was told to release, with the time at which
-            its hold runs out in any case.
+        leaving: For each life the units that it was told to release, with the time at
+            which its hold runs out in any case.
     """
 
     def __init__(self, service, next_fence, on_owner, settled_s, interval_s):
@@ -88,11 +74,10 @@
         self.fences = [0] * UNITS
         self.highest_fence = 0
         self.held = {}
-        self.free = set()
+        self.pool = FreeUnits()
         self.unknown = set(range(UNITS))
-        self.leaving_units = {}
+        self.leaving = {}
         self.handovers = {}
-        self.reserved = {}
         self.moves = {}
         self.speeds = SpeedBook()
         self.hot = HotKeys()
@@ -120,7 +105,6 @@
         """
         if self.first_report_s is None:
             self.first_report_s = now_s
-        self.advance(lives, now_s)
         reported = units_of(life.report.holds)
         self._adopt(life, reported)
         self._confirm(life, reported)
@@ -137,7 +121,7 @@
         """Free the units of a life that has surely ended."""
         for unit in list(self.held.get(life, ())):
             self._free(unit)
-        for unit in [u for u, (holder, _) in self.leaving_units.items() if holder is life]:
+        for unit in list(self.leaving.get(life, ())):
             self._free(unit)
         self.held.pop(life, None)
         self.moves.pop(life, None)
@@ -158,18 +142,16 @@
         """
         if self.unknown and now_s >= self.settled_s:
             for unit in self.unknown:
-                self.free.add(unit)
+                self.pool.add(unit)
                 self.on_owner(unit, "")
             self.unknown = set()
         for life in [life for life in self.held if life.hold_until_s <= now_s]:
             for unit in list(self.held[life]):
                 self._free(unit)
-        for unit, (_, until_s) in list(self.leaving_units.items()):
-            if until_s <= now_s:
-                self._free(unit)
-        for unit, reservation in list(self.reserved.items()):
-            if reservation.until_s <= now_s or reservation.taker.is_leaving:
-                del self.reserved[unit]
+        leaving = [pair for units in self.leaving.values() for pair in units.items()]
+        for unit in [unit for unit, until_s in leaving if until_s <= now_s]:
+            self._free(unit)
+        self.pool.expire(now_s, lambda taker: taker.is_leaving)
         self._deal(lives, now_s)
 
     def plan(self, lives, now_s):
@@ -177,13 +159,13 @@
         self.speeds.adjust(now_s)
         if not self.is_dealt or self.unknown:
             return
-        if self.free - self.reserved.keys():
+        if self.pool.open:
             # Keys without a holder go first; the moves planned before no longer fit.
             self.moves = {}
             return
         if any(self.moves.values()) and now_s < self.replan_s:
             return
-        if self.leaving_units or self.reserved:
+        if self.leaving or self.pool.reserved:
             return
         self.replan_s = now_s + 2 * self.interval_s
         ready = self._ready(lives, now_s)
@@ -248,10 +230,9 @@
         self.held.setdefault(life, set()).add(unit)
         self.fences[unit] = fence
         self.highest_fence = max(self.highest_fence, fence)
-        self.free.discard(unit)
+        self.pool.remove(unit)
         self.unknown.discard(unit)
-        self.leaving_units.pop(unit, None)
-        self.reserved.pop(unit, None)
+        self._end_leaving(previous, unit)
         self.on_owner(unit, life.name)
 
     def _free(self, unit, handover=""):
@@ -259,14 +240,21 @@
         if holder is not None:
             self._forget_held(holder, unit)
         self.owners[unit] = None
-        self.leaving_units.pop(unit, None)
+        self._end_leaving(holder, unit)
         self.handovers.pop(unit, None)
         if handover:
             self.handovers[unit] = handover
-        self.free.add(unit)
-        self.pool_size = max(self.pool_size, len(self.free))
+        self.pool.add(unit)
+        self.pool_size = max(self.pool_size, len(self.pool.free))
         self.on_owner(unit, "")
 
+    def _end_leaving(self, life, unit):
+        units = self.leaving.get(life)
+        if units is not None:
+            units.pop(unit, None)
+            if not units:
+                del self.leaving[life]
+
     def _forget_held(self, life, unit):
         units = self.held.get(life)
         if units is not None:
@@ -284,7 +272,7 @@
             if holder is life:
                 self.fences[unit] = max(self.fences[unit], fence)
             elif holder is None and fence >= self.fences[unit]:
-                if unit not in self.reserved:
+                if unit not in self.pool.reserved:
                     self._own(life, unit, fence)
             elif holder is not None and fence > self.fences[unit]:
                 self._own(life, unit, fence)
@@ -297,22 +285,17 @@
 
     def _collect_released(self, life, reported):
         tokens = tokens_of(life.report.freed)
-        done = [
-            unit
-            for unit, (holder, _) in self.leaving_units.items()
-            if holder is life and unit not in reported
-        ]
-        for unit in done:
+        for unit in [u for u in self.leaving.get(life, ()) if u not in reported]:
             self._free(unit, tokens.get(unit, ""))
 
     def _release(self, life, units, now_s, taker=None):
         """Leave units out of the answer; they are free once a report no longer has them."""
         for unit in units:
             self._forget_held(life, unit)
-            self.leaving_units[unit] = (life, life.hold_until_s)
+            self.leaving.setdefault(life, {})[unit] = life.hold_until_s
             self.on_owner(unit, "")
             if taker is not None:
-                self.reserved[unit] = Reservation(taker, now_s + RESERVATION_S)
+                self.pool.reserve(unit, taker, now_s + RESERVATION_S)
         self.moved_units += len(units)
 
     def _release_moves(self, life, now_s):
@@ -339,15 +322,13 @@
 
     def _take(self, life, lives, now_s):
         """Grant free units to a life that has just reported."""
-        mine = [u for u, r in self.reserved.items() if r.taker is life and u in self.free]
-        if self.is_dealt:
-            pool = self.free - self.reserved.keys()
-            if pool:
-                ready = self._ready(lives, now_s)
-                wanted = targets(ready, self._weight_of)[life] if life in ready else 0
-                held = len(self.held.get(life, ())) + len(mine)
-                quota = max(wanted - held, self._hasty_quota(len(ready)))
-                mine += self._choose(life, pool, quota)
+        mine = self.pool.kept_for(life)
+        if self.is_dealt and self.pool.open:
+            ready = self._ready(lives, now_s)
+            wanted = targets(ready, self._weight_of)[life] if life in ready else 0
+            held = len(self.held.get(life, ())) + len(mine)
+            quota = max(wanted - held, self._hasty_quota(len(ready)))
+            mine += self._choose(life, self.pool.open, quota)
         if not mine:
             return
         fence = self.next_fence(self.highest_fence)
@@ -357,7 +338,7 @@
             for unit in self.held[life]:
                 self.fences[unit] = fence
                 self.handovers.pop(unit, None)
-        if not self.free:
+        if not self.pool.free:
             self.pool_size = 0
 
     def _hasty_quota(self, endpoints):
@@ -383,7 +364,7 @@
         """Share out all keys for the first time, in narrow stripes."""
         if self.is_dealt or self.first_report_s is None or self.unknown:
             return
-        if len(self.free) < UNITS:
+        if len(self.pool.free) < UNITS:
             # Some keys are held already, so this service was dealt out by an earlier leader.
             self.is_dealt = True
             self.block_units = stripe_width(len(lives))
@@ -396,7 +377,7 @@
         self.is_dealt = True
         self.block_units = stripe_width(len(ready))
         for unit, life in deal_blocks(UNITS, self.block_units, ready):
-            self.reserved[unit] = Reservation(life, now_s + RESERVATION_S)
+            self.pool.reserve(unit, life, now_s + RESERVATION_S)
 
     def _ready(self, lives, now_s):
         overdue_s = 2 * self.interval_s
