A randomized soak of real processes behind fault proxies

Kills, freezes, planned stops, reloads and full disks by signals and limits from outside; silenced, slow, refusing and reset connections between callers, routers, controllers and endpoints, links of the processes included (new setting link_listen); endpoints that crash, drain and spoil answers. It checks at most once, not-run, whole answers, drains, changes and single holders from what callers, operators and endpoints see.

--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -99,7 +99,9 @@
         self.metrics = Metrics()
         self.folder = None
         self.writer = None
-        self.links = Links(settings.host, settings.link_address, LINK_SILENCE_S)
+        self.links = Links(
+            settings.host, settings.link_address, LINK_SILENCE_S, settings.link_listen
+        )
         self.node = self._make_node()
         if self.folder is not None:
             self.writer = PatientRecordWriter(self.folder, self._post, log)
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -31,7 +31,8 @@
         host: Unique name of this host.
         availability_zone: Its availability zone.
         role: ``router`` serves callers, ``controller`` endpoints and operators.
-        link_address: Where it listens for the system's other hosts.
+        link_address: Where the system's other hosts reach it.
+        link_listen: Where it listens for them if they reach it through a relay, else empty.
         seeds: Link addresses of up to three controllers.
         callers: Where a router listens for callers, or empty.
         readiness: Where a router listens for the balancer, or empty.
@@ -52,6 +53,7 @@
     role: Literal["router", "controller"]
     link_address: Address
     seeds: tuple[Address, ...]
+    link_listen: str = ""
     callers: str = ""
     readiness: str = ""
     control: str = ""
--- a/greengagerock/testing/holder.py
+++ b/greengagerock/testing/holder.py
@@ -1,5 +1,6 @@
 """An HTTP endpoint that reports to controllers and holds keys by their answers."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -28,6 +29,8 @@
         zone: Its availability zone.
         address: ``IP:PORT`` to listen on.
         controllers: ``IP:PORT`` of the controllers.
+        advertised: ``IP:PORT`` that it reports, if others reach it through a relay.
+        watcher: Told of runs and holds with ``on_run`` and ``on_holds``, or ``None``.
 
     Attributes:
         runs: How often each request id began to run.
@@ -35,10 +38,14 @@
             ``foreign`` with another request's id, ``extra`` with a second answer, ``close``
             without an answer, ``full`` refused.
         delay_s: Time that a request takes.
+        drained_s: When its leave was acknowledged, or ``None``.
     """
 
-    def __init__(self, name, service, zone, address, controllers):
+    def __init__(self, name, service, zone, address, controllers, advertised="", watcher=None):
         self.name = name
+        self.advertised = advertised or address
+        self.watcher = watcher
+        self.drained_s = None
         self.service = service
         self.zone = zone
         self.address = address
@@ -69,6 +76,7 @@
         self.stopped.set()
         self.server.shutdown()
         self.server.server_close()
+        self.server.break_connections()
 
     def holds_key(self, key):
         """Return whether a request for a key may run."""
@@ -96,7 +104,7 @@
                 self.name,
                 self.born_ms,
                 self.sequence,
-                self.address,
+                self.advertised,
                 self.service,
                 self.zone,
                 3,
@@ -113,6 +121,8 @@
             answer = msgspec.json.decode(response.data, type=ReportAnswer)
         except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
             return None
+        if report.draining and self.drained_s is None:
+            self.drained_s = time.monotonic()
         return self._take(answer, now_s)
 
     def _take(self, answer, sent_s):
@@ -126,6 +136,8 @@
                     wanted[unit] = (row.fence, sent_s + answer.hold_s)
             self.freed = {u: f"token-{u}" for u in self.holds if u not in wanted}
             self.holds = wanted
+            if self.watcher is not None:
+                self.watcher.on_holds(self, {u: until_s for u, (_, until_s) in wanted.items()})
             return RELEASE_REPORT_S if self.freed else REPORT_INTERVAL_S
 
 
@@ -138,6 +150,27 @@
     request_queue_size = 128
     allow_reuse_address = True
 
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.connections = set()
+
+    def get_request(self):
+        """Accept a connection, and remember it."""
+        sock, address = super().get_request()
+        self.connections.add(sock)
+        return sock, address
+
+    def shutdown_request(self, request):
+        """Close a connection."""
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def break_connections(self):
+        """Close all connections, as the end of a process does."""
+        for sock in list(self.connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request, client_address):
         """Ignore connections that the other side broke off."""
 
@@ -171,6 +204,8 @@
         with holder.lock:
             holder.runs[request_id] += 1
             holder.bodies[request_id] = body
+        if holder.watcher is not None:
+            holder.watcher.on_run(holder, request_id, f"{self.command} {self.path}", body)
         time.sleep(holder.delay_s)
         if holder.behaviour == "close":
             self.close_connection = True
--- a/greengagerock/testing/launch_site.py
+++ b/greengagerock/testing/launch_site.py
@@ -84,8 +84,8 @@
         holder.start()
         return holder
 
-    def start_daemon(self, name, ip, role, zone, may_found=False):
-        """Write settings and start one daemon."""
+    def settings_of(self, name, ip, role, zone, may_found):
+        """Return the settings of one daemon."""
         settings = {
             "host": name,
             "availability_zone": zone,
@@ -102,6 +102,11 @@
         else:
             settings["control"] = f"{ip}:{CONTROL_PORT}"
             settings["data_folder"] = str(self.folder / name)
+        return settings
+
+    def start_daemon(self, name, ip, role, zone, may_found=False):
+        """Write settings and start one daemon."""
+        settings = self.settings_of(name, ip, role, zone, may_found)
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
         log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
--- /dev/null
+++ b/greengagerock/testing/soak/site.py
@@ -0,0 +1,286 @@
+"""A site of real processes behind fault proxies, with callers, an operator and faults."""
+
+import resource
+import signal
+import threading
+import time
+
+from greengagerock.testing.holder import Holder
+from greengagerock.testing.launch_site import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    ENDPOINT_PORT,
+    LINK_PORT,
+    ZONES,
+    SiteProcesses,
+)
+from greengagerock.testing.soak.faults import (
+    Crash,
+    Drain,
+    Freeze,
+    FullDisk,
+    Kill,
+    Misbehave,
+    Refuse,
+    Reload,
+    Reset,
+    Silence,
+    Slow,
+    Stop,
+    plan_faults,
+)
+from greengagerock.testing.soak.history import History, Run
+from greengagerock.testing.soak.proxy import FaultProxy, ProxyLoop
+from greengagerock.testing.soak.spans import HoldSpans
+from greengagerock.testing.soak.traffic import Operator, run_caller
+
+CALLERS = 8
+# Longer than the grace period of a planned stop.
+STOP_LIMIT_S = 12.0
+# A leaving endpoint goes on serving for a while after its leave was acknowledged.
+LAST_REQUESTS_S = 3.0
+SLOW_ANSWER_S = 0.4
+UNLIMITED = resource.RLIM_INFINITY
+
+
+class SoakSite(SiteProcesses):
+    """Processes whose callers, endpoints and links all pass through proxies.
+
+    Args:
+        folder: Where settings, data and logs are kept.
+        network: First two bytes of its loopback addresses.
+
+    Attributes:
+        history: The ``History``.
+        proxies: ``FaultProxy`` objects by name.
+    """
+
+    def __init__(self, folder, network="127.40"):
+        super().__init__(folder, network)
+        self.history = History()
+        self.spans = HoldSpans()
+        self.loop = ProxyLoop()
+        self.proxies = {}
+        self.places = {}
+        self.busy = set()
+        self.ended = threading.Event()
+        for number, ip in enumerate(self.controllers, 1):
+            self._add_proxy(f"control-{number}", f"4.{number}", f"{ip}:{CONTROL_PORT}")
+            self._add_proxy(f"link-core-{number}", f"6.{number}", f"{ip}:{LINK_PORT}")
+        for number, ip in enumerate(self.routers, 1):
+            self._add_proxy(f"callers-{number}", f"5.{number}", f"{ip}:{CALLER_PORT}")
+            self._add_proxy(f"link-edge-{number}", f"7.{number}", f"{ip}:{LINK_PORT}")
+
+    def _add_proxy(self, name, place, target):
+        port = target.rpartition(":")[2]
+        listen = f"{self.network}.{place}:{port}"
+        self.proxies[name] = FaultProxy(self.loop, name, listen, target)
+        return listen
+
+    # --- What is reached through proxies ---------------------------------------------
+
+    def settings_of(self, name, ip, role, zone, may_found):
+        """Return settings with links that pass through proxies."""
+        self.places[name] = (ip, role, zone)
+        settings = super().settings_of(name, ip, role, zone, may_found)
+        settings["link_listen"] = settings["link_address"]
+        settings["link_address"] = self.proxies[f"link-{name}"].listen
+        settings["seeds"] = [self.proxies[f"link-core-{n}"].listen for n in (1, 2, 3)]
+        return settings
+
+    def add_holder(self, name, service, number):
+        """Start an endpoint whose requests and reports pass through proxies."""
+        address = f"{self.network}.2.{number}:{ENDPOINT_PORT}"
+        if name not in self.proxies:
+            self._add_proxy(name, f"3.{number}", address)
+        controllers = [self.proxies[f"control-{n}"].listen for n in (1, 2, 3)]
+        holder = Holder(
+            name,
+            service,
+            ZONES[number % len(ZONES)],
+            address,
+            controllers,
+            self.proxies[name].listen,
+            self,
+        )
+        holder.number = number
+        self.holders[name] = holder
+        holder.start()
+        return holder
+
+    def on_holds(self, holder, holds):
+        """Note what an endpoint holds."""
+        self.spans.note((holder.name, holder.born_ms), holder.service, holds)
+
+    def on_run(self, holder, request_id, target, body):
+        """Note that an endpoint begins to work on a request."""
+        now_s = time.monotonic()
+        self.history.note(Run(request_id, holder.name, target, body, now_s, holder.drained_s))
+
+    # --- A soak ------------------------------------------------------------------------
+
+    def soak(self, seed, seconds):
+        """Play callers, an operator and faults, then let everything heal.
+
+        Args:
+            seed: Seed of the plan.
+            seconds: How long callers send requests.
+
+        Returns:
+            The ``History``.
+        """
+        plan = plan_faults(
+            seed, seconds, list(self.processes), list(self.proxies), list(self.holders)
+        )
+        targets = [self.proxies[f"callers-{n}"].listen for n in (1, 2)]
+        operator = Operator([self.proxies[f"control-{n}"].listen for n in (1, 2, 3)], self.history)
+        workers = [
+            threading.Thread(
+                target=run_caller, args=(seed, number, targets, self.history, self.ended)
+            )
+            for number in range(CALLERS)
+        ]
+        workers.append(threading.Thread(target=operator.run, args=(self.ended,)))
+        workers += [threading.Thread(target=self._strike, args=(planned,)) for planned in plan]
+        self.start_s = time.monotonic()
+        for worker in workers:
+            worker.start()
+        while time.monotonic() - self.start_s < seconds:
+            self._watch_processes()
+            time.sleep(0.2)
+        self.ended.set()
+        for worker in workers:
+            worker.join()
+        self._heal(operator)
+        for holder in self.holders.values():
+            self.spans.end((holder.name, holder.born_ms))
+        self.history.double_holders = self.spans.overlaps()
+        return self.history
+
+    def stop(self):
+        """Stop all processes and proxies."""
+        for proxy in self.proxies.values():
+            proxy.heal()
+        super().stop()
+        self.loop.stop()
+
+    def _heal(self, operator):
+        for proxy in self.proxies.values():
+            proxy.heal()
+        for holder in self.holders.values():
+            holder.behaviour, holder.delay_s = "whole", 0.0
+        try:
+            self.wait_for(self._is_complete)
+            self.wait_for(operator.read_back)
+        except TimeoutError:
+            self.history.not_recovered = "the site did not serve all keys and items again"
+
+    def _watch_processes(self):
+        for name, process in list(self.processes.items()):
+            if process.poll() is not None and name not in self.busy:
+                self.history.unexpected_ends.append(f"{name} ended with {process.returncode}")
+                self._start_again(name)
+
+    def _start_again(self, name):
+        ip, role, zone = self.places[name]
+        self.start_daemon(name, ip, role, zone)
+
+    # --- Faults ------------------------------------------------------------------------
+
+    def _strike(self, planned):
+        time.sleep(max(0.0, self.start_s + planned.at_s - time.monotonic()))
+        fault = planned.fault
+        target = getattr(fault, "process", None) or getattr(fault, "endpoint", None)
+        if target is None:
+            self._strike_proxy(fault)
+        elif target not in self.busy:
+            # Faults of one process or endpoint do not mix; those of several overlap.
+            self.busy.add(target)
+            try:
+                self._strike_target(fault)
+            finally:
+                self.busy.discard(target)
+
+    def _strike_proxy(self, fault):
+        proxy = self.proxies[fault.proxy]
+        match fault:
+            case Silence(_, directions, for_s):
+                proxy.silent = frozenset(directions)
+                time.sleep(for_s)
+                proxy.silent = frozenset()
+            case Slow(_, delay_s, for_s):
+                proxy.delay_s = delay_s
+                time.sleep(for_s)
+                proxy.delay_s = 0.0
+            case Refuse(_, for_s):
+                proxy.refuses = True
+                proxy.reset()
+                time.sleep(for_s)
+                proxy.refuses = False
+            case Reset():
+                proxy.reset()
+
+    def _strike_target(self, fault):
+        match fault:
+            case Kill(name, for_s):
+                self.processes[name].kill()
+                self.processes[name].wait()
+                time.sleep(for_s)
+                self._start_again(name)
+            case Freeze(name, for_s):
+                self._signal(name, signal.SIGSTOP)
+                time.sleep(for_s)
+                self._signal(name, signal.SIGCONT)
+            case Stop(name, for_s):
+                self._signal(name, signal.SIGTERM)
+                self.processes[name].wait(STOP_LIMIT_S)
+                time.sleep(for_s)
+                self._start_again(name)
+            case Reload(name):
+                self._signal(name, signal.SIGHUP)
+            case FullDisk(name, for_s):
+                process = self.processes[name]
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, UNLIMITED))
+                time.sleep(for_s)
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
+            case Misbehave(name, behaviour, for_s):
+                self._misbehave(self.holders[name], behaviour, for_s)
+            case Crash(name, for_s):
+                self._end_holder(name)
+                time.sleep(for_s)
+                self._begin_holder(name)
+            case Drain(name, for_s):
+                self._drain(name)
+                time.sleep(for_s)
+                self._begin_holder(name)
+
+    def _signal(self, name, number):
+        process = self.processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def _misbehave(self, holder, behaviour, for_s):
+        if behaviour == "slow":
+            holder.delay_s = SLOW_ANSWER_S
+        else:
+            holder.behaviour = behaviour
+        time.sleep(for_s)
+        holder.behaviour, holder.delay_s = "whole", 0.0
+
+    def _end_holder(self, name):
+        holder = self.holders[name]
+        holder.stop()
+        self.spans.end((holder.name, holder.born_ms))
+
+    def _begin_holder(self, name):
+        old = self.holders[name]
+        self.add_holder(name, old.service, old.number)
+
+    def _drain(self, name):
+        holder = self.holders[name]
+        holder.draining = True
+        deadline_s = time.monotonic() + STOP_LIMIT_S
+        while holder.drained_s is None and time.monotonic() < deadline_s:
+            time.sleep(0.05)
+        time.sleep(LAST_REQUESTS_S)
+        self._end_holder(name)
--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -55,12 +55,13 @@
         host: Name of this host.
         address: Link address of this host.
         silence_limit_s: A link whose peer was silent for so long is dialled anew.
+        listen: Where to listen if others reach ``address`` through a relay, else empty.
 
     Raises:
         GreengageError: ``link-failed`` if the address cannot be listened on.
     """
 
-    def __init__(self, host, address, silence_limit_s=LINK_SILENCE_LIMIT_S):
+    def __init__(self, host, address, silence_limit_s=LINK_SILENCE_LIMIT_S, listen=""):
         self.host = host
         self.address = address
         self.stats = LinkStats()
@@ -68,11 +69,11 @@
         self.dialled = {}
         try:
             self.listener = pynng.Pull0(
-                listen=f"tcp://{address}", recv_buffer_size=RECEIVE_BUFFER_MESSAGES
+                listen=f"tcp://{listen or address}", recv_buffer_size=RECEIVE_BUFFER_MESSAGES
             )
             self.listener.recv_max_size = MAX_MESSAGE_BYTES
         except pynng.NNGException as error:
-            raise GreengageError("link-failed", f"{address}: {error}") from error
+            raise GreengageError("link-failed", f"{listen or address}: {error}") from error
 
     @property
     def receive_fd(self):
