Acknowledge a change once routers in touch have it; pack deltas once for all routers

Deltas are now made, encoded and compressed once; routers confirm items at once; an acknowledgement waits for those in touch, 0.6 s and 3 ms an item at most.

--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -1,12 +1,19 @@
 """What the leading controller decides: grants, patches, and what routers are told."""
 
+from greengagerock.control.confirmations import Confirmations
 from greengagerock.control.site_requests import ItemsRelay, PatchRelay, RelayAnswer, ReportRelay
 from greengagerock.core import GreengageError
 from greengagerock.holdings import Directory, EndpointLeaving, Ledger, ReportAnswer
 from greengagerock.holdings.ledger import lender_hold_s
 from greengagerock.items.store import Leaver, encode_leaver, encode_patch
 from greengagerock.routing.suspects import BAN_S, CrashBook
-from greengagerock.view import EndpointRecord, ItemsHistory, LiveHistory, ViewDelta
+from greengagerock.view import (
+    EndpointRecord,
+    ItemsHistory,
+    LiveHistory,
+    PackedDeltas,
+    ViewDelta,
+)
 
 # Changes within this time reach routers in one message, and after the endpoint's own.
 PUSH_AFTER_S = 0.04
@@ -58,6 +65,7 @@
         self.outbox = outbox
         self.controllers = (config.address,)
         self.items_history = ItemsHistory(store)
+        self.packed_items = PackedDeltas(self.items_history)
         self.crash_book = CrashBook()
         self.bans = {}
         self.pending = {}
@@ -73,6 +81,8 @@
         self.directory = Directory()
         self.ledgers = {}
         self.live = LiveHistory(self.voter.term)
+        self.packed_live = PackedDeltas(self.live)
+        self.confirmations = Confirmations()
         self.subscribers = {}
         self.settled_s = None
         self.fence_count = 0
@@ -151,6 +161,7 @@
     def _on_verdict(self, index, verdict):
         if verdict.changed:
             self.items_history.note(index, verdict.changed)
+            self.confirmations.note_change(index, len(verdict.changed), self.timers.now_s)
             self._push_soon()
         self.outbox.log(
             "patch-applied",
@@ -163,7 +174,16 @@
         waiting = self.pending.pop(index, None)
         if waiting is not None:
             reply, answer = waiting
-            reply(RelayAnswer(answer.token, verdict=verdict))
+            answer = RelayAnswer(answer.token, verdict=verdict)
+            if verdict.code:
+                reply(answer)
+            else:
+                self.confirmations.acknowledge(lambda: reply(answer))
+                self._confirm()
+
+    def _confirm(self):
+        routers = [(s.poll.items_revision, s.heard_s) for s in self.subscribers.values()]
+        self.confirmations.advance(routers, self.timers.now_s)
 
     def _on_report(self, report):
         service = self.store.items.services.get(report.service)
@@ -244,11 +264,12 @@
             if service in self.ledgers:
                 self.ledgers[service].hot.loads.note(requests, self.timers.now_s)
         self._send_view(address, poll)
+        self._confirm()
 
     def _send_view(self, address, poll):
         delta = ViewDelta(
-            self.items_history.delta_since(poll.items_revision),
-            self.live.delta_since(poll.epoch, poll.live_revision),
+            self.packed_items.since(poll.items_revision),
+            self.packed_live.since(poll.epoch, poll.live_revision),
             self.controllers,
             len(self.subscribers),
             tuple(self.bans),
@@ -304,6 +325,7 @@
     def tick(self):
         """Do what is due: expiry of holds, plans, endpoints that are gone."""
         now_s = self.timers.now_s
+        self._confirm()
         if self.settled_s is None:
             self._take_over(now_s)
         if self.live.settled_revision is None and now_s >= self.settled_s:
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from greengagerock.core import Timeline, TimerService
+from greengagerock.core import GreengageError, Timeline, TimerService
 from greengagerock.core.seam import (
     Answer,
     AnswerBegan,
@@ -24,7 +24,14 @@
 from greengagerock.discovery import LeaderFinder
 from greengagerock.routing.dispatcher import Dispatcher
 from greengagerock.routing.retries import SharedRetryBudget
-from greengagerock.view import NotLeading, ViewDelta, ViewReplica
+from greengagerock.view import (
+    ItemsDelta,
+    LiveDelta,
+    NotLeading,
+    ViewDelta,
+    ViewReplica,
+    unpack,
+)
 
 POLL_INTERVAL_S = 0.5
 # While the leader is not known, everybody is asked this often.
@@ -153,15 +160,21 @@
                 self.outbox.log("bad-message", code="bad-message", detail=type(message).__name__)
 
     def _on_view(self, delta, address):
-        live = delta.live
+        try:
+            items = None if delta.items is None else unpack(delta.items, ItemsDelta)
+            live = None if delta.live is None else unpack(delta.live, LiveDelta)
+        except GreengageError as error:
+            self.outbox.log("bad-message", code=error.code, detail=error.detail)
+            return
         if live is not None and live.epoch < self.replica.epoch:
             # An earlier leader that does not know yet that it was replaced.
             return
         self.finder.note_leader(address, delta.controllers, self.timers.now_s)
         self.budget.routers = delta.routers
         self.dispatcher.banned = frozenset(delta.bans)
-        if delta.items is not None:
-            self._on_items(delta.items)
+        if items is not None and self._on_items(items):
+            # The leader acknowledges a change once routers have confirmed it.
+            self.outbox.send(address, self.replica.poll({}, {}))
         if live is not None:
             is_first = live.since == 0 and live.epoch != self.replica.epoch
             names, units = self.replica.apply_live(live)
@@ -171,9 +184,10 @@
                 self.outbox.send(address, self.replica.poll({}, {}))
 
     def _on_items(self, items):
+        """Take in items; returns whether anything changed."""
         limits = self.replica.limits
         if not self.replica.apply_items(items):
-            return
+            return False
         self.dispatcher.on_items()
         if self.replica.limits is not None and self.replica.limits != limits:
             self.outbox.add(UseLimits(self.replica.limits))
@@ -183,6 +197,7 @@
             routes=len(self.replica.routes),
             services=len(self.replica.services),
         )
+        return True
 
     def _report_crash(self, report):
         if self.finder.leader:
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -274,6 +274,7 @@
                 {},
                 call.deadline_s - now_s,
                 self.answers.closing,
+                call.route.is_idempotent,
             )
         )
 
--- a/greengagerock/view/__init__.py
+++ b/greengagerock/view/__init__.py
@@ -9,6 +9,7 @@
     ViewDelta,
     ViewPoll,
 )
+from greengagerock.view.packing import PackedDeltas, pack, unpack
 from greengagerock.view.publisher import ItemsHistory, LiveHistory
 from greengagerock.view.replica import ViewReplica
 
@@ -20,7 +21,10 @@
     "LiveDelta",
     "LiveHistory",
     "NotLeading",
+    "PackedDeltas",
     "ViewDelta",
     "ViewPoll",
     "ViewReplica",
+    "pack",
+    "unpack",
 ]
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -128,15 +128,15 @@
     """The leader's answer, and what it sends unasked after a change.
 
     Attributes:
-        items: Changed items, or ``None``.
-        live: Changed endpoints and holders, or ``None``.
+        items: A packed ``ItemsDelta``, or ``None``.
+        live: A packed ``LiveDelta``, or ``None``.
         controllers: Link addresses of all controllers.
         routers: Number of routers that the leader hears.
         bans: Fingerprints of requests that crashed several endpoints.
     """
 
-    items: ItemsDelta | None
-    live: LiveDelta | None
+    items: bytes | None
+    live: bytes | None
     controllers: tuple[str, ...]
     routers: int
     bans: tuple[str, ...] = ()
--- a/greengagerock/view/publisher.py
+++ b/greengagerock/view/publisher.py
@@ -34,10 +34,15 @@
         self.changed_at = {}
         self.loaded_at = index
 
+    @property
+    def current_revision(self):
+        """Log index of the last change."""
+        return max(self.store.revision, self.loaded_at)
+
     def delta_since(self, revision):
         """Return an ``ItemsDelta``, or ``None`` if a router with ``revision`` lacks nothing."""
         store = self.store
-        current = max(store.revision, self.loaded_at)
+        current = self.current_revision
         if revision >= current:
             return None
         items = store.items
@@ -91,8 +96,11 @@
         self.endpoint_changes = {}
         self.owners = {}
         self.owner_changes = deque()
-        self._deltas = {}
-        self._deltas_revision = -1
+
+    @property
+    def current_revision(self):
+        """Number of the last change."""
+        return self.revision
 
     def set_endpoint(self, record):
         """Note a new or changed endpoint."""
@@ -128,15 +136,6 @@
             revision = 0
         if revision >= self.revision:
             return None
-        if self._deltas_revision != self.revision:
-            self._deltas_revision, self._deltas = self.revision, {}
-        # Most routers lack the same, so each delta is made once.
-        delta = self._deltas.get(revision)
-        if delta is None:
-            delta = self._deltas[revision] = self._make_delta(revision)
-        return delta
-
-    def _make_delta(self, revision):
         settled = self.settled_revision is not None
         if settled and (revision < self.settled_revision or self._is_beyond(revision)):
             return self._everything(True)
--- /dev/null
+++ b/greengagerock/web/tests/test_upstream.py
@@ -0,0 +1,43 @@
+"""Connections to endpoints that break off."""
+
+import socket
+import struct
+import threading
+
+import pytest
+
+from greengagerock.core.seam import AttemptFailed, Forward
+from greengagerock.settings.schema import LimitSettings
+from greengagerock.web.upstream import Attempt, Upstream
+
+ADDRESS = ("127.37.0.1", 8600)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@pytest.fixture
+def resetting_endpoint():
+    """An endpoint that is over its limit of connections and resets each new one."""
+    server = socket.create_server(ADDRESS)
+
+    def serve():
+        while True:
+            try:
+                sock, _ = server.accept()
+            except OSError:
+                # The test has ended.
+                return
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    yield "127.37.0.1:8600"
+    server.close()
+
+
+def test_request_that_may_run_once_is_certainly_not_sent_to_a_full_endpoint(resetting_endpoint):
+    forward = Forward(1, "e", resetting_endpoint, {}, 1.0, may_repeat=False)
+    attempt = Attempt()
+    result = Upstream(LimitSettings()).send(
+        forward, "POST", "/charge", {}, None, attempt, lambda response: None
+    )
+    assert result == AttemptFailed(1, "connect", False, False)
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -1,5 +1,6 @@
 """Connections to endpoints."""
 
+import select
 import socket
 import threading
 
@@ -23,6 +24,10 @@
 # Retries are decided by the core; one shared object spares building it each time.
 NO_RETRIES = urllib3.Retry(total=False, redirect=0)
 
+# An endpoint that is over its limit of connections resets new ones at once. Before a request
+# that may run only once is sent on a new connection, a reset has so long to arrive.
+SETTLING_S = 0.006
+
 # Data that the other side does not acknowledge for so long ends a connection.
 UNACKNOWLEDGED_LIMIT_MS = 2000
 KEEPALIVE_AFTER_S = 5
@@ -47,6 +52,7 @@
         connection: The connection in use, or ``None``.
         cancelled: Whether the loop asked to give up.
         is_new: Whether the connection was opened for this attempt.
+        is_cautious: Whether a new connection has to last a moment before it is used.
         target: Path and query as the caller wrote them.
     """
 
@@ -57,6 +63,7 @@
         "bytes_left",
         "cancelled",
         "connection",
+        "is_cautious",
         "is_new",
         "target",
     )
@@ -68,6 +75,7 @@
         self.bytes_left = False
         self.connection = None
         self.cancelled = False
+        self.is_cautious = False
         self.is_new = False
         self.target = ""
 
@@ -120,11 +128,26 @@
             self.connect()
             if attempt is not None:
                 attempt.is_new = True
+                if attempt.is_cautious:
+                    self._settle()
         if attempt is not None:
             attempt.connection = self
             attempt.bytes_left = True
         super().send(data)
 
+    def _settle(self):
+        """Wait whether a new connection is reset.
+
+        Raises:
+            NewConnectionError: If it is, so that nothing of the request has been sent.
+        """
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        if poll.poll(SETTLING_S * 1000):
+            # An endpoint says nothing before it is asked, so this is the end of it.
+            self.close()
+            raise NewConnectionError(self, "the endpoint closed a new connection")
+
 
 class TrackedPool(urllib3.HTTPConnectionPool):
     """A connection pool of ``TrackedConnection`` objects."""
@@ -227,6 +250,7 @@
         connect_s = min(self.limits.connect_timeout_s, left_s)
         timeout = urllib3.Timeout(connect=connect_s, read=left_s)
         attempt.target = uri
+        attempt.is_cautious = not forward.may_repeat
         _current.attempt = attempt
         try:
             response = self.pool(forward.address).urlopen(
