Tell routers how long answers take over all routers; keep rare answers until they say something

On the grown site a router sends an endpoint a request every ten seconds. The leader now tells routers mean times by service and of up to 64 endpoints that differ, once a second, below a kilobyte; routers use them as far as they have no answers of their own.

--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -1,5 +1,6 @@
 """What the leading controller decides: grants, patches, and what routers are told."""
 
+from greengagerock.control.answer_times import AnswerTimes
 from greengagerock.control.confirmations import Confirmations
 from greengagerock.control.site_requests import ItemsRelay, PatchRelay, RelayAnswer, ReportRelay
 from greengagerock.core import GreengageError
@@ -83,6 +84,7 @@
         self.live = LiveHistory(self.voter.term)
         self.packed_live = PackedDeltas(self.live)
         self.confirmations = Confirmations()
+        self.times = AnswerTimes(self.voter.term)
         self.subscribers = {}
         self.settled_s = None
         self.fence_count = 0
@@ -257,9 +259,12 @@
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
         for name, (count, mean_s) in poll.answers.items():
             life = self.directory.lives.get(name)
-            ledger = self.ledgers.get(life.report.service) if life else None
-            if ledger is not None:
-                ledger.speeds.note(name, count, mean_s)
+            if life is None:
+                continue
+            service = life.report.service
+            self.times.note(service, name, count, mean_s, self.timers.now_s)
+            if service in self.ledgers:
+                self.ledgers[service].speeds.note(name, count, mean_s)
         for service, requests in poll.demand.items():
             if service in self.ledgers:
                 self.ledgers[service].hot.loads.note(requests, self.timers.now_s)
@@ -273,6 +278,7 @@
             self.controllers,
             len(self.subscribers),
             tuple(self.bans),
+            self.times.packed if poll.times_number != self.times.number else None,
         )
         self.outbox.send(address, delta)
 
@@ -326,6 +332,7 @@
         """Do what is due: expiry of holds, plans, endpoints that are gone."""
         now_s = self.timers.now_s
         self._confirm()
+        self.times.publish(now_s)
         if self.settled_s is None:
             self._take_over(now_s)
         if self.live.settled_revision is None and now_s >= self.settled_s:
--- /dev/null
+++ b/greengagerock/control/tests/test_answer_times.py
@@ -0,0 +1,49 @@
+"""What the leader tells routers of endpoints' answer times."""
+
+from greengagerock.control.answer_times import (
+    MOST_TOLD,
+    PUBLISH_INTERVAL_S,
+    AnswerTimes,
+)
+from greengagerock.routing.observed import FIRST_GUESS_S, ObservedEndpoints
+from greengagerock.view import EndpointRecord, LiveDelta, ViewReplica, unpack
+from greengagerock.view.messages import EndpointTimes
+
+
+def test_message_stays_small_on_a_large_site():
+    times = AnswerTimes(term=3)
+    for number in range(2000):
+        times.note("till", f"i-{number:010x}", 5, 0.05 + 0.001 * number, 0.0)
+    times.publish(PUBLISH_INTERVAL_S)
+    told = unpack(times.packed, EndpointTimes)
+    assert len(told.endpoints) == MOST_TOLD
+    assert len(times.packed) < 1024
+
+
+def test_old_answers_fade():
+    times = AnswerTimes(term=1)
+    times.note("till", "a", 20, 1.0, 0.0)
+    times.note("till", "b", 20, 0.1, 0.0)
+    times.note("till", "a", 20, 0.1, 6.0)
+    times.note("till", "b", 20, 0.1, 6.0)
+    assert times.summary().endpoints == {}
+
+
+def test_router_without_own_answers_takes_an_endpoint_for_as_slow_as_others_saw_it():
+    """An answer that takes a third of a second as a rule is no sign of silence."""
+    replica = ViewReplica()
+    records = (
+        EndpointRecord("a", "a:1", "till", "z", 3),
+        EndpointRecord("b", "b:1", "till", "z", 3),
+    )
+    replica.apply_live(LiveDelta(1, 0, 1, True, records))
+    observed = ObservedEndpoints(replica.expected_s)
+    assert observed.of("a").mean_s == FIRST_GUESS_S
+    replica.times = EndpointTimes(1, {"till": 330}, {"b": 900})
+    assert (observed.of("a").mean_s, observed.of("b").mean_s) == (0.33, 0.9)
+    seen = observed.of("a")
+    seen.note_sent(0.0)
+    assert not seen.is_doubtful(1.2)
+    for _ in range(40):
+        seen.note_answer(0.1, None, 1.3)
+    assert abs(seen.mean_s - 0.1) < 0.01
--- a/greengagerock/holdings/speeds.py
+++ b/greengagerock/holdings/speeds.py
@@ -5,7 +5,7 @@
 """
 
 ADJUST_INTERVAL_S = 2.0
-# Fewer answers than this in an interval say little about an endpoint.
+# Fewer answers than this say little about an endpoint; they are kept until there are more.
 MIN_ANSWERS = 20
 # A weight changes by at most this factor in one step, so that noise moves few keys.
 MAX_DECREASE = 0.75
@@ -61,7 +61,7 @@
         if now_s - self.adjusted_s < ADJUST_INTERVAL_S:
             return False
         self.adjusted_s = now_s
-        answers, self.answers = self.answers, {}
+        answers = self.answers
         total = sum(count for count, _ in answers.values())
         if not total:
             return False
@@ -71,6 +71,7 @@
             if count >= MIN_ANSWERS and time_s > 0:
                 self._move(endpoint, average_s / (time_s / count))
         mean = sum(self.weight(endpoint) for endpoint in answers) / len(answers)
+        self.answers = {name: seen for name, seen in answers.items() if seen[0] < MIN_ANSWERS}
         for endpoint in self.weights:
             self.weights[endpoint] /= mean
         return True
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -25,6 +25,7 @@
 from greengagerock.routing.dispatcher import Dispatcher
 from greengagerock.routing.retries import SharedRetryBudget
 from greengagerock.view import (
+    EndpointTimes,
     ItemsDelta,
     LiveDelta,
     NotLeading,
@@ -163,6 +164,7 @@
         try:
             items = None if delta.items is None else unpack(delta.items, ItemsDelta)
             live = None if delta.live is None else unpack(delta.live, LiveDelta)
+            times = None if delta.times is None else unpack(delta.times, EndpointTimes)
         except GreengageError as error:
             self.outbox.log("bad-message", code=error.code, detail=error.detail)
             return
@@ -171,6 +173,9 @@
             return
         self.finder.note_leader(address, delta.controllers, self.timers.now_s)
         self.budget.routers = delta.routers
+        if times is not None:
+            self.replica.times = times
+            self.dispatcher.observed.age()
         self.dispatcher.banned = frozenset(delta.bans)
         if items is not None and self._on_items(items):
             # The leader acknowledges a change once routers have confirmed it.
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -73,7 +73,7 @@
         self.places = Places()
         self.lowest_priority = {}
         self.parts = PartPicker(random)
-        self.observed = ObservedEndpoints()
+        self.observed = ObservedEndpoints(replica.expected_s)
         self.health = EndpointHealth()
         self.picker = EndpointPicker(zone, self.observed, self.health, random)
         self.answered = AnsweredRequests()
--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -1,14 +1,19 @@
 """What a router has seen of each endpoint, and how much more it may send there.
 
 Answers the load of days on which an endpoint gets more than it can run: many callers ask
-for one key, or an endpoint is slow, silent or gone. Routers do not count together; each
-lowers its own limit when answers become late and raises it when they are in time.
+for one key, or an endpoint is slow, silent or gone. Each router lowers its own limit when answers
+become late and raises it when they are in time. What it has not seen itself lately it takes
+from the times that all routers together have told the leader.
 """
 
 # Weight of the newest answer in the running mean.
 MEAN_SHARE = 0.15
-# Assumed before the first answer.
+# Assumed before anybody has seen an answer.
 FIRST_GUESS_S = 0.06
+# From so many own answers on, those of other routers do not count.
+OWN_ANSWERS = 6.0
+# Own answers lose this share of their weight each time the leader tells news.
+AGED_SHARE = 0.3
 
 FIRST_LIMIT = 6.0
 # An endpoint runs a few requests at once and queues a dozen; more from one router is too much.
@@ -37,7 +42,9 @@
 
     Attributes:
         in_flight: Requests of this router that are there now.
-        mean_s: Running mean of the time to an answer.
+        expected_s: Callable that returns the mean time that all routers have seen, or ``None``.
+        own_s: Running mean of the time to an answer that this router has seen.
+        own_answers: How many answers that rests on, less with their age.
         shed_s: When it last refused a request for lack of room.
         limit: How many requests this router has there at most; below one, the share of
             the time in which it has one there.
@@ -61,20 +68,24 @@
     __slots__ = (
         "answers",
         "answers_s",
+        "expected_s",
         "in_flight",
         "is_unreachable",
         "limit",
         "lowered_s",
-        "mean_s",
+        "own_answers",
+        "own_s",
         "probed_s",
         "sent_s",
         "shed_s",
         "waiting_since_s",
     )
 
-    def __init__(self):
+    def __init__(self, expected_s=lambda: None):
         self.in_flight = 0
-        self.mean_s = FIRST_GUESS_S
+        self.expected_s = expected_s
+        self.own_s = 0.0
+        self.own_answers = 0.0
         self.shed_s = float("-inf")
         self.limit = FIRST_LIMIT
         self.waiting_since_s = 0.0
@@ -85,6 +96,17 @@
         self.answers = 0
         self.answers_s = 0.0
 
+    @property
+    def mean_s(self):
+        """Mean time to an answer, from own answers as far as there are enough."""
+        share = min(1.0, self.own_answers / OWN_ANSWERS)
+        if share == 1.0:
+            return self.own_s
+        others_s = self.expected_s()
+        if others_s is None:
+            others_s = FIRST_GUESS_S if not share else self.own_s
+        return share * self.own_s + (1 - share) * others_s
+
     def note_sent(self, now_s):
         """Take a request into account that is sent now."""
         if self.in_flight == 0:
@@ -105,7 +127,8 @@
             now_s: Monotonic time in seconds.
         """
         self.note_alive(now_s)
-        self.mean_s += MEAN_SHARE * (elapsed_s - self.mean_s)
+        self.own_s = self.mean_s + MEAN_SHARE * (elapsed_s - self.mean_s)
+        self.own_answers = min(OWN_ANSWERS, self.own_answers + 1)
         self.answers += 1
         self.answers_s += elapsed_s
         if objective_s is None:
@@ -185,24 +208,35 @@
 class ObservedEndpoints:
     """Observations by endpoint name.
 
+    Args:
+        expected_s: Callable that returns the mean time that all routers have seen of an
+            endpoint, or ``None``.
+
     Examples:
         >>> observed = ObservedEndpoints()
         >>> observed.of("e1").in_flight
         0
     """
 
-    __slots__ = ("known",)
+    __slots__ = ("expected_s", "known")
 
-    def __init__(self):
+    def __init__(self, expected_s=lambda endpoint: None):
+        self.expected_s = expected_s
         self.known = {}
 
     def of(self, endpoint):
         """Return the observations of an endpoint."""
         found = self.known.get(endpoint)
         if found is None:
-            found = self.known[endpoint] = Observed()
+            found = Observed(lambda: self.expected_s(endpoint))
+            self.known[endpoint] = found
         return found
 
+    def age(self):
+        """Let own answers count less than what the leader has just told."""
+        for seen in self.known.values():
+            seen.own_answers *= 1 - AGED_SHARE
+
     def collect_answers(self):
         """Return count and mean time of the answers of each endpoint, and start anew."""
         collected = {}
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -18,6 +18,7 @@
     RequestEnded,
 )
 from greengagerock.routing.dispatcher import Dispatcher
+from greengagerock.routing.observed import OWN_ANSWERS
 from greengagerock.routing.retries import SharedRetryBudget
 from greengagerock.testing.item_builders import build_first_patch
 from greengagerock.view import EndpointRecord, HeldUnits, ItemsDelta, LiveDelta, ViewReplica
@@ -111,7 +112,8 @@
     bench.effects()
     bench.fail(token, "lost")
     assert isinstance(bench.effects()[0], Forward)
-    bench.dispatcher.observed.of("till-1").mean_s = 0.25
+    seen = bench.dispatcher.observed.of("till-1")
+    seen.own_s, seen.own_answers = 0.25, OWN_ANSWERS
     bench.fail(token, "refused")
     (answer,) = bench.effects()
     assert (answer.code, answer.outcome) == ("answer-lost", "unknown")
@@ -145,7 +147,8 @@
 
 def test_call_that_a_busy_holder_refuses_is_answered_at_once():
     bench = Bench()
-    bench.dispatcher.observed.of("till-1").mean_s = 0.25
+    seen = bench.dispatcher.observed.of("till-1")
+    seen.own_s, seen.own_answers = 0.25, OWN_ANSWERS
     token = bench.call()
     bench.effects()
     bench.fail(token, "refused")
--- a/greengagerock/routing/tests/test_picker.py
+++ b/greengagerock/routing/tests/test_picker.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from greengagerock.routing.health import EndpointHealth
-from greengagerock.routing.observed import ObservedEndpoints
+from greengagerock.routing.observed import OWN_ANSWERS, ObservedEndpoints
 from greengagerock.routing.picker import EndpointPicker
 from greengagerock.view import EndpointRecord
 
@@ -38,7 +38,8 @@
 
 def test_faster_endpoint_gets_more():
     picker, records, observed = build_picker("aa")
-    observed.of("e0").mean_s = 0.2
+    seen = observed.of("e0")
+    seen.own_s, seen.own_answers = 0.2, OWN_ANSWERS
     names = Counter()
     for _ in range(8):
         record = picker.pick(records, (), 0, False, 0.0)
--- a/greengagerock/view/__init__.py
+++ b/greengagerock/view/__init__.py
@@ -2,6 +2,7 @@
 
 from greengagerock.view.messages import (
     EndpointRecord,
+    EndpointTimes,
     HeldUnits,
     ItemsDelta,
     LiveDelta,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "EndpointRecord",
+    "EndpointTimes",
     "HeldUnits",
     "ItemsDelta",
     "ItemsHistory",
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -105,6 +105,20 @@
     owners: dict[str, tuple[HeldUnits, ...]] = {}
 
 
+class EndpointTimes(msgspec.Struct, frozen=True, array_like=True):
+    """How long answers take, as all routers together have seen it.
+
+    Attributes:
+        number: Number of this message.
+        services: Mean time in milliseconds by service.
+        endpoints: The same of endpoints that differ much from their service.
+    """
+
+    number: int
+    services: dict[str, int]
+    endpoints: dict[str, int]
+
+
 class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll"):
     """A router asks for what it does not know yet.
 
@@ -115,6 +129,7 @@
         answers: Number of answers and their mean time in seconds, since the last poll, of
             each endpoint that answered.
         demand: Number of requests since the last poll, by service and block of keys.
+        times_number: Number of the newest ``EndpointTimes`` that it knows.
     """
 
     items_revision: int
@@ -122,6 +137,7 @@
     live_revision: int
     answers: dict[str, tuple[int, float]] = {}
     demand: dict[str, dict[int, int]] = {}
+    times_number: int = 0
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
@@ -133,6 +149,7 @@
         controllers: Link addresses of all controllers.
         routers: Number of routers that the leader hears.
         bans: Fingerprints of requests that crashed several endpoints.
+        times: Packed ``EndpointTimes``, or ``None`` if the router knows the newest.
     """
 
     items: bytes | None
@@ -140,6 +157,7 @@
     controllers: tuple[str, ...]
     routers: int
     bans: tuple[str, ...] = ()
+    times: bytes | None = None
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag="not-leading"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -1,7 +1,7 @@
 """A router's copy of the items, endpoints and holders."""
 
 from greengagerock.holdings.units import UNIT_KEYS
-from greengagerock.view.messages import ViewPoll
+from greengagerock.view.messages import EndpointTimes, ViewPoll
 
 
 class ViewReplica:
@@ -17,6 +17,7 @@
         items_revision: Log index up to which items are known.
         epoch: Term of the leader that endpoints are known from.
         live_revision: That leader's last change that is known.
+        times: The newest ``EndpointTimes``.
     """
 
     def __init__(self):
@@ -30,6 +31,7 @@
         self.epoch = 0
         self.live_revision = 0
         self.removed_versions = {}
+        self.times = EndpointTimes(0, {}, {})
 
     @property
     def is_filled(self):
@@ -43,7 +45,22 @@
             answers: What this router has seen of endpoints' answers since the last poll.
             demand: Requests by service and block of keys since the last poll.
         """
-        return ViewPoll(self.items_revision, self.epoch, self.live_revision, answers, demand)
+        return ViewPoll(
+            self.items_revision,
+            self.epoch,
+            self.live_revision,
+            answers,
+            demand,
+            self.times.number,
+        )
+
+    def expected_s(self, endpoint):
+        """Return how long an endpoint's answers take over all routers, or ``None``."""
+        told_ms = self.times.endpoints.get(endpoint)
+        if told_ms is None:
+            record = self.endpoints.get(endpoint)
+            told_ms = self.times.services.get(record.service) if record else None
+        return None if told_ms is None else told_ms / 1000
 
     def owner_of(self, service, key):
         """Return the name of the endpoint that holds a key, empty if none is known."""
