--- a/greengagerock/control/leadership.py
+++ b/greengagerock/control/leadership.py
@@ -1,46 +1,19 @@
 """What the leading controller decides: grants, patches, and what routers are told."""
 
-from greengagerock.control.answer_times import AnswerTimes
-from greengagerock.control.confirmations import Confirmations
+from greengagerock.control.router_desk import RouterDesk
 from greengagerock.control.site_requests import ItemsRelay, PatchRelay, RelayAnswer, ReportRelay
 from greengagerock.core import GreengageError
 from greengagerock.holdings import Directory, EndpointLeaving, Ledger, ReportAnswer
 from greengagerock.holdings.ledger import lender_hold_s
 from greengagerock.items.store import Leaver, encode_leaver, encode_patch
 from greengagerock.routing.suspects import BAN_S, CrashBook
-from greengagerock.view import (
-    EndpointRecord,
-    ItemsHistory,
-    LiveHistory,
-    PackedDeltas,
-    ViewDelta,
-)
-
-# Changes within this time reach routers in one message, and after the endpoint's own.
-PUSH_AFTER_S = 0.04
-# A router that has not asked for so long is no longer sent changes.
-SUBSCRIBER_SILENCE_S = 2.5
+
 # An endpoint that leaves gets its last requests so long after the answer to it.
 LAST_REQUESTS_S = 1.0
 # Fences of one term lie below those of the next; a term can grant so often.
 FENCES_PER_TERM = 1 << 16
 
 
-class Subscriber:
-    """A router that is sent changes.
-
-    Attributes:
-        poll: Its newest ``ViewPoll``.
-        heard_s: When that came.
-    """
-
-    __slots__ = ("heard_s", "poll")
-
-    def __init__(self, poll, heard_s):
-        self.poll = poll
-        self.heard_s = heard_s
-
-
 class Leadership:
     """The leader's state, which lasts for one term.
 
@@ -55,7 +28,7 @@
         outbox: Receives effects.
 
     Attributes:
-        controllers: Link addresses of all controllers, told to routers.
+        routers: The ``RouterDesk``.
     """
 
     def __init__(self, config, voter, store, timers, outbox):
@@ -64,31 +37,19 @@
         self.store = store
         self.timers = timers
         self.outbox = outbox
-        self.controllers = (config.address,)
-        self.items_history = ItemsHistory(store)
-        self.packed_items = PackedDeltas(self.items_history)
+        self.routers = RouterDesk(config.address, voter, store, timers, outbox, self.is_active)
         self.crash_book = CrashBook()
-        self.bans = {}
         self.pending = {}
-        self.subscribers = {}
         store.on_verdict = self._on_verdict
         store.on_leaver = self._on_leaver
-        store.on_load = lambda: self.items_history.reset(voter.log.snapshot.index)
-        if voter.log.snapshot.data:
-            self.items_history.reset(voter.log.snapshot.index)
         self._reset()
 
     def _reset(self):
         self.directory = Directory()
         self.ledgers = {}
-        self.live = LiveHistory(self.voter.term)
-        self.packed_live = PackedDeltas(self.live)
-        self.confirmations = Confirmations()
-        self.times = AnswerTimes(self.voter.term)
-        self.subscribers = {}
+        self.routers.reset()
         self.settled_s = None
         self.fence_count = 0
-        self.push_timer = None
         self.withdrawn = set()
         self.missing = {}
 
@@ -162,9 +123,7 @@
 
     def _on_verdict(self, index, verdict):
         if verdict.changed:
-            self.items_history.note(index, verdict.changed)
-            self.confirmations.note_change(index, len(verdict.changed), self.timers.now_s)
-            self._push_soon()
+            self.routers.note_items(index, verdict.changed)
         self.outbox.log(
             "patch-applied",
             index=index,
@@ -180,12 +139,7 @@
             if verdict.code:
                 reply(answer)
             else:
-                self.confirmations.acknowledge(lambda: reply(answer))
-                self._confirm()
-
-    def _confirm(self):
-        routers = [(s.poll.items_revision, s.heard_s) for s in self.subscribers.values()]
-        self.confirmations.advance(routers, self.timers.now_s)
+                self.routers.acknowledge(lambda: reply(answer))
 
     def _on_report(self, report):
         service = self.store.items.services.get(report.service)
@@ -212,7 +166,7 @@
             # An earlier leader has acknowledged that it leaves.
             life.leaving_s = now_s
         if admission.is_new or admission.is_changed:
-            self._publish(life)
+            self.routers.note_endpoint(life)
             self.outbox.log(
                 "endpoint-joined" if admission.is_new else "endpoint-changed",
                 endpoint=life.name,
@@ -233,7 +187,7 @@
         known = self.directory.lives.get(leaving.endpoint)
         life = self.directory.leave(leaving, self.timers.now_s)
         if life is not None:
-            self._publish(life)
+            self.routers.note_endpoint(life)
             self.outbox.log("endpoint-leaving", endpoint=life.name, born_ms=leaving.born_ms)
         born_ms = leaving.born_ms or (known.report.born_ms if known else 0)
         leaver = Leaver(leaving.endpoint, born_ms)
@@ -243,102 +197,42 @@
         """Take in a router's report that a request broke off an endpoint."""
         now_s = self.timers.now_s
         if self.is_active() and self.crash_book.take(report, now_s):
-            if report.fingerprint not in self.bans:
+            if report.fingerprint not in self.routers.bans:
                 self.outbox.log(
                     "request-banned", fingerprint=report.fingerprint, request_id=report.request
                 )
-            self.bans[report.fingerprint] = now_s + BAN_S
-            self._push_soon()
+            self.routers.bans[report.fingerprint] = now_s + BAN_S
+            self.routers.push_soon()
 
     # --- Routers -------------------------------------------------------------------
 
     def on_poll(self, poll, address):
-        """Answer a router."""
-        if address not in self.subscribers:
-            self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
-        self.subscribers[address] = Subscriber(poll, self.timers.now_s)
+        """Take in what a router has seen, and answer it."""
         for name, (count, mean_s) in poll.answers.items():
             life = self.directory.lives.get(name)
             if life is None:
                 continue
             service = life.report.service
-            self.times.note(service, name, count, mean_s, self.timers.now_s)
+            self.routers.times.note(service, name, count, mean_s, self.timers.now_s)
             if service in self.ledgers:
                 self.ledgers[service].speeds.note(name, count, mean_s)
         for service, requests in poll.demand.items():
             if service in self.ledgers:
                 self.ledgers[service].hot.loads.note(requests, self.timers.now_s)
-        self._send_view(address, poll)
-        self._confirm()
-
-    def _send_view(self, address, poll):
-        delta = ViewDelta(
-            self.packed_items.since(poll.items_revision),
-            self.packed_live.since(poll.epoch, poll.live_revision),
-            self.controllers,
-            len(self.subscribers),
-            tuple(self.bans),
-            self.times.packed if poll.times_number != self.times.number else None,
-        )
-        self.outbox.send(address, delta)
-
-    def _push_soon(self):
-        if self.push_timer is None:
-            self.push_timer = self.timers.subscribe(PUSH_AFTER_S, self._push)
-
-    def _push(self):
-        self.push_timer = None
-        if not self.is_active():
-            return
-        now_s = self.timers.now_s
-        for address, subscriber in list(self.subscribers.items()):
-            if now_s - subscriber.heard_s > SUBSCRIBER_SILENCE_S:
-                del self.subscribers[address]
-            elif self._is_cheap(subscriber.poll):
-                self._send_view(address, subscriber.poll)
-
-    def _is_cheap(self, poll):
-        """Return whether a router lacks little; one that lacks much asks for it itself."""
-        live = self.live
-        return (
-            poll.items_revision > 0
-            and poll.epoch == live.epoch
-            and poll.live_revision >= (live.settled_revision or 1)
-        )
-
-    def _publish(self, life):
-        report = life.report
-        self.live.set_endpoint(
-            EndpointRecord(
-                life.name,
-                report.address,
-                report.service,
-                report.zone,
-                report.slots,
-                life.is_leaving,
-                report.born_ms,
-                max(0.0, life.cold_until_s - self.timers.now_s),
-            )
-        )
-        self._push_soon()
-
-    def _on_owner(self, service, unit, endpoint):
-        self.live.set_owner(service, unit, endpoint)
-        self._push_soon()
+        self.routers.on_poll(poll, address)
 
     # --- Time ----------------------------------------------------------------------
 
     def tick(self):
         """Do what is due: expiry of holds, plans, endpoints that are gone."""
         now_s = self.timers.now_s
-        self._confirm()
-        self.times.publish(now_s)
+        self.routers.advance()
         if self.settled_s is None:
             self._take_over(now_s)
-        if self.live.settled_revision is None and now_s >= self.settled_s:
-            self.live.settle()
+        if self.routers.live.settled_revision is None and now_s >= self.settled_s:
+            self.routers.live.settle()
             self.outbox.log("leader-settled", endpoints=len(self.directory.lives))
-            self._push_soon()
+            self.routers.push_soon()
         for life in self.directory.forgotten(now_s):
             self._end(life, "silent")
         for life in self.directory.lives.values():
@@ -350,8 +244,8 @@
             ledger.plan(lives, now_s)
             self._relieve(service, ledger, lives, now_s)
             self._note_missing(service, len(ledger.pool.free) + len(ledger.unknown))
-        for fingerprint in [f for f, until_s in self.bans.items() if until_s < now_s]:
-            del self.bans[fingerprint]
+        for fingerprint in [f for f, until_s in self.routers.bans.items() if until_s < now_s]:
+            del self.routers.bans[fingerprint]
             self.crash_book.forget(fingerprint)
 
     def _relieve(self, service, ledger, lives, now_s):
@@ -381,7 +275,7 @@
         self.settled_s = now_s + wait_s
         for name in self.store.leavers:
             if name not in self.directory.lives:
-                self.live.remove_endpoint(name)
+                self.routers.live.remove_endpoint(name)
         self.outbox.log("leader-begins", term=self.voter.term, waits_s=round(wait_s, 3))
 
     def _ledger(self, service):
@@ -392,7 +286,7 @@
             ledger = self.ledgers[service] = Ledger(
                 service,
                 self._next_fence,
-                lambda unit, endpoint: self._on_owner(service, unit, endpoint),
+                lambda unit, endpoint: self.routers.note_owner(service, unit, endpoint),
                 self.settled_s,
                 self.config.report_interval_s,
             )
@@ -416,6 +310,6 @@
             ledger.end(life)
         self.withdrawn.discard(life.name)
         if self.directory.lives.get(life.name) is None:
-            self.live.remove_endpoint(life.name)
-        self._push_soon()
+            self.routers.live.remove_endpoint(life.name)
+        self.routers.push_soon()
         self.outbox.log("endpoint-ended", endpoint=life.name, detail=reason)
--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -273,7 +273,7 @@
     def _tick(self):
         self.timers.subscribe(LEADER_TICK_S, self._tick)
         if self.leadership.is_active():
-            self.leadership.controllers = self._controllers()
+            self.leadership.routers.controllers = self._controllers()
             self.leadership.tick()
             self.roster.advance()
 
