A fuzzer of all readers; a caller's broken body is no fault of the endpoint

In the product this counted as a lost answer: the endpoint was suspected of crashing and avoided, so a caller with bad chunks could take endpoints out of service. Such attempts now end with 400 and blame nobody.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -12,6 +12,7 @@
 from greengagerock.routing.calls import Call
 from greengagerock.routing.demand import KeyDemand
 from greengagerock.routing.failures import (
+    REASON_CALLER,
     REASON_CONNECT,
     REASON_LOST,
     REASON_NOT_OWNER,
@@ -125,6 +126,9 @@
             self._on_refused(call, endpoint)
         elif event.reason == REASON_NOT_OWNER:
             self._on_not_owner(call, endpoint)
+        elif event.reason == REASON_CALLER:
+            outcome = OUTCOME_UNKNOWN if event.bytes_left else OUTCOME_NOT_RUN
+            self._finish(call, "bad-request", outcome)
         elif event.reason == REASON_CONNECT or not event.bytes_left:
             self._on_unreachable(call, endpoint)
         elif event.reason == REASON_TIMEOUT:
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -5,12 +5,15 @@
 REASON_LOST = "lost"
 REASON_TIMEOUT = "timeout"
 REASON_NOT_OWNER = "not-owner"
+# The caller's own body broke off or is malformed.
+REASON_CALLER = "caller"
 
 CODE_BY_REASON = {
     REASON_CONNECT: "connect-failed",
     REASON_REFUSED: "endpoint-refused",
     REASON_LOST: "answer-lost",
     REASON_TIMEOUT: "deadline-exceeded",
+    REASON_CALLER: "bad-request",
 }
 
 
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -14,6 +14,7 @@
 from greengagerock.routing.claims import CLAIMED, DUPLICATE, UNSURE, ClaimDesk
 from greengagerock.routing.failures import (
     CODE_BY_REASON,
+    REASON_CALLER,
     REASON_LOST,
     REASON_REFUSED,
     is_certainly_not_run,
@@ -23,6 +24,8 @@
 from greengagerock.routing.stats import RouterStats
 from greengagerock.routing.suspects import AnsweredRequests, CrashReport, fingerprint_request
 
+# Failed attempts that say nothing against the endpoint.
+_NO_FAULT = (REASON_REFUSED, REASON_CALLER)
 QUEUE_PER_ENDPOINT = 12
 
 # A request that broke more connections than this is not sent again: it may be what
@@ -303,7 +306,7 @@
             return
         if request.silent and not request.abandoned:
             self._drop_connections(request)
-        elif event.reason != REASON_REFUSED and not request.abandoned:
+        elif event.reason not in _NO_FAULT and not request.abandoned:
             self.health.note_failure(request.endpoint, self.timers.now_s)
             if event.reason == REASON_LOST and not request.orphaned:
                 self._report_crash(request)
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -293,3 +293,16 @@
     bench.call()
     (answer,) = bench.effects()
     assert (answer.code, answer.close) == ("stopping", True)
+
+
+def test_callers_broken_body_is_no_fault_of_the_endpoint():
+    """A caller that sends malformed chunks must not get endpoints avoided."""
+    bench = Bench()
+    for _ in range(5):
+        bench.fail(bench.call("charge"), "caller")
+    answers = [effect for effect in bench.effects() if isinstance(effect, Answer)]
+    assert [(answer.code, answer.outcome) for answer in answers] == [
+        ("bad-request", "unknown")
+    ] * 5
+    assert not bench.dispatcher.health.is_avoided("till-1", bench.timers.now_s)
+    assert bench.crashes == []
--- /dev/null
+++ b/greengagerock/testing/fuzz/targets.py
@@ -0,0 +1,151 @@
+"""Readers of bytes from outside, each of which refuses damage with a typed error."""
+
+import msgspec
+
+from greengagerock.core import GreengageError, Timestamp
+from greengagerock.holdings import EndpointReport, HeldRange
+from greengagerock.language.items import parse_items
+from greengagerock.platform.wire_items import read_patch
+from greengagerock.platform.wire_reports import read_leaving, read_report
+from greengagerock.platform.wire_settings import read_settings
+from greengagerock.settings import parse_settings
+from greengagerock.storage.frames import encode_frame, scan_frames
+from greengagerock.testing.launch_site import ITEMS
+from greengagerock.transport import Envelope, decode_envelope, encode_envelope
+from greengagerock.transport.monitor import Receipt
+from greengagerock.view import (
+    EndpointRecord,
+    HeldUnits,
+    LiveDelta,
+    ViewDelta,
+    ViewPoll,
+    pack,
+    unpack,
+)
+from greengagerock.web.control import OwnControlDialect
+
+REPORT = {
+    "address": "10.128.0.9:8080",
+    "born": 1_764_800_000_000,
+    "info": {"service": "till", "zone": "a", "max-concurrency": 3},
+    "status": {"state": "ready", "sequence": 4, "warmup-left": "0ms"},
+    "holds": [[0, 4095, 7]],
+    "freed": [[4096, 8191, "5c0e"]],
+}
+PATCH = {
+    "upsert": {
+        "routes": {
+            "columns": ["name", "host", "path-prefix", "type", "timeout", "max-attempts"]
+            + ["version", "service"],
+            "rows": [["r", "h.example", "/a/", "safe", "800ms", 2, 7, "till"]],
+        },
+        "services": {
+            "columns": ["name", "health-path", "max-conns", "sharded", "warm", "version"],
+            "rows": [["till", "/health", 130, True, "2s", 7]],
+        },
+    },
+    "remove": {"routes": [{"name": "old", "version": 9}]},
+}
+SETTINGS = {
+    "node-name": "edge-1",
+    "ip": "10.1.0.35",
+    "zone": "a",
+    "listen": {"front": "10.1.0.35:8144", "ready": "10.1.0.35:8140"},
+    "internal-ports": [7660, 7675],
+    "seeds": ["10.1.0.38:8146"],
+    "bounds": ["grace=6s", "retry-budget-ratio=0.2"],
+}
+OWN_SETTINGS = """
+host: edge-1
+availability_zone: zone-1
+role: router
+link_address: 10.0.0.1:8083
+seeds: [10.0.0.2:8083]
+callers: 10.0.0.1:8080
+retries: {ratio: 0.2, slack: 60.0}
+"""
+OWN_REPORT = EndpointReport(
+    "till-1", 5, 1, "10.0.0.9:80", "till", "a", 3, False, 0.0, (HeldRange(0, 7, 3),)
+)
+DELTA = LiveDelta(
+    3,
+    0,
+    9,
+    True,
+    (EndpointRecord("till-1", "10.0.0.9:80", "till", "a", 3),),
+    (),
+    {"till": (HeldUnits("till-1", (0, 8192)),)},
+)
+
+
+def _json(value):
+    return msgspec.json.encode(value)
+
+
+def _envelope(message):
+    return encode_envelope(Envelope("edge-1", "10.0.0.1:1", Timestamp(1), message, Receipt(1, 2)))
+
+
+class ReaderTarget:
+    """A function that reads bytes.
+
+    Attributes:
+        samples: Sound inputs.
+        tokens: Byte strings that mean something to it.
+        read: The function; it may raise a ``GreengageError`` and nothing else.
+    """
+
+    def __init__(self, read, samples, tokens):
+        self.read = read
+        self.samples = samples
+        self.tokens = tokens
+
+    def check(self, data):
+        """Read damaged bytes; returns whether they were refused.
+
+        Raises:
+            Exception: Any other than a ``GreengageError`` is a fault of the reader.
+        """
+        try:
+            self.read(data)
+        except GreengageError as error:
+            assert error.code
+            return True
+        return False
+
+
+_JSON_TOKENS = (b"[", b"{", b"null", b"-1", b'"', b"1e999", b"\xff", b"true", b"[[[[")
+_PACK_TOKENS = (b"\xc0", b"\x93", b"\xdf\xff\xff\xff\xff", b"\xc6\x7f\xff\xff\xff", b"\xcf")
+_TEXT_TOKENS = (b";", b"\n", b"'", b'"', b": ", b"- ", b"&a", b"*a", b"{", b"!!", b"\x00", b"\xc3")
+
+READERS = {
+    "report": ReaderTarget(lambda data: read_report("e", data), [_json(REPORT)], _JSON_TOKENS),
+    "leaving": ReaderTarget(
+        lambda data: read_leaving("e", data), [_json({"born": 5})], _JSON_TOKENS
+    ),
+    "patch": ReaderTarget(read_patch, [_json(PATCH)], _JSON_TOKENS),
+    "settings": ReaderTarget(lambda data: read_settings(data, 1), [_json(SETTINGS)], _JSON_TOKENS),
+    "own-report": ReaderTarget(
+        lambda data: OwnControlDialect().read_report("e", data), [_json(OWN_REPORT)], _JSON_TOKENS
+    ),
+    "own-items": ReaderTarget(
+        lambda data: parse_items(data.decode(errors="replace")), [ITEMS.encode()], _TEXT_TOKENS
+    ),
+    "own-settings": ReaderTarget(
+        lambda data: parse_settings(data.decode(errors="replace")),
+        [OWN_SETTINGS.encode()],
+        _TEXT_TOKENS,
+    ),
+    "link": ReaderTarget(
+        decode_envelope,
+        [
+            _envelope(ViewPoll(3, 4, 5, {"till-1": (3, 0.1)}, {"till": {7: 2}})),
+            _envelope(ViewDelta(None, pack(DELTA), ("10.0.0.2:1",), 3)),
+        ],
+        _PACK_TOKENS,
+    ),
+    "view": ReaderTarget(lambda data: unpack(data, LiveDelta), [pack(DELTA)], _PACK_TOKENS),
+    "log": ReaderTarget(
+        scan_frames, [encode_frame(b"one") + encode_frame(b"two" * 30)], _PACK_TOKENS
+    ),
+}
--- a/greengagerock/web/callers.py
+++ b/greengagerock/web/callers.py
@@ -133,7 +133,10 @@
             return
         length = self.headers.get("content-length", "")
         if length.isdigit() and int(length) <= SHORT_BODY_BYTES:
-            data = self.environ["wsgi.input"].read(int(length))
+            try:
+                data = self.environ["wsgi.input"].read(int(length))
+            except OSError as error:
+                raise GreengageError("request-timeout", str(error)) from error
             if len(data) < int(length):
                 raise GreengageError("request-timeout", "the body ended before its length")
             self.body = ShortBody(data)
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -11,6 +11,7 @@
 
 from greengagerock.core.seam import AttemptFailed
 from greengagerock.routing.failures import (
+    REASON_CALLER,
     REASON_CONNECT,
     REASON_LOST,
     REASON_TIMEOUT,
@@ -155,6 +156,10 @@
     ConnectionCls = TrackedConnection
 
 
+class CallerBodyError(Exception):
+    """A caller's body broke off or is malformed, which is no fault of the endpoint."""
+
+
 class CallerBody:
     """The caller's request body, read while it is sent on.
 
@@ -171,11 +176,14 @@
 
     def __iter__(self):
         while True:
-            chunk = self.stream.read(BODY_CHUNK_BYTES)
+            try:
+                chunk = self.stream.read(BODY_CHUNK_BYTES)
+            except (OSError, ValueError) as error:
+                raise CallerBodyError(str(error)) from error
             if not chunk:
                 if getattr(self.stream, "remaining", 0):
                     # The endpoint must not take a part for the whole.
-                    raise ConnectionAbortedError("the caller left in the middle of its body")
+                    raise CallerBodyError("the caller left in the middle of its body")
                 return
             self.used = True
             yield chunk
@@ -265,6 +273,8 @@
                 assert_same_host=False,
                 timeout=timeout,
             )
+        except CallerBodyError:
+            return AttemptFailed(forward.token, REASON_CALLER, attempt.bytes_left, True)
         except (HTTPError, OSError, ValueError) as error:
             return self._failure(forward, error, attempt, body)
         finally:
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -155,6 +155,13 @@
     assert runs(site) == before + 1
 
 
+def test_malformed_chunks_are_the_callers_fault(site):
+    head = b"POST /charge/c HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 9\r\n"
+    received = raw_exchange(site, head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n")
+    assert received.split()[1] == b"400"
+    assert site.call("/charge/sound", 9, method="POST", body=b"x").status == 200
+
+
 def test_many_silent_callers_hold_no_thread(site):
     silent = [
         socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S)
