--- a/greengagerock/routing/observed.py
+++ b/greengagerock/routing/observed.py
@@ -154,8 +154,14 @@
             self._lower(DECREASE_AFTER_SHED, now_s)
 
     def is_busy(self, objective_s):
-        """Return whether its answers take a large part of the latency objective."""
-        return objective_s is None or self.mean_s > BUSY_SHARE * objective_s
+        """Return whether its answers take a large part of the latency objective.
+
+        When it fills up, all routers together see that before a single one does.
+        """
+        if objective_s is None:
+            return True
+        slowest_s = max(self.mean_s, self.expected_s() or 0.0)
+        return slowest_s > BUSY_SHARE * objective_s
 
     def note_alive(self, now_s):
         """Take a sign of life into account."""
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -21,7 +21,14 @@
 from greengagerock.routing.observed import OWN_ANSWERS
 from greengagerock.routing.retries import SharedRetryBudget
 from greengagerock.testing.item_builders import build_first_patch
-from greengagerock.view import EndpointRecord, HeldUnits, ItemsDelta, LiveDelta, ViewReplica
+from greengagerock.view import (
+    EndpointRecord,
+    EndpointTimes,
+    HeldUnits,
+    ItemsDelta,
+    LiveDelta,
+    ViewReplica,
+)
 
 
 class Bench:
@@ -155,6 +162,18 @@
     assert bench.effects()[0].code == "endpoint-refused"
 
 
+def test_holder_that_all_routers_together_see_busy_is_not_asked_again():
+    """One router sees a few of its answers only, and those were quick."""
+    bench = Bench()
+    seen = bench.dispatcher.observed.of("till-1")
+    seen.own_s, seen.own_answers = 0.08, OWN_ANSWERS
+    bench.replica.times = EndpointTimes(1, {"till": 90}, {"till-1": 420})
+    token = bench.call()
+    bench.effects()
+    bench.fail(token, "refused")
+    assert bench.effects()[0].code == "endpoint-refused"
+
+
 def test_no_retry_beyond_the_budget():
     bench = Bench(slack=0)
     token = bench.call("prices", None)
