Take the refusal by answer times out again; send nothing for an attempt given up while connecting

An attempt that was given up while its connection was being opened was sent all the same. Test: test_attempt_that_was_given_up_while_connecting_sends_nothing, which failed first.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -8,7 +8,6 @@
     WatchCaller,
 )
 from greengagerock.holdings.units import UNIT_KEYS
-from greengagerock.routing.admission import admitted_share
 from greengagerock.routing.answers import AnswerDesk
 from greengagerock.routing.calls import Call
 from greengagerock.routing.demand import KeyDemand
@@ -71,7 +70,6 @@
         self.budget = budget
         self.timers = timers
         self.outbox = outbox
-        self.random = random
         self.report_crash = report_crash
         self.places = Places()
         self.lowest_priority = {}
@@ -217,20 +215,9 @@
             self._probe(call, record)
         elif not seen.has_room(self._extra_room(call), now_s):
             self._refuse(call, "no-room", f"{seen.in_flight} requests are at {name}")
-        elif not self._is_admitted(call, name):
-            self._refuse(call, "no-room", f"answers of {name} take too long for more")
         else:
             self._forward(call, record)
 
-    def _is_admitted(self, call, endpoint):
-        share = admitted_share(
-            self.replica.expected_s(endpoint),
-            call.route.objective_s,
-            self._is_urgent(call),
-            self.observed.of(endpoint).own_share,
-        )
-        return share == 1.0 or self.random.random() < share
-
     def _probe(self, call, record):
         """Find out on a new connection whether a doubtful endpoint answers.
 
--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -41,3 +41,16 @@
         forward, "POST", "/charge", {}, None, attempt, lambda response: None
     )
     assert result == AttemptFailed(1, "connect", False, False)
+
+
+def test_attempt_that_was_given_up_while_connecting_sends_nothing():
+    server = socket.create_server(("127.37.0.2", 8601))
+    attempt = Attempt()
+    attempt.cancel()
+    result = Upstream(LimitSettings()).send(
+        Forward(1, "e", "127.37.0.2:8601", {}, 1.0), "GET", "/", {}, None, attempt, lambda r: None
+    )
+    assert result == AttemptFailed(1, "connect", False, False)
+    sock, _ = server.accept()
+    assert sock.recv(100) == b""
+    server.close()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -127,6 +127,10 @@
             self._settle()
             if attempt is not None:
                 attempt.is_new = True
+                if attempt.cancelled:
+                    # The caller left while the connection was being opened.
+                    self.close()
+                    raise NewConnectionError(self, "the attempt was given up")
         if attempt is not None:
             attempt.connection = self
             attempt.bytes_left = True
