Compare request ids of answers in the own interface, too

The adapter compared ids already. An answer that carries another Greengage-Request-Id is now lost, and the stand-in echoes ids.

--- a/greengagerock/testing/holder.py
+++ b/greengagerock/testing/holder.py
@@ -35,7 +35,8 @@
     Attributes:
         runs: How often each request id began to run.
         behaviour: How the next answers go wrong: ``whole`` not at all, ``late``, ``torn``,
-            ``foreign`` with another request's id, ``extra`` with a second answer, ``close``
+            ``foreign`` with another request's id, ``extra`` with a second answer,
+            ``late-extra`` with a second answer when the next request has come, ``close``
             without an answer, ``full`` refused.
         delay_s: Time that a request takes.
         drained_s: When its leave was acknowledged, or ``None``.
@@ -178,6 +179,7 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
+    stray_id = ""
 
     def log_message(self, format, *args):
         """Write nothing."""
@@ -207,6 +209,9 @@
         if holder.watcher is not None:
             holder.watcher.on_run(holder, request_id, f"{self.command} {self.path}", body)
         time.sleep(holder.delay_s)
+        if self.stray_id:
+            self._answer(200, b"stray\n", {}, request_id=self.stray_id)
+            self.stray_id = ""
         if holder.behaviour == "close":
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
@@ -219,6 +224,8 @@
         self._answer(200, content, {"Request-Path": self.path})
         if holder.behaviour == "extra":
             self._answer(200, b"stray\n", {})
+        elif holder.behaviour == "late-extra":
+            self.stray_id = request_id
 
     def _read_body(self):
         if self.headers.get("Transfer-Encoding", "").lower() == "chunked":
@@ -230,8 +237,11 @@
             return b"".join(parts)
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
-    def _answer(self, status, content, headers, length=None):
+    def _answer(self, status, content, headers, length=None, request_id=""):
         self.send_response(status)
+        request_id = request_id or self.headers.get(REQUEST_ID_HEADER, "")
+        if request_id:
+            self.send_header(REQUEST_ID_HEADER, request_id)
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(content) if length is None else length))
--- a/greengagerock/testing/soak/faults.py
+++ b/greengagerock/testing/soak/faults.py
@@ -9,7 +9,7 @@
 # The first faults strike once callers have been served for a while.
 QUIET_START_S = 1.0
 LONGEST_S = 4.0
-BEHAVIOURS = ("torn", "extra", "close", "full", "slow")
+BEHAVIOURS = ("torn", "extra", "late-extra", "close", "full", "slow")
 
 
 class Kill(msgspec.Struct, frozen=True):
--- a/greengagerock/web/calls.py
+++ b/greengagerock/web/calls.py
@@ -5,7 +5,7 @@
 from greengagerock.core import GreengageError
 from greengagerock.core.seam import CallArrived
 from greengagerock.holdings.report import KEY_COUNT
-from greengagerock.routing.failures import REASON_NOT_OWNER, REASON_REFUSED
+from greengagerock.routing.failures import REASON_LOST, REASON_NOT_OWNER, REASON_REFUSED
 from greengagerock.web.dialect import REFUSED_HEADER, OwnDialect, origin_form
 
 KEY_HEADER = "greengage-key"
@@ -82,6 +82,9 @@
 
     def failure_of(self, response, request_id):
         """Return why an endpoint's answer is not one, or ``None`` if it can be passed on."""
+        if response.headers.get(REQUEST_ID_HEADER, request_id) != request_id:
+            # A second answer to an earlier request on this connection.
+            return REASON_LOST
         refused = response.headers.get(REFUSED_HEADER)
         if refused is None:
             return None
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -94,6 +94,16 @@
     )
 
 
+def test_stray_answer_that_comes_with_the_next_request_reaches_nobody(site):
+    """The connection looks unused when the next request is sent on it."""
+    for holder in site.holders.values():
+        holder.behaviour = "late-extra"
+    for number in range(12):
+        headers = {"Greengage-Request-Id": f"stray-{number}"}
+        response = site.call(f"/balance/{number}", 77, headers=headers)
+        assert f"ran GET /balance/{number}\n".encode() in response.data
+
+
 def test_torn_answer_is_not_passed_on_as_whole(site):
     for holder in site.holders.values():
         holder.behaviour = "torn"
