Ignore reloads while a process starts

The soak no longer sends a reload before the program's first line, when nothing can keep it from ending the process (/proc status shows it).

--- a/greengagerock/daemon/main.py
+++ b/greengagerock/daemon/main.py
@@ -1,5 +1,6 @@
 """The ``greengagerockd`` command."""
 
+import greengagerock.daemon.early_signals  # noqa: F401, I001 - before all that takes time
 import signal
 import sys
 from pathlib import Path
--- a/greengagerock/platform/run.py
+++ b/greengagerock/platform/run.py
@@ -1,5 +1,6 @@
 """Starts the daemon with the infrastructure's settings file."""
 
+import greengagerock.daemon.early_signals  # noqa: F401, I001 - before all that takes time
 import os
 import sys
 from pathlib import Path
--- a/greengagerock/testing/soak/site.py
+++ b/greengagerock/testing/soak/site.py
@@ -237,7 +237,9 @@
                 time.sleep(for_s)
                 self._start_again(name)
             case Reload(name):
-                self._signal(name, signal.SIGHUP)
+                # Before the program's first line nothing can keep the signal from ending it.
+                if handles_reload(self.processes[name].pid):
+                    self._signal(name, signal.SIGHUP)
             case FullDisk(name, for_s):
                 process = self.processes[name]
                 resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, UNLIMITED))
@@ -284,3 +286,12 @@
             time.sleep(0.05)
         time.sleep(LAST_REQUESTS_S)
         self._end_holder(name)
+
+
+def handles_reload(process_id):
+    """Return whether a process ignores or handles the signal to reload."""
+    masks = {"SigIgn:", "SigCgt:"}
+    bit = 1 << (signal.SIGHUP - 1)
+    with open(f"/proc/{process_id}/status", encoding="ascii") as file:
+        fields = [line.split() for line in file]
+    return any(int(field[1], 16) & bit for field in fields if field[0] in masks)
