--- a/greengagerock/testing/soak/proxy.py
+++ b/greengagerock/testing/soak/proxy.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
+        self.servers = []
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
 
@@ -27,12 +28,14 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
 
     def stop(self):
-        """End the thread; connections break off."""
+        """Stop listening and end the thread; connections break off."""
         self.call(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
 
     async def _cancel_all(self):
+        for server in self.servers:
+            server.close()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
             task.cancel()
@@ -64,7 +67,7 @@
         self.silent = frozenset()
         self.refuses = False
         self._writers = set()
-        self._server = loop.call(self._serve())
+        loop.servers.append(loop.call(self._serve()))
 
     async def _serve(self):
         ip, _, port = self.listen.rpartition(":")
