Let worker threads follow the requests in progress

Cause: each HTTP server kept its largest number of threads all the time: 96 for callers and 110 in all on an entry host, so that 200 processes nearly filled the machine's process ids. Change: a server keeps four threads, starts one for each connection that would otherwise wait, and ends those that the peak of the last periods did not need.

--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -10,6 +10,10 @@
 from cherrypy._cpwsgi_server import CPWSGIServer
 
 from greengagerock.core import ERROR_KINDS, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from greengagerock.web.worker_pool import ElasticWorkerPool
+
+# Number of worker threads that a server keeps while it has no requests.
+MIN_THREADS = 4
 
 # Error statuses that can occur after a request has been forwarded.
 _STATUSES_OF_UNKNOWN_OUTCOME = frozenset({"408", "500"})
@@ -176,22 +180,24 @@
         port: Port to listen on.
         application: A WSGI application.
         limits: The ``LimitSettings``.
-        threads: Number of worker threads.
+        threads: Largest number of worker threads.
         log: Callable that writes one log line.
     """
 
     def __init__(self, ip, port, application, limits, threads, log):
         self.log = log
+        min_threads = min(MIN_THREADS, threads)
         adapter = Server()
         adapter.socket_host = ip
         adapter.socket_port = port
         adapter.socket_queue_size = limits.queued_connections
         adapter.socket_timeout = limits.idle_connection_s
-        adapter.thread_pool = threads
+        adapter.thread_pool = min_threads
         adapter.max_request_header_size = limits.header_bytes
         adapter.max_request_body_size = limits.body_bytes
         self.server = CPWSGIServer(adapter)
         self.server.wsgi_app = application
+        self.server.requests = ElasticWorkerPool(self.server, min_threads, threads, log)
         self.server.ConnectionClass = JsonErrorConnection
         self.server.gateway = DescriptorGateway
         self.server.on_protocol_error = self._on_protocol_error
