Respect what endpoints say in responses: that they leave, or want a pause

Cause: an endpoint that leaves says so in its responses, and one that refuses a request may give the time for which it wants no others. Both were ignored: requests went on until the leader's view said that the endpoint leaves, and refused endpoints were sent requests again after 0.15 s. Change: routing/endpoint_notices.py keeps both by endpoint instance. A leaving endpoint gets nothing new except calls for keys that it still holds, for 1 s; the router reports it to the leader, which moves its keys and updates the other routers. A paused endpoint gets nothing; callers that nobody else can serve are refused at once with the time that is left. Unreadable times are logged and ignored, large ones bounded.

--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -24,6 +24,8 @@
         "endpoint-ended",
         "endpoint-joined",
         "endpoint-leaving",
+        "endpoint-paused",
+        "endpoint-says-leaving",
         "items-changed",
         "keys-all-held",
         "keys-without-holder",
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -216,6 +216,24 @@
         leave = LeaveRecord(leaving.endpoint, started_ms)
         self._reply_to_leave(token, leave, ReportResponse(), reply)
 
+    def on_leaving_observed(self, observed):
+        """Process a router's ``LeavingObserved``: routers send nothing new to the endpoint.
+
+        The endpoint has not been promised anything yet, so nothing is stored in the log.
+        """
+        if not self.is_active():
+            return
+        leaving = EndpointLeaving(observed.endpoint, observed.started_ms)
+        instance = self.directory.mark_leaving(leaving, self.timers.now_s)
+        if instance is not None:
+            self.router_updater.note_endpoint(instance)
+            self.outbox.log(
+                "endpoint-leaving",
+                endpoint=instance.name,
+                born_ms=leaving.started_ms,
+                source="router",
+            )
+
     def on_crash_report(self, report):
         """Process a router's ``CrashReport``; ban the request after enough crashes."""
         now_s = self.timers.now_s
--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -136,6 +136,22 @@
     is_body_consumed: bool
 
 
+class EndpointNoticed(msgspec.Struct, frozen=True):
+    """An endpoint's response says which further requests the endpoint accepts.
+
+    Attributes:
+        token: The request that got the response.
+        is_leaving: Whether the endpoint is about to end.
+        pause_s: How long the endpoint wants no requests from this host, in seconds.
+        malformed_pause: Text that should give such a time but cannot be read, or empty.
+    """
+
+    token: int
+    is_leaving: bool = False
+    pause_s: float = 0.0
+    malformed_pause: str = ""
+
+
 class ResponseStarted(msgspec.Struct, frozen=True):
     """The head of an endpoint's response arrived."""
 
--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -44,7 +44,7 @@
 )
 from greengagerock.routing.crash_suspects import CrashReport
 from greengagerock.routing.stats import RouterStats
-from greengagerock.view import NotLeading, ViewPoll
+from greengagerock.view import LeavingObserved, NotLeading, ViewPoll
 
 HELLO_INTERVAL_S = 0.5
 LEADER_TICK_S = 0.1
@@ -183,6 +183,8 @@
                 self._on_hello(message, address)
             case ControllerHelloReply():
                 self._on_hello_reply(message, address)
+            case LeavingObserved():
+                self.site_leader.on_leaving_observed(message)
             case CrashReport():
                 self.site_leader.on_crash_report(message)
             case BootstrapHello() | InitialMembership():
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -8,6 +8,7 @@
     AttemptFailed,
     CallArrived,
     CallerDisconnected,
+    EndpointNoticed,
     MessageReceived,
     Outbox,
     ReadinessRequested,
@@ -73,7 +74,7 @@
             self.timers,
             self.outbox,
             Random(config.seed),
-            self._report_crash,
+            self._report,
         )
         self.stats = self.dispatcher.stats
         self.had_leader = False
@@ -108,6 +109,8 @@
             case AttemptFailed():
                 dispatcher.on_attempt_failed(event)
                 self._stop_if_idle()
+            case EndpointNoticed():
+                dispatcher.on_notice(event)
             case CallerDisconnected():
                 dispatcher.on_caller_disconnected(event)
             case TimeAdvanced() | ResponseStarted():
@@ -213,7 +216,7 @@
         )
         return True
 
-    def _report_crash(self, report):
+    def _report(self, report):
         if self.finder.leader:
             self.outbox.send(self.finder.leader, report)
 
--- a/greengagerock/platform/caller_dialect.py
+++ b/greengagerock/platform/caller_dialect.py
@@ -5,6 +5,7 @@
 from greengagerock.core import ERROR_KINDS
 from greengagerock.routing.failures import REASON_CONNECTION_LOST, REASON_NOT_OWNER, REASON_REFUSED
 from greengagerock.web.native_dialect import HOP_BY_HOP
+from greengagerock.web.notice_headers import make_notice
 from greengagerock.web.route_dialect import RouteDialect
 
 READY_PATH = "/greengagerock/ready"
@@ -18,6 +19,10 @@
 # Message authentication code, which proves that the response was created by an endpoint.
 RESPONSE_MAC_HEADER = "X-Response-Seal"
 NOT_RUN_HEADER = "X-Not-Executed"
+# Set by an endpoint that is about to end.
+LEAVING_HEADER = "Server-Leaving"
+# Time for which an endpoint that refuses a request wants no others from this host.
+PAUSE_HEADER = "Retry-After"
 
 _ROUTER_HEADERS = frozenset({TIMEOUT_HEADER, EXPECTED_ENDPOINT_HEADER})
 # Statuses that suggest that a request was not executed. Only with ``NOT_RUN_HEADER`` is this
@@ -73,6 +78,16 @@
             return REASON_CONNECTION_LOST
         return None
 
+    def read_notice(self, token, response, request_id):
+        """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
+        headers = response.headers
+        is_other_response = headers.get(REQUEST_ID_HEADER, request_id) != request_id
+        if response.status == 421 or is_other_response:
+            # Another endpoint may have the address now.
+            return None
+        pause_text = headers.get(PAUSE_HEADER) if response.status == 503 else None
+        return make_notice(token, LEAVING_HEADER in headers, pause_text)
+
     def added_headers(self, request_id, endpoint):
         """Return the headers that this host adds to a response: none to an endpoint's response."""
         return [] if endpoint else [("X-Request-Id", request_id)]
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -14,6 +14,7 @@
         deadline_s: When its time limit expires.
         fingerprint: Digest of the request.
         endpoint: Name of the endpoint of the current attempt, empty while there is none.
+        endpoint_started_ms: Start of that endpoint instance, in milliseconds since 1970.
         sent_s: When it was sent to that endpoint.
         tried_endpoints: Names of all endpoints that it was sent to.
         delivery_count: Number of times that it may have reached an endpoint.
@@ -31,6 +32,7 @@
         "deadline_s",
         "delivery_count",
         "endpoint",
+        "endpoint_started_ms",
         "fingerprint",
         "is_abandoned",
         "key",
@@ -54,6 +56,7 @@
         self.deadline_s = deadline_s
         self.fingerprint = ""
         self.endpoint = ""
+        self.endpoint_started_ms = 0
         self.sent_s = 0.0
         self.tried_endpoints = []
         self.delivery_count = 0
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -11,6 +11,7 @@
 from greengagerock.routing.calls import Call
 from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
+from greengagerock.routing.endpoint_notices import EndpointNotices
 from greengagerock.routing.endpoint_picker import EndpointPicker
 from greengagerock.routing.error_responses import ErrorResponder
 from greengagerock.routing.failures import (
@@ -27,6 +28,7 @@
 from greengagerock.routing.route_index import RouteIndex
 from greengagerock.routing.service_picker import ServicePicker
 from greengagerock.routing.stats import RouterStats
+from greengagerock.view import LeavingObserved
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
 # new holder within one report interval.
@@ -55,7 +57,7 @@
         timers: The timer service.
         outbox: Receives effects.
         random: Random number generator.
-        report_crash: Callable that sends a ``CrashReport`` to the leader.
+        report: Callable that sends a ``CrashReport`` or ``LeavingObserved`` to the leader.
 
     Attributes:
         route_index: The ``RouteIndex``.
@@ -63,6 +65,7 @@
         service_picker: The ``ServicePicker``.
         observations: The ``EndpointObservations``.
         health: The ``EndpointHealth``.
+        notices: The ``EndpointNotices``.
         endpoint_picker: The ``EndpointPicker``.
         recent_responses: The ``RecentResponses``.
         demand: The ``KeyDemand``.
@@ -74,19 +77,22 @@
         is_stopping: Whether new requests are refused.
     """
 
-    def __init__(self, zone, replica, budget, timers, outbox, random, report_crash):
+    def __init__(self, zone, replica, budget, timers, outbox, random, report):
         self.zone = zone
         self.replica = replica
         self.budget = budget
         self.timers = timers
         self.outbox = outbox
-        self.report_crash = report_crash
+        self.report = report
         self.route_index = RouteIndex()
         self.lowest_priority_by_service = {}
         self.service_picker = ServicePicker(random)
         self.observations = EndpointObservations(replica.shared_mean_s)
         self.health = EndpointHealth()
-        self.endpoint_picker = EndpointPicker(zone, self.observations, self.health, random)
+        self.notices = EndpointNotices()
+        self.endpoint_picker = EndpointPicker(
+            zone, self.observations, self.health, self.notices, random
+        )
         self.recent_responses = RecentResponses()
         self.demand = KeyDemand()
         self.stats = RouterStats()
@@ -184,6 +190,33 @@
             call.is_abandoned = True
             self.outbox.add(CancelAttempt(call.token))
 
+    def on_notice(self, event):
+        """Process an ``EndpointNoticed``: from now on, respect what the endpoint accepts."""
+        call = self.calls.get(event.token)
+        if call is None or not call.endpoint:
+            return
+        now_s = self.timers.now_s
+        name, started_ms = call.endpoint, call.endpoint_started_ms
+        if event.is_leaving and self.notices.note_leaving(name, started_ms, now_s):
+            self.outbox.log("endpoint-says-leaving", endpoint=name, request_id=call.request_id)
+            self.report(LeavingObserved(name, started_ms))
+        if event.pause_s:
+            self.notices.note_pause(name, started_ms, event.pause_s, now_s)
+            self.outbox.log(
+                "endpoint-paused",
+                endpoint=name,
+                request_id=call.request_id,
+                pause_ms=round(1000 * event.pause_s),
+            )
+        if event.malformed_pause:
+            self.outbox.log(
+                "bad-pause",
+                code="bad-announcement",
+                endpoint=name,
+                request_id=call.request_id,
+                detail=event.malformed_pause,
+            )
+
     def on_items(self):
         """Update the routes from the replica."""
         routes = self.replica.routes.values()
@@ -193,8 +226,13 @@
     def on_endpoints(self, changed_endpoints, changed_units):
         """Drop observations of removed endpoints, and send calls that wait for changed units."""
         for name in changed_endpoints:
-            if name not in self.replica.endpoints:
+            record = self.replica.endpoints.get(name)
+            if record is None:
                 self.observations.forget(name)
+                self.notices.forget(name)
+            elif self.notices.is_unreported_leaving(record):
+                # A new leader does not know what the previous one was told.
+                self.report(LeavingObserved(name, record.started_ms))
         for unit in changed_units:
             for call in self.waiting_calls.pop(unit, ()):
                 if call.token in self.calls:
@@ -217,10 +255,16 @@
     def _send_to_holder(self, call):
         name = self.replica.owner_of(call.service, call.key)
         record = self.replica.endpoints.get(name)
-        if record is None:
+        now_s = self.timers.now_s
+        if record is None or not self.notices.accepts_held_keys(record, now_s):
             self._wait_for_holder(call)
             return
-        now_s = self.timers.now_s
+        pause_left_s = self.notices.pause_left_s(record, now_s)
+        if pause_left_s:
+            self._refuse(
+                call, "endpoint-refused", f"endpoint {name} wants no requests", pause_left_s
+            )
+            return
         observation = self.observations.observation_of(name)
         is_doubtful = observation.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
         if is_doubtful and not observation.may_probe(now_s):
@@ -274,13 +318,25 @@
         )
         if record is None:
             code = "no-room" if call.tried_endpoints else "no-endpoint"
-            self._refuse(call, code, f"service {call.service} has {len(records)} endpoints")
+            detail = f"service {call.service} has {len(records)} endpoints"
+            self._refuse(call, code, detail, self._shortest_pause_s(records))
         else:
             self._forward(call, record)
 
+    def _shortest_pause_s(self, records):
+        """Return when the first endpoint accepts requests again, ``None`` if one does already."""
+        now_s = self.timers.now_s
+        pauses_s = [
+            self.notices.pause_left_s(record, now_s)
+            for record in records
+            if self.notices.accepts_any(record)
+        ]
+        return min(pauses_s, default=0.0) or None
+
     def _forward(self, call, record):
         now_s = self.timers.now_s
         call.endpoint = record.name
+        call.endpoint_started_ms = record.started_ms
         call.sent_s = now_s
         call.delivery_count += 1
         if record.name not in call.tried_endpoints:
@@ -341,8 +397,11 @@
         now_s = self.timers.now_s
         observation = self.observations.observation_of(endpoint)
         observation.note_shed(call.route.objective_s, now_s)
+        record = self.replica.endpoints.get(endpoint)
         may_be_accepted = (
-            not observation.is_busy(call.route.objective_s)
+            record is not None
+            and not self.notices.pause_left_s(record, now_s)
+            and not observation.is_busy(call.route.objective_s)
             and call.delivery_count < MAX_DELIVERIES
         )
         if not self._is_keyed(call):
@@ -353,7 +412,12 @@
                 RESEND_PAUSE_S, lambda: self._resend_after_pause(call)
             )
         else:
-            self._finish(call, "endpoint-refused", OUTCOME_NOT_RUN)
+            self._finish_refused(call, endpoint)
+
+    def _finish_refused(self, call, endpoint):
+        record = self.replica.endpoints.get(endpoint)
+        pause_left_s = self.notices.pause_left_s(record, self.timers.now_s) if record else 0.0
+        self._finish(call, "endpoint-refused", OUTCOME_NOT_RUN, retry_after_s=pause_left_s or None)
 
     def _resend_after_pause(self, call):
         call.timer = None
@@ -376,6 +440,8 @@
             self._is_keyed(call)
             and is_first_failure
             and record is not None
+            and self.notices.accepts_held_keys(record, now_s)
+            and not self.notices.pause_left_s(record, now_s)
             and not call.is_body_consumed
         ):
             # One lost packet has the same effect; two failures show an unreachable endpoint.
@@ -399,7 +465,7 @@
         record = self.replica.endpoints.get(endpoint)
         if record is not None and event.reason == REASON_CONNECTION_LOST:
             was_answered = call.fingerprint in self.recent_responses
-            self.report_crash(
+            self.report(
                 CrashReport(
                     call.fingerprint,
                     call.service,
@@ -443,10 +509,10 @@
 
     # --- Ends ----------------------------------------------------------------------
 
-    def _refuse(self, call, code, detail):
-        self._finish(call, code, OUTCOME_NOT_RUN, detail)
+    def _refuse(self, call, code, detail, retry_after_s=None):
+        self._finish(call, code, OUTCOME_NOT_RUN, detail, retry_after_s)
 
-    def _finish(self, call, code, outcome, detail=""):
+    def _finish(self, call, code, outcome, detail="", retry_after_s=None):
         self.calls.pop(call.token, None)
         call.cancel_timer()
-        self.error_responder.respond(call, code, outcome, detail)
+        self.error_responder.respond(call, code, outcome, detail, retry_after_s)
--- a/greengagerock/routing/endpoint_picker.py
+++ b/greengagerock/routing/endpoint_picker.py
@@ -21,18 +21,20 @@
         zone: Availability zone of this router.
         observations: The ``EndpointObservations``.
         health: The ``EndpointHealth``.
+        notices: The ``EndpointNotices``.
         random: Random number generator.
 
     References:
         M. Mitzenmacher: The Power of Two Choices in Randomized Load Balancing, 2001.
     """
 
-    __slots__ = ("health", "observations", "random", "zone")
+    __slots__ = ("health", "notices", "observations", "random", "zone")
 
-    def __init__(self, zone, observations, health, random):
+    def __init__(self, zone, observations, health, notices, random):
         self.zone = zone
         self.observations = observations
         self.health = health
+        self.notices = notices
         self.random = random
 
     def pick(self, records, tried_endpoints, extra_requests, is_long_response, now_s):
@@ -45,7 +47,13 @@
             is_long_response: Whether a long response is expected.
             now_s: Monotonic time in seconds.
         """
-        untried = [r for r in records if not r.leaving and r.name not in tried_endpoints]
+        untried = [
+            r
+            for r in records
+            if r.name not in tried_endpoints
+            and self.notices.accepts_any(r)
+            and not self.notices.pause_left_s(r, now_s)
+        ]
         if not untried:
             return None
         usable = [r for r in untried if self._is_healthy(r, extra_requests, now_s)]
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -51,7 +51,7 @@
         retry_s = RETRY_AFTER_S.get(code)
         self.outbox.add(RespondWithError(event.token, code, OUTCOME_NOT_RUN, "", close, retry_s))
 
-    def respond(self, call, code, outcome, detail):
+    def respond(self, call, code, outcome, detail, retry_after_s=None):
         """Respond to a call with an error.
 
         Args:
@@ -60,13 +60,17 @@
             outcome: Outcome of the last attempt; the response reports an unknown one if an earlier
                 attempt may have run.
             detail: Description of the error.
+            retry_after_s: When the call will be accepted if it is sent again, or ``None`` for
+                the usual time of the error code.
         """
         if call.may_have_run and outcome == OUTCOME_NOT_RUN:
             detail = detail or code
             code, outcome = "answer-lost", OUTCOME_UNKNOWN
         self.stats.count(call.service, code)
         self._log(call, code, outcome, detail)
-        retry_s = RETRY_AFTER_S.get(code) if outcome == OUTCOME_NOT_RUN else None
+        retry_s = None
+        if outcome == OUTCOME_NOT_RUN:
+            retry_s = RETRY_AFTER_S.get(code) if retry_after_s is None else retry_after_s
         self.outbox.add(
             RespondWithError(call.token, code, outcome, detail, self.is_closing, retry_s)
         )
--- a/greengagerock/routing/tests/test_endpoint_picker.py
+++ b/greengagerock/routing/tests/test_endpoint_picker.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+from greengagerock.routing.endpoint_notices import EndpointNotices
 from greengagerock.routing.endpoint_picker import EndpointPicker
 from greengagerock.routing.health import EndpointHealth
 from greengagerock.routing.observations import MIN_OWN_RESPONSES, EndpointObservations
@@ -13,7 +14,8 @@
     """Return a picker in zone ``a`` and one endpoint in each of ``zones``."""
     records = [EndpointRecord(f"e{n}", "x:1", "docs", zone, 3) for n, zone in enumerate(zones)]
     observations = EndpointObservations()
-    return EndpointPicker("a", observations, EndpointHealth(), Random(1)), records, observations
+    picker = EndpointPicker("a", observations, EndpointHealth(), EndpointNotices(), Random(1))
+    return picker, records, observations
 
 
 def load(picker, records, observations, is_long, count=6):
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -9,6 +9,7 @@
 from greengagerock.platform.wire_items import decode_patch
 from greengagerock.platform.wire_reports import decode_leaving, decode_report
 from greengagerock.platform.wire_settings import decode_settings
+from greengagerock.routing.endpoint_notices import MAX_PAUSE_S, EndpointNotices
 from greengagerock.settings import parse_settings
 from greengagerock.storage.frames import encode_frame, scan_frames
 from greengagerock.testing.launch_site import INITIAL_STATEMENTS
@@ -24,6 +25,7 @@
     encode_delta,
 )
 from greengagerock.web.control_application import NativeControlDialect
+from greengagerock.web.notice_headers import MAX_READ_PAUSE_S, make_notice
 
 NATIVE_SETTINGS = """
 host: edge-1
@@ -86,6 +88,22 @@
         return False
 
 
+def check_notice(data):
+    """Read bytes as the pause that an endpoint requests, and apply it.
+
+    Raises:
+        AssertionError: If the pause is not a finite time of bounded length.
+    """
+    notice = make_notice(1, False, data.decode("latin-1"))
+    assert 0 <= notice.pause_s <= MAX_READ_PAUSE_S
+    notices = EndpointNotices()
+    notices.note_pause("e", 1, notice.pause_s, 0.0)
+    record = EndpointRecord("e", "10.0.0.9:80", "docs", "a", 3, started_ms=1)
+    assert notices.pause_left_s(record, 0.0) <= MAX_PAUSE_S
+    if notice.malformed_pause:
+        raise GreengageError("bad-announcement", notice.malformed_pause)
+
+
 _JSON_TOKENS = (b"[", b"{", b"null", b"-1", b'"', b"1e999", b"\xff", b"true", b"[[[[")
 _MSGPACK_TOKENS = (b"\xc0", b"\x93", b"\xdf\xff\xff\xff\xff", b"\xc6\x7f\xff\xff\xff", b"\xcf")
 _TEXT_TOKENS = (b";", b"\n", b"'", b'"', b": ", b"- ", b"&a", b"*a", b"{", b"!!", b"\x00", b"\xc3")
@@ -125,6 +143,11 @@
     "view": DecoderTarget(
         lambda data: decode_delta(data, EndpointsDelta), [encode_delta(DELTA)], _MSGPACK_TOKENS
     ),
+    "notice": DecoderTarget(
+        check_notice,
+        [b"2", b"0.5", b"Fri, 04 Dec 2026 08:00:00 GMT"],
+        (b"-1", b"1e999", b"nan", b"inf", b"\xff", b"_", b"0x1", b" "),
+    ),
     "log": DecoderTarget(
         scan_frames, [encode_frame(b"one") + encode_frame(b"two" * 30)], _MSGPACK_TOKENS
     ),
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -13,7 +13,12 @@
 from greengagerock.assignment import EndpointReport, FreedRange, HeldRange, ReportResponse
 from greengagerock.assignment.units import KEYS_PER_UNIT
 from greengagerock.web.native_dialect import REFUSED_HEADER
-from greengagerock.web.route_dialect import KEY_HEADER, REFUSED_NOT_OWNER, REQUEST_ID_HEADER
+from greengagerock.web.route_dialect import (
+    KEY_HEADER,
+    LEAVING_HEADER,
+    REFUSED_NOT_OWNER,
+    REQUEST_ID_HEADER,
+)
 
 REPORT_INTERVAL_S = 0.3
 RELEASE_REPORT_S = 0.05
@@ -37,11 +42,14 @@
         holds: Fence and end of the hold by unit.
         freed: Handover token by unit, for units that it has released but not yet reported.
         runs: Number of runs by request id.
+        refusals: Number of requests refused by ``response_fault``.
         bodies: Last request body by request id.
         response_fault: Fault of the following responses. ``whole``: none; ``torn``: the body
             ends early; ``extra``: a second response follows; ``late-extra``: a response with
             the id of the previous request comes before the next response; ``close``: the
             connection is closed without a response; ``full``: the request is refused.
+        retry_after: Value of the header with which refused requests are to come back, or empty.
+        says_leaving: Whether its responses say that it leaves.
         delay_s: Time that it takes to run a request.
         drain_acknowledged_s: Monotonic time of the first accepted report that announced draining,
             or ``None``.
@@ -64,8 +72,11 @@
         self.holds = {}
         self.freed = {}
         self.runs = Counter()
+        self.refusals = 0
         self.bodies = {}
         self.response_fault = "whole"
+        self.retry_after = ""
+        self.says_leaving = False
         self.delay_s = 0.0
         self.lock = threading.Lock()
         self.stop_requested = threading.Event()
@@ -213,7 +224,10 @@
             self._send_response(503, b"", {REFUSED_HEADER: REFUSED_NOT_OWNER})
             return
         if endpoint.response_fault == "full":
-            self._send_response(503, b"", {REFUSED_HEADER: "full"})
+            pause = {"Retry-After": endpoint.retry_after} if endpoint.retry_after else {}
+            with endpoint.lock:
+                endpoint.refusals += 1
+            self._send_response(503, b"", {REFUSED_HEADER: "full", **pause})
             return
         request_id = self.headers.get(REQUEST_ID_HEADER, "")
         with endpoint.lock:
@@ -255,6 +269,8 @@
         request_id = request_id or self.headers.get(REQUEST_ID_HEADER, "")
         if request_id:
             self.send_header(REQUEST_ID_HEADER, request_id)
+        if self.server.endpoint.says_leaving:
+            self.send_header(LEAVING_HEADER, "1")
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(content) if length is None else length))
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -38,7 +38,7 @@
     KeyRelease,
 )
 from greengagerock.transport.monitor import MessageSequence
-from greengagerock.view import NotLeading, ViewDelta, ViewPoll
+from greengagerock.view import LeavingObserved, NotLeading, ViewDelta, ViewPoll
 
 Message = (
     Hello
@@ -77,6 +77,7 @@
     | ViewPoll
     | ViewDelta
     | NotLeading
+    | LeavingObserved
 )
 
 
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -163,6 +163,18 @@
     response_times: bytes | None = msgspec.field(default=None, name="times")
 
 
+class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
+    """A router's report to the leader that an endpoint said in a response that it leaves.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        started_ms: Start of the endpoint instance, in milliseconds since 1970.
+    """
+
+    endpoint: str
+    started_ms: int
+
+
 class NotLeading(msgspec.Struct, frozen=True, tag="not-leading"):
     """The reply to a ``ViewPoll`` of a controller that is not the leader.
 
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -213,7 +213,7 @@
                 self._headers_for(forward) | extra_headers,
                 self.body,
                 attempt,
-                lambda response: self.app.dialect.failure_reason(response, self.request_id),
+                self._inspect_response,
             )
         finally:
             self.app.bridge.unregister_attempt(self.token)
@@ -221,6 +221,18 @@
             if watched_descriptor is not None:
                 self.app.bridge.unwatch_caller(watched_descriptor)
 
+    def _inspect_response(self, response):
+        """Pass on what the endpoint says about itself; return why the response is unusable.
+
+        Returns:
+            A reason, or ``None`` if the response can be sent to the caller.
+        """
+        dialect = self.app.dialect
+        notice = dialect.read_notice(self.token, response, self.request_id)
+        if notice is not None:
+            self.app.bridge.post_deferred(notice)
+        return dialect.failure_reason(response, self.request_id)
+
     def _headers_for(self, forward):
         headers = self.app.dialect.outgoing_headers(self.headers, forward)
         if self.body is not None and "content-length" not in headers:
--- a/greengagerock/web/native_dialect.py
+++ b/greengagerock/web/native_dialect.py
@@ -93,6 +93,10 @@
         """Return why a response cannot be sent to the caller, or ``None`` if it can."""
         return REASON_REFUSED if REFUSED_HEADER in response.headers else None
 
+    def read_notice(self, token, response, request_id):
+        """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
+        return None
+
     def added_headers(self, request_id, endpoint):
         """Return the headers that this host adds to a response."""
         own = [("Greengage-Request-Id", request_id)]
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -7,7 +7,10 @@
 from greengagerock.core.interface import CallArrived
 from greengagerock.routing.failures import REASON_CONNECTION_LOST, REASON_NOT_OWNER, REASON_REFUSED
 from greengagerock.web.native_dialect import REFUSED_HEADER, NativeDialect, origin_form
+from greengagerock.web.notice_headers import make_notice
 
+# Set by an endpoint that is about to end.
+LEAVING_HEADER = "greengage-leaving"
 KEY_HEADER = "greengage-key"
 TIMEOUT_HEADER = "greengage-timeout-ms"
 REQUEST_ID_HEADER = "greengage-request-id"
@@ -92,6 +95,18 @@
             return None
         return REASON_NOT_OWNER if refusal == REFUSED_NOT_OWNER else REASON_REFUSED
 
+    def read_notice(self, token, response, request_id):
+        """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
+        headers = response.headers
+        refusal = headers.get(REFUSED_HEADER)
+        if refusal == REFUSED_NOT_OWNER:
+            # Another endpoint may have the address now.
+            return None
+        if headers.get(REQUEST_ID_HEADER, request_id) != request_id:
+            return None
+        pause_text = None if refusal is None else headers.get("Retry-After")
+        return make_notice(token, LEAVING_HEADER in headers, pause_text)
+
 
 def parse_timeout_s(value):
     """Return the caller's timeout in seconds; infinite without a header.
