Let all controllers vote, or all but one

Cause: five controllers voted, however many there are. A connected majority of twelve controllers may hold two of five voters and then has no leader, although more than half of the core runs and is connected. Change: the number of voters is the largest odd number that is not above the number of controllers; no smaller one is enough (docs/decisions/0012).

--- a/greengagerock/discovery/tests/test_voter_replacement.py
+++ b/greengagerock/discovery/tests/test_voter_replacement.py
@@ -1,5 +1,9 @@
 """Tests of the replacement of voters, one member at a time."""
 
+from itertools import combinations
+
+import pytest
+
 from greengagerock.discovery import choose_membership
 from greengagerock.discovery.voter_replacement import MemberState
 from greengagerock.replication import Member, Membership
@@ -69,3 +73,34 @@
 def test_leader_is_not_removed_from_a_group_that_is_too_large():
     four_voters = Membership((B, C, D, A))
     assert A in next_step(four_voters).voters
+
+
+def grow(controllers):
+    """Return the voters after all steps, starting with three of ``controllers``."""
+    membership = Membership(tuple(controllers[:3]))
+    for _ in range(4 * len(controllers)):
+        spares = [m for m in controllers if m not in membership.members]
+        membership = next_step(membership, spares=spares)
+    return membership
+
+
+@pytest.mark.parametrize("count", range(3, 13))
+def test_every_connected_majority_of_the_controllers_has_a_majority_of_the_voters(count):
+    """Whatever is lost or cut off: half of the controllers and one more can elect a leader."""
+    controllers = [A, *(member(f"m{number}") for number in range(1, count))]
+    membership = grow(controllers)
+    assert membership.learner is None
+    for connected in combinations(controllers, count // 2 + 1):
+        voters = sum(m in membership.voters for m in connected)
+        assert voters >= membership.quorum, (count, [m.host for m in connected])
+
+
+def test_two_lost_controllers_of_twelve_leave_a_group_that_bears_the_same_again():
+    controllers = [A, *(member(f"m{number}") for number in range(1, 12))]
+    membership = grow(controllers)
+    lost = membership.voters[-2:]
+    for _ in range(20):
+        spares = [m for m in controllers if m not in (*membership.members, *lost)]
+        membership = next_step(membership, lost=lost, spares=spares)
+    running = [m for m in membership.voters if m not in lost]
+    assert len(running) - 2 >= membership.quorum
--- a/greengagerock/discovery/voter_replacement.py
+++ b/greengagerock/discovery/voter_replacement.py
@@ -7,8 +7,7 @@
 # Longest silence of a controller that can still become a voter.
 SPARE_SILENCE_LIMIT_S = 1.5
 CAUGHT_UP_ENTRIES = 16
-SMALL_GROUP_SIZE = 3
-LARGE_GROUP_SIZE = 5
+MIN_GROUP_SIZE = 3
 
 
 class MemberState:
@@ -37,13 +36,16 @@
 
 
 def voter_count(controller_count):
-    """Return the intended number of voters for a number of controllers.
+    """Return the intended number of voters for a number of controllers: all, or all but one.
+
+    So each connected majority of the controllers contains a majority of the voters, whichever
+    controllers are lost or cut off. With fewer voters, it might contain a minority of them.
 
     Examples:
-        >>> [voter_count(controller_count) for controller_count in (1, 3, 4, 5, 9)]
-        [3, 3, 3, 5, 5]
+        >>> [voter_count(controller_count) for controller_count in (1, 3, 4, 5, 6, 12)]
+        [3, 3, 3, 5, 5, 11]
     """
-    return LARGE_GROUP_SIZE if controller_count >= LARGE_GROUP_SIZE else SMALL_GROUP_SIZE
+    return max(MIN_GROUP_SIZE, controller_count - 1 + controller_count % 2)
 
 
 def choose_membership(membership, states, learner, spares, own_identity):
