Prefer endpoints of the own zone in proportion to the latency objective

Cause: requests of services without keys crossed zones as soon as a remote endpoint was 5 ms faster, which among a few random endpoints is nearly always the case. Change: an endpoint of another zone has to save a quarter of the route's latency objective; the share is a setting (zone_preference).

--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -178,6 +178,7 @@
             settings.retries.slack,
             settings.retries.window_s,
             settings.stop_grace_s,
+            settings.zone_preference,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -75,6 +75,7 @@
             self.outbox,
             Random(config.seed),
             self._report,
+            config.zone_preference,
         )
         self.stats = self.dispatcher.stats
         self.had_leader = False
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE
+
 
 class SiteConfig(msgspec.Struct, frozen=True):
     """Configuration of the decision core of one host of a site.
@@ -20,6 +22,8 @@
         retry_slack: Retries allowed in addition, over all routers.
         retry_window_s: Time window over which both limits are counted.
         stop_grace_s: Time from the stop request until the process is killed.
+        zone_preference: Share of a route's latency objective that an endpoint of another zone
+            has to save to be preferred to those of the own zone.
     """
 
     host: str
@@ -34,3 +38,4 @@
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
     stop_grace_s: float = 6.0
+    zone_preference: float = DEFAULT_ZONE_PREFERENCE
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -12,7 +12,7 @@
 from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
 from greengagerock.routing.endpoint_notices import EndpointNotices
-from greengagerock.routing.endpoint_picker import EndpointPicker
+from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE, EndpointPicker
 from greengagerock.routing.error_responses import ErrorResponder
 from greengagerock.routing.failures import (
     REASON_CALLER,
@@ -58,6 +58,7 @@
         outbox: Receives effects.
         random: Random number generator.
         report: Callable that sends a ``CrashReport`` or ``LeavingObserved`` to the leader.
+        zone_preference: Preference of the ``EndpointPicker`` for endpoints of the own zone.
 
     Attributes:
         route_index: The ``RouteIndex``.
@@ -77,7 +78,17 @@
         is_stopping: Whether new requests are refused.
     """
 
-    def __init__(self, zone, replica, budget, timers, outbox, random, report):
+    def __init__(
+        self,
+        zone,
+        replica,
+        budget,
+        timers,
+        outbox,
+        random,
+        report,
+        zone_preference=DEFAULT_ZONE_PREFERENCE,
+    ):
         self.zone = zone
         self.replica = replica
         self.budget = budget
@@ -91,7 +102,7 @@
         self.health = EndpointHealth()
         self.notices = EndpointNotices()
         self.endpoint_picker = EndpointPicker(
-            zone, self.observations, self.health, self.notices, random
+            zone, self.observations, self.health, self.notices, random, zone_preference
         )
         self.recent_responses = RecentResponses()
         self.demand = KeyDemand()
@@ -312,9 +323,12 @@
     def _send_to_any(self, call):
         names = self.replica.by_service.get(call.service, ())
         records = [self.replica.endpoints[name] for name in names]
-        is_long = call.route.kind == "download"
         record = self.endpoint_picker.pick(
-            records, call.tried_endpoints, self._extra_requests(call), is_long, self.timers.now_s
+            records,
+            call.tried_endpoints,
+            self._extra_requests(call),
+            call.route.objective_s,
+            self.timers.now_s,
         )
         if record is None:
             code = "no-room" if call.tried_endpoints else "no-endpoint"
--- a/greengagerock/routing/endpoint_picker.py
+++ b/greengagerock/routing/endpoint_picker.py
@@ -2,10 +2,11 @@
 
 # Time for which an endpoint that has refused a request gets no further ones.
 SHED_PAUSE_S = 0.15
-# Expected time that sending to a remote zone has to save, for short and for long responses.
-# Traffic between zones is charged by the byte, so short responses cross zones first.
-SHORT_ZONE_PENALTY_S = 0.005
-LONG_ZONE_PENALTY_S = 0.08
+# Share of a route's latency objective that an endpoint of another zone has to save. Traffic
+# between zones is charged by the byte, and callers do not notice a delay within the objective.
+DEFAULT_ZONE_PREFERENCE = 0.25
+# Time that it has to save if a route has no objective.
+DEFAULT_ZONE_PENALTY_S = 0.02
 
 
 class EndpointPicker:
@@ -14,7 +15,8 @@
     Two random endpoints of the local zone are compared with two random endpoints of all zones.
     The expected time is the endpoint's running mean, increased in proportion to this router's
     requests in flight there per slot. An endpoint that warms up costs one mean more, and one in
-    a remote zone the penalty for crossing zones. Comparing so few endpoints prevents many
+    a remote zone the penalty for crossing zones, which grows with the latency objective of the
+    route. Comparing so few endpoints prevents many
     routers from all choosing the same one.
 
     Args:
@@ -23,28 +25,39 @@
         health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
         random: Random number generator.
+        zone_preference: Share of a route's latency objective that an endpoint of a remote zone
+            has to save; 0 treats all zones alike.
 
     References:
         M. Mitzenmacher: The Power of Two Choices in Randomized Load Balancing, 2001.
     """
 
-    __slots__ = ("health", "notices", "observations", "random", "zone")
+    __slots__ = ("health", "notices", "observations", "random", "zone", "zone_preference")
 
-    def __init__(self, zone, observations, health, notices, random):
+    def __init__(
+        self,
+        zone,
+        observations,
+        health,
+        notices,
+        random,
+        zone_preference=DEFAULT_ZONE_PREFERENCE,
+    ):
         self.zone = zone
         self.observations = observations
         self.health = health
         self.notices = notices
         self.random = random
+        self.zone_preference = zone_preference
 
-    def pick(self, records, tried_endpoints, extra_requests, is_long_response, now_s):
+    def pick(self, records, tried_endpoints, extra_requests, objective_s, now_s):
         """Return an ``EndpointRecord``, or ``None`` if no endpoint can be tried.
 
         Args:
             records: Endpoints of the service.
             tried_endpoints: Names of endpoints to exclude.
             extra_requests: Requests beyond an endpoint's limit that the priority allows.
-            is_long_response: Whether a long response is expected.
+            objective_s: Latency objective of the route, or ``None``.
             now_s: Monotonic time in seconds.
         """
         untried = [
@@ -65,7 +78,9 @@
             return None
         local = [r for r in usable if r.zone == self.zone]
         candidates = self._sample_two(local) + self._sample_two(usable)
-        penalty_s = LONG_ZONE_PENALTY_S if is_long_response else SHORT_ZONE_PENALTY_S
+        penalty_s = (
+            DEFAULT_ZONE_PENALTY_S if objective_s is None else self.zone_preference * objective_s
+        )
         return min(candidates, key=lambda record: self._cost_s(record, penalty_s))
 
     def _is_healthy(self, record, extra_requests, now_s):
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Meta
 
+from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE
 from greengagerock.settings.schema import Address, LimitSettings, LogSettings, Name
 
 Seconds = Annotated[float, Meta(gt=0, le=3_600)]
@@ -45,6 +46,8 @@
         report_interval_s: Usual time between two reports of an endpoint.
         hold_s: Time for which an endpoint holds its keys after a report.
         stop_grace_s: Time from the stop request until the process is killed.
+        zone_preference: Share of a route's latency objective that an endpoint of another zone
+            has to save to be preferred to those of the own zone; 0 treats all zones alike.
         retries: Limits on retries.
         limits: Limits of the HTTP servers and client.
         log: Settings of the log.
@@ -65,6 +68,7 @@
     report_interval_s: Seconds = 1.0
     hold_s: Seconds = 9.0
     stop_grace_s: Seconds = 6.0
+    zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
