Give endpoints the id that responses are compared with; import of bench/forwarder.py

Cause: a caller's request id with other characters was replaced on this host, but sent to the endpoint unchanged, so the endpoint's response looked like another request's and the caller got 502 for a charge that had run. bench/forwarder.py imported names that had moved. Change: the id that the router uses is the one it sends. Tests of real processes for notices of endpoints (pause, leaving).

--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -12,7 +12,8 @@
 import urllib3
 
 from greengagerock.settings import LimitSettings
-from greengagerock.web.caller_application import origin_form, read_headers, split_uri
+from greengagerock.web.caller_application import read_headers
+from greengagerock.web.native_dialect import origin_form, split_uri
 from greengagerock.web.server import HttpServer
 
 BLOCK_BYTES = 64 * 1024
--- a/greengagerock/platform/caller_dialect.py
+++ b/greengagerock/platform/caller_dialect.py
@@ -50,8 +50,11 @@
         """Return the caller's id of the request, or ``fallback`` if there is none."""
         return headers.get(REQUEST_ID_HEADER) or fallback
 
-    def outgoing_headers(self, headers, forward):
-        """Return the headers to send to an endpoint, without ``Transfer-Encoding``."""
+    def outgoing_headers(self, headers, forward, request_id):
+        """Return the headers to send to an endpoint, without ``Transfer-Encoding``.
+
+        The caller's request id is among them as the caller sent it.
+        """
         dropped_names = HOP_BY_HOP | _ROUTER_HEADERS
         if "connection" in headers:
             dropped_names |= {name.strip().lower() for name in headers["connection"].split(",")}
--- a/greengagerock/platform/tests/test_caller_dialect.py
+++ b/greengagerock/platform/tests/test_caller_dialect.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagerock.core import GreengageError
-from greengagerock.core.interface import Forward, RespondWithError
+from greengagerock.core.interface import EndpointNoticed, Forward, RespondWithError
 from greengagerock.platform.caller_dialect import PlatformDialect
 from greengagerock.web.upstream import BufferedBody
 
@@ -66,7 +66,7 @@
         "x-private": "1",
         "accept": "*/*",
     }
-    outgoing = DIALECT.outgoing_headers(headers, Forward(1, "i-1", "a:1", {}, 0.8))
+    outgoing = DIALECT.outgoing_headers(headers, Forward(1, "i-1", "a:1", {}, 0.8), "r")
     assert outgoing == {
         "host": "a.example",
         "x-request-id": "r",
@@ -93,6 +93,29 @@
     assert DIALECT.failure_reason(endpoint_response, "r") == reason
 
 
+@pytest.mark.parametrize(
+    ("endpoint_response", "notice"),
+    [
+        (response(200, X_Request_Id="r"), None),
+        (response(200, X_Request_Id="r", Server_Leaving="1"), EndpointNoticed(1, True)),
+        (response(503, X_Not_Executed="1", Retry_After="2"), EndpointNoticed(1, False, 2.0)),
+        (
+            response(503, X_Not_Executed="1", Retry_After="0.5", Server_Leaving="1"),
+            EndpointNoticed(1, True, 0.5),
+        ),
+        (response(503, Retry_After="soon"), EndpointNoticed(1, False, 0.0, "soon")),
+        (response(503, Retry_After="-3"), EndpointNoticed(1, False, 0.0, "-3")),
+        (response(503, Retry_After="nan"), EndpointNoticed(1, False, 0.0, "nan")),
+        (response(503, Retry_After="1e308"), EndpointNoticed(1, False, 86_400.0)),
+        (response(200, Retry_After="2"), None),
+        (response(421, X_Not_Executed="1", Server_Leaving="1"), None),
+        (response(200, X_Request_Id="other", Server_Leaving="1"), None),
+    ],
+)
+def test_notice_of_a_response(endpoint_response, notice):
+    assert DIALECT.read_notice(1, endpoint_response, "r") == notice
+
+
 def test_only_an_error_with_outcome_not_run_has_retry_after():
     status, headers, _ = DIALECT.encode_error(
         RespondWithError(1, "key-moving", "not-run", retry_after_s=0.25)
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -97,6 +97,14 @@
         self.server.server_close()
         self.server.break_connections()
 
+    def restart(self):
+        """Become a later instance of the same endpoint, which holds nothing."""
+        with self.lock:
+            self.started_ms = max(self.started_ms + 1, time.time_ns() // 1_000_000)
+            self.sequence = 0
+            self.draining = self.says_leaving = False
+            self.holds, self.freed = {}, {}
+
     def holds_key(self, key):
         """Return whether the endpoint holds a key and may run a request for it."""
         with self.lock:
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -234,7 +234,7 @@
         return dialect.failure_reason(response, self.request_id)
 
     def _headers_for(self, forward):
-        headers = self.app.dialect.outgoing_headers(self.headers, forward)
+        headers = self.app.dialect.outgoing_headers(self.headers, forward, self.request_id)
         if self.body is not None and "content-length" not in headers:
             headers["transfer-encoding"] = "chunked"
         return headers
--- a/greengagerock/web/native_dialect.py
+++ b/greengagerock/web/native_dialect.py
@@ -78,7 +78,7 @@
         """Return the ``service`` label of the request in the latency metric."""
         return event.service
 
-    def outgoing_headers(self, headers, forward):
+    def outgoing_headers(self, headers, forward, request_id):
         """Return the headers to send to an endpoint, without ``Transfer-Encoding``."""
         outgoing = {
             name: value
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -75,14 +75,15 @@
     key_header = KEY_HEADER
     timeout_header = TIMEOUT_HEADER
 
-    def outgoing_headers(self, headers, forward):
+    def outgoing_headers(self, headers, forward, request_id):
         """Return the headers to send to an endpoint, without ``Transfer-Encoding``."""
-        outgoing = super().outgoing_headers(headers, forward)
+        outgoing = super().outgoing_headers(headers, forward, request_id)
         outgoing[TIMEOUT_HEADER] = str(max(1, int(forward.timeout_s * 1000)))
         outgoing["greengage-endpoint"] = forward.endpoint
-        for name in (KEY_HEADER, REQUEST_ID_HEADER):
-            if name in headers:
-                outgoing[name] = headers[name]
+        if KEY_HEADER in headers:
+            outgoing[KEY_HEADER] = headers[KEY_HEADER]
+        # The endpoint repeats this id, and ``failure_reason`` compares it.
+        outgoing[REQUEST_ID_HEADER] = request_id
         return outgoing
 
     def failure_reason(self, response, request_id):
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -34,6 +34,9 @@
     if "site" in request.fixturenames:
         for endpoint in request.getfixturevalue("site").reporting_endpoints.values():
             endpoint.response_fault = "whole"
+            endpoint.retry_after = ""
+            if endpoint.says_leaving:
+                endpoint.restart()
             endpoint.delay_s = 0.0
 
 
@@ -80,6 +83,58 @@
     assert site.call("/charge/3", 9, method="POST", body=chunks).data.endswith(body)
 
 
+def test_request_id_that_is_not_accepted_is_replaced_on_the_whole_way(site):
+    """The endpoint repeats the id that it gets, so it must be the one that is compared."""
+    runs_before = run_count(site)
+    headers = {"Greengage-Request-Id": "a,b"}
+    response = site.call("/charge/id", 9, method="POST", body=b"1", headers=headers)
+    assert response.status == 200
+    assert response.headers["Greengage-Request-Id"] != "a,b"
+    assert run_count(site) == runs_before + 1
+
+
+def test_endpoint_that_wants_a_pause_gets_no_more_requests(site):
+    holder = find_endpoint_holding(site, 77)
+    holder.response_fault, holder.retry_after = "full", "60"
+    first = site.call("/balance/pause", 77)
+    assert first.status == 503
+    refusals = holder.refusals
+    for number in range(5):
+        response = site.call(f"/balance/pause-{number}", 77)
+        assert response.status == 503
+        assert response.headers["Greengage-Outcome"] == "not-run"
+        assert 0 < float(response.headers["Retry-After"]) <= 60
+    assert holder.refusals == refusals
+    # The pause ends with the instance that requested it.
+    holder.response_fault = "whole"
+    holder.restart()
+    site.wait_until(lambda: site.call("/balance/back", 77).status == 200)
+    site.wait_until(site.serves_all_keys)
+
+
+def test_endpoint_that_says_it_leaves_gets_no_more_requests(site):
+    """Of the two endpoints without keys, the one that the router prefers says that it leaves."""
+    name = site.call("/prices/notice").data.split()[0].decode()
+    leaving = site.reporting_endpoints[name]
+    leaving.says_leaving = True
+    site.wait_until(lambda: site.call("/prices/notice").data.startswith(name.encode()))
+    runs = sum(leaving.runs.values())
+    for number in range(20):
+        assert site.call(f"/prices/after-{number}").status == 200
+    assert sum(leaving.runs.values()) == runs
+    # The leader passes it on to the other router.
+    logs = [site.folder / f"core-{number}.log" for number in (1, 2, 3)]
+    site.wait_until(lambda: any("source=router" in log.read_text() for log in logs))
+
+    def other_router_avoids_it():
+        runs_before = sum(leaving.runs.values())
+        for number in range(10):
+            site.call(f"/prices/other-{number}", router=1)
+        return sum(leaving.runs.values()) == runs_before
+
+    site.wait_until(other_router_avoids_it)
+
+
 def test_unknown_route(site):
     assert site.call("/nowhere/x", 1).status == 404
 
