Order requests to busy endpoints by gates that routers keep for each other

What regulates is the endpoint's own queue: a dozen requests, first come first served, blind to priority and time left. Change: the leader names a router of its zone as the gatekeeper of each busy endpoint. Routers ask it for a permit, which it gives for as many requests as the endpoint runs at once and one more, in the order of priority and arrival; what would be late is refused at once, with the time at which there will be room, spread. A permit only orders requests: without a reply in 0.15 s a request is sent as before. Callers are watched while their requests wait.

--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -179,6 +179,7 @@
             settings.retries.window_s,
             settings.stop_grace_s,
             settings.zone_preference,
+            settings.uses_gates,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -24,6 +24,7 @@
         stop_grace_s: Time from the stop request until the process is killed.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone.
+        uses_gates: Whether requests to busy endpoints are ordered by gatekeepers.
     """
 
     host: str
@@ -39,3 +40,4 @@
     retry_window_s: float = 10.0
     stop_grace_s: float = 6.0
     zone_preference: float = DEFAULT_ZONE_PREFERENCE
+    uses_gates: bool = True
--- /dev/null
+++ b/greengagerock/routing/call_sender.py
@@ -0,0 +1,329 @@
+"""Choice of the endpoint for a call, and of the moment at which the call is sent to it."""
+
+from greengagerock.assignment.units import KEYS_PER_UNIT
+from greengagerock.core.interface import CloseIdleConnections, Forward, WatchCaller
+from greengagerock.routing.gate_messages import Granted, Queued, Refused
+from greengagerock.routing.permit_client import OVERDUE_MARGIN_S, OVERDUE_WAITS, REPLY_TIMEOUT_S
+
+# Longest time that a call waits for a holder of its key. A key that moves with a handover has a
+# new holder within one report interval.
+MAX_KEY_WAIT_S = 0.5
+# Largest share of the remaining time that a call waits for a holder of its key.
+MAX_KEY_WAIT_SHARE = 0.3
+# Time after sending from which on the I/O layer watches whether the caller is still connected.
+WATCH_AFTER_S = 0.2
+# Requests above the limit of an endpoint that are allowed for an urgent route.
+URGENT_EXTRA_REQUESTS = 1
+# Calls with less time left than this are not sent.
+MIN_TIME_LEFT_S = 0.005
+
+
+class CallSender:
+    """Sends calls to endpoints, lets them wait, or refuses them.
+
+    Args:
+        replica: The ``ViewReplica``.
+        observations: The ``EndpointObservations``.
+        health: The ``EndpointHealth``.
+        notices: The ``EndpointNotices``.
+        endpoint_picker: The ``EndpointPicker``.
+        permits: The ``PermitClient``.
+        timers: The timer service.
+        outbox: Receives effects.
+        refuse: Callable that refuses a call, with an error code, a detail and the time after
+            which the caller may return.
+
+    Attributes:
+        ranks: Rank of each priority among the routes of a service, by (service, priority).
+        least_urgent_ranks: Highest rank of each service.
+        waiting_calls: Calls that wait for a holder of their key, by (service, unit).
+        calls_awaiting_permits: Calls that wait for a permit, by token.
+        is_closing: Whether responses direct callers to other hosts.
+    """
+
+    def __init__(
+        self,
+        replica,
+        observations,
+        health,
+        notices,
+        endpoint_picker,
+        permits,
+        timers,
+        outbox,
+        refuse,
+    ):
+        self.replica = replica
+        self.observations = observations
+        self.health = health
+        self.notices = notices
+        self.endpoint_picker = endpoint_picker
+        self.permits = permits
+        self.timers = timers
+        self.outbox = outbox
+        self.refuse = refuse
+        self.ranks = {}
+        self.least_urgent_ranks = {}
+        self.waiting_calls = {}
+        self.calls_awaiting_permits = {}
+        self.is_closing = False
+
+    def send(self, call):
+        """Send a call, let it wait, or refuse it."""
+        if call.deadline_s - self.timers.now_s < MIN_TIME_LEFT_S:
+            self.refuse(call, "no-room", "no time left before the deadline")
+        elif self.is_keyed(call):
+            self._send_to_holder(call)
+        else:
+            self._send_to_any(call)
+
+    def is_keyed(self, call):
+        """Return whether only the holder of the call's key may run it."""
+        service = self.replica.services.get(call.service)
+        return service is not None and service.keyed is not None and call.key is not None
+
+    def forget(self, call):
+        """Stop the waiting of a call that has ended."""
+        self.calls_awaiting_permits.pop(call.token, None)
+        self.permits.release(call.token)
+
+    def on_endpoints(self, changed_units):
+        """Send the calls that waited for a holder of changed units, or at their old holder."""
+        for unit in changed_units:
+            for call in self.waiting_calls.pop(unit, ()):
+                if call.awaited_unit == unit:
+                    call.cancel_timer()
+                    call.awaited_unit = None
+                    self.send(call)
+        if not changed_units:
+            return
+        for call in list(self.calls_awaiting_permits.values()):
+            permit = self.permits.permits[call.token]
+            if self.replica.owner_of(call.service, call.key) != permit.endpoint:
+                self._end_wait_for_permit(call)
+                self.send(call)
+
+    # --- Services with keys --------------------------------------------------------
+
+    def _send_to_holder(self, call):
+        name = self.replica.owner_of(call.service, call.key)
+        record = self.replica.endpoints.get(name)
+        now_s = self.timers.now_s
+        if record is None or not self.notices.accepts_held_keys(record, now_s):
+            self.wait_for_holder(call)
+            return
+        pause_left_s = self.notices.pause_left_s(record, now_s)
+        if pause_left_s:
+            self.refuse(
+                call, "endpoint-refused", f"endpoint {name} wants no requests", pause_left_s
+            )
+            return
+        observation = self.observations.observation_of(name)
+        is_doubtful = observation.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
+        if is_doubtful and not observation.may_probe(now_s):
+            self.refuse(call, "connect-failed", f"endpoint {name} does not respond")
+        elif is_doubtful:
+            self._probe(call, record)
+        else:
+            gatekeeper = self.permits.gatekeeper_of(record, now_s)
+            if gatekeeper is None:
+                self._send_without_permit(call, record)
+            else:
+                self._request_permit(call, record, gatekeeper)
+
+    def _send_without_permit(self, call, record):
+        observation = self.observations.observation_of(record.name)
+        if observation.has_room(self._extra_requests(call), self.timers.now_s):
+            self.forward(call, record)
+        else:
+            detail = f"{observation.in_flight} requests in flight at endpoint {record.name}"
+            self.refuse(call, "no-room", detail)
+
+    def _probe(self, call, record):
+        """Send a call over a new connection to an endpoint that may be unreachable.
+
+        Open connections may no longer work although new ones do.
+        """
+        self.outbox.add(CloseIdleConnections(record.address))
+        self.forward(call, record)
+
+    def wait_for_holder(self, call):
+        """Delay a call while its key has no holder, or refuse it if it has waited too long."""
+        now_s = self.timers.now_s
+        left_s = call.deadline_s - now_s
+        wait_s = min(MAX_KEY_WAIT_S - (now_s - call.arrived_s), MAX_KEY_WAIT_SHARE * left_s)
+        if wait_s <= 0:
+            self.refuse(call, "key-moving", f"unit {call.key // KEYS_PER_UNIT} has no holder")
+            return
+        call.awaited_unit = (call.service, call.key // KEYS_PER_UNIT)
+        self.waiting_calls.setdefault(call.awaited_unit, []).append(call)
+        call.timer = self.timers.subscribe(wait_s, lambda: self._on_holder_wait_expired(call))
+        self.outbox.add(WatchCaller(call.token))
+
+    def _on_holder_wait_expired(self, call):
+        call.timer = None
+        self.stop_waiting_for_holder(call)
+        self.refuse(call, "key-moving", f"unit {call.key // KEYS_PER_UNIT} has no holder")
+
+    def stop_waiting_for_holder(self, call):
+        """Remove a call from those that wait for a holder of their key."""
+        calls = self.waiting_calls.get(call.awaited_unit, [])
+        if call in calls:
+            calls.remove(call)
+            if not calls:
+                del self.waiting_calls[call.awaited_unit]
+        call.awaited_unit = None
+
+    # --- Permits -------------------------------------------------------------------
+
+    def _request_permit(self, call, record, gatekeeper):
+        """Wait for a permit of the endpoint's gatekeeper, for a short time."""
+        now_s = self.timers.now_s
+        mean_s = self.observations.observation_of(record.name).mean_response_s
+        rank = self.ranks.get((call.service, call.route.priority), 0)
+        call.cancel_timer()
+        call.timer = self.timers.subscribe(
+            REPLY_TIMEOUT_S, lambda: self._on_gatekeeper_silent(call)
+        )
+        self.calls_awaiting_permits[call.token] = call
+        self.permits.request(call, record, gatekeeper, mean_s, rank, now_s)
+
+    def on_permit_reply(self, reply):
+        """Process the ``PermitReply`` of a gatekeeper."""
+        call = self.calls_awaiting_permits.get(reply.token)
+        match reply.decision:
+            case _ if call is None:
+                # The call was sent without a permit or has ended, and its release was sent.
+                return
+            case Granted():
+                self._on_permit_granted(call)
+            case Queued(wait_s):
+                self._wait_for_turn(call, wait_s)
+            case Refused(retry_after_s):
+                endpoint = self.permits.permits[call.token].endpoint
+                self._end_wait_for_permit(call)
+                self.refuse(
+                    call, "no-room", f"endpoint {endpoint} is busy for all routers", retry_after_s
+                )
+
+    def _on_permit_granted(self, call):
+        permit = self.permits.permits[call.token]
+        record = self.replica.endpoints.get(permit.endpoint)
+        is_holder = self.replica.owner_of(call.service, call.key) == permit.endpoint
+        now_s = self.timers.now_s
+        may_send = (
+            is_holder
+            and record is not None
+            and record.started_ms == permit.started_ms
+            and self.notices.accepts_held_keys(record, now_s)
+            and not self.notices.pause_left_s(record, now_s)
+            and call.deadline_s - now_s >= MIN_TIME_LEFT_S
+        )
+        if not may_send:
+            self._end_wait_for_permit(call)
+            self.send(call)
+            return
+        del self.calls_awaiting_permits[call.token]
+        permit.is_held = True
+        call.cancel_timer()
+        self.forward(call, record)
+
+    def _wait_for_turn(self, call, wait_s):
+        """Wait for the permit, and watch the caller meanwhile."""
+        call.cancel_timer()
+        left_s = call.deadline_s - self.timers.now_s
+        overdue_s = min(OVERDUE_WAITS * wait_s + OVERDUE_MARGIN_S, max(0.0, left_s))
+        call.timer = self.timers.subscribe(overdue_s, lambda: self._on_turn_overdue(call))
+        self.outbox.add(WatchCaller(call.token))
+
+    def _on_turn_overdue(self, call):
+        call.timer = None
+        self._end_wait_for_permit(call)
+        self.refuse(call, "no-room", "the gatekeeper gave no permit in time")
+
+    def _on_gatekeeper_silent(self, call):
+        call.timer = None
+        permit = self.permits.permits[call.token]
+        self.permits.mark_unresponsive(permit.gatekeeper, self.timers.now_s)
+        self.outbox.log(
+            "gatekeeper-silent",
+            request_id=call.request_id,
+            gatekeeper=permit.gatekeeper,
+            endpoint=permit.endpoint,
+        )
+        self._end_wait_for_permit(call)
+        self.send(call)
+
+    def _end_wait_for_permit(self, call):
+        call.cancel_timer()
+        self.calls_awaiting_permits.pop(call.token, None)
+        self.permits.release(call.token)
+
+    # --- Services without keys -----------------------------------------------------
+
+    def _send_to_any(self, call):
+        names = self.replica.by_service.get(call.service, ())
+        records = [self.replica.endpoints[name] for name in names]
+        record = self.endpoint_picker.pick(
+            records,
+            call.tried_endpoints,
+            self._extra_requests(call),
+            call.route.objective_s,
+            self.timers.now_s,
+        )
+        if record is None:
+            code = "no-room" if call.tried_endpoints else "no-endpoint"
+            detail = f"service {call.service} has {len(records)} endpoints"
+            self.refuse(call, code, detail, self._shortest_pause_s(records))
+        else:
+            self.forward(call, record)
+
+    def _shortest_pause_s(self, records):
+        """Return when the first endpoint accepts requests again, ``None`` if one does already."""
+        now_s = self.timers.now_s
+        pauses_s = [
+            self.notices.pause_left_s(record, now_s)
+            for record in records
+            if self.notices.accepts_any(record)
+        ]
+        return min(pauses_s, default=0.0) or None
+
+    # --- All services --------------------------------------------------------------
+
+    def _extra_requests(self, call):
+        """Return the number of requests beyond the limit that a call's priority allows.
+
+        An endpoint serves its queue in order of arrival. So urgent requests can only be
+        preferred by holding back the others.
+        """
+        rank = self.ranks.get((call.service, call.route.priority))
+        is_urgent = rank is not None and rank < self.least_urgent_ranks[call.service]
+        return URGENT_EXTRA_REQUESTS if is_urgent else 0
+
+    def forward(self, call, record):
+        """Send a call to an endpoint."""
+        now_s = self.timers.now_s
+        call.endpoint = record.name
+        call.endpoint_started_ms = record.started_ms
+        call.sent_s = now_s
+        call.delivery_count += 1
+        if record.name not in call.tried_endpoints:
+            call.tried_endpoints.append(record.name)
+        self.observations.observation_of(record.name).note_sent(now_s)
+        call.cancel_timer()
+        call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch_caller(call))
+        self.outbox.add(
+            Forward(
+                call.token,
+                record.name,
+                record.address,
+                {},
+                call.deadline_s - now_s,
+                self.is_closing,
+            )
+        )
+
+    def _watch_caller(self, call):
+        call.timer = None
+        if call.endpoint:
+            self.outbox.add(WatchCaller(call.token))
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -1,13 +1,8 @@
 """Routing of callers' requests in a system with named routes."""
 
-from greengagerock.assignment.units import KEYS_PER_UNIT
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
-from greengagerock.core.interface import (
-    CancelAttempt,
-    CloseIdleConnections,
-    Forward,
-    WatchCaller,
-)
+from greengagerock.core.interface import CancelAttempt
+from greengagerock.routing.call_sender import MIN_TIME_LEFT_S, CallSender
 from greengagerock.routing.calls import Call
 from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
@@ -24,27 +19,17 @@
 )
 from greengagerock.routing.health import EndpointHealth
 from greengagerock.routing.observations import EndpointObservations
-from greengagerock.routing.priorities import lowest_priorities
+from greengagerock.routing.permit_client import PermitClient
+from greengagerock.routing.priorities import rank_priorities
 from greengagerock.routing.route_index import RouteIndex
 from greengagerock.routing.service_picker import ServicePicker
 from greengagerock.routing.stats import RouterStats
 from greengagerock.view import LeavingObserved
 
-# Longest time that a call waits for a holder of its key. A key that moves with a handover has a
-# new holder within one report interval.
-MAX_KEY_WAIT_S = 0.5
-# Largest share of the remaining time that a call waits for a holder of its key.
-MAX_KEY_WAIT_SHARE = 0.3
-# Time after sending from which on the I/O layer watches whether the caller is still connected.
-WATCH_AFTER_S = 0.2
 # Pause before a call is sent again to a holder that refused it although it is not full, and the
 # largest number of times that it is sent.
 RESEND_PAUSE_S = 0.02
 MAX_DELIVERIES = 3
-# Requests above the limit of an endpoint that are allowed for an urgent route.
-URGENT_EXTRA_REQUESTS = 1
-# Calls with less time left than this are not sent.
-MIN_TIME_LEFT_S = 0.005
 
 
 class Dispatcher:
@@ -59,10 +44,10 @@
         random: Random number generator.
         report: Callable that sends a ``CrashReport`` or ``LeavingObserved`` to the leader.
         zone_preference: Preference of the ``EndpointPicker`` for endpoints of the own zone.
+        send_to_gatekeeper: Callable that sends a message to a gatekeeper's address.
 
     Attributes:
         route_index: The ``RouteIndex``.
-        lowest_priority_by_service: Priority of the least urgent route of each service.
         service_picker: The ``ServicePicker``.
         observations: The ``EndpointObservations``.
         health: The ``EndpointHealth``.
@@ -72,8 +57,9 @@
         demand: The ``KeyDemand``.
         stats: The ``RouterStats``.
         error_responder: The ``ErrorResponder``.
+        permits: The ``PermitClient``.
+        sender: The ``CallSender``.
         calls: Calls in progress by token.
-        waiting_calls: Calls that wait for a holder of their key, by (service, unit).
         banned_fingerprints: Fingerprints of requests that crashed several endpoints.
         is_stopping: Whether new requests are refused.
     """
@@ -88,6 +74,7 @@
         random,
         report,
         zone_preference=DEFAULT_ZONE_PREFERENCE,
+        send_to_gatekeeper=lambda address, message: None,
     ):
         self.zone = zone
         self.replica = replica
@@ -96,7 +83,6 @@
         self.outbox = outbox
         self.report = report
         self.route_index = RouteIndex()
-        self.lowest_priority_by_service = {}
         self.service_picker = ServicePicker(random)
         self.observations = EndpointObservations(replica.shared_mean_s)
         self.health = EndpointHealth()
@@ -108,8 +94,19 @@
         self.demand = KeyDemand()
         self.stats = RouterStats()
         self.error_responder = ErrorResponder(replica, self.stats, timers, outbox)
+        self.permits = PermitClient(replica, send_to_gatekeeper)
+        self.sender = CallSender(
+            replica,
+            self.observations,
+            self.health,
+            self.notices,
+            self.endpoint_picker,
+            self.permits,
+            timers,
+            outbox,
+            self._refuse,
+        )
         self.calls = {}
-        self.waiting_calls = {}
         self.banned_fingerprints = frozenset()
         self.is_stopping = False
 
@@ -129,7 +126,7 @@
             return
         deadline_s = now_s + min(event.budget_s, route.timeout_s)
         call = Call(event, route, self.service_picker.pick(route), now_s, deadline_s)
-        if self._is_keyed(call):
+        if self.sender.is_keyed(call):
             self.demand.count(call.service, call.key)
         call.fingerprint = fingerprint_call(event, route)
         self.calls[call.token] = call
@@ -137,14 +134,14 @@
         if call.fingerprint in self.banned_fingerprints:
             self._refuse(call, "request-suspended", "suspected of crashing several endpoints")
             return
-        self._send(call)
+        self.sender.send(call)
 
     def on_attempt_failed(self, event):
         """Process an ``AttemptFailed``: send the call again, or respond with an error."""
         call = self.calls.get(event.token)
         if call is None:
             return
-        endpoint = self._end_attempt(call)
+        endpoint = self._end_attempt(call, was_refused=event.reason == REASON_REFUSED)
         now_s = self.timers.now_s
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
         self.error_responder.log_failed_attempt(call, event, endpoint)
@@ -172,7 +169,7 @@
         if call is None:
             return
         call.cancel_timer()
-        endpoint = self._end_attempt(call)
+        endpoint = self._end_attempt(call, event.response_time_s)
         outcome = "answered" if event.complete else "cut-off"
         if event.response_time_s:
             observation = self.observations.observation_of(endpoint)
@@ -187,7 +184,7 @@
         self.stats.count(call.service, outcome)
 
     def on_caller_disconnected(self, event):
-        """Cancel the attempt of a caller that has disconnected, if the route is idempotent."""
+        """End the wait of a caller that has disconnected, or its attempt if that is idempotent."""
         call = self.calls.get(event.token)
         if call is None:
             return
@@ -197,7 +194,11 @@
             endpoint=call.endpoint,
             waited_ms=round(1000 * (self.timers.now_s - call.arrived_s)),
         )
-        if call.route.is_idempotent:
+        if not call.endpoint:
+            # It waits for a holder or a permit; nothing of it was sent.
+            self.sender.stop_waiting_for_holder(call)
+            self._finish(call, "caller-gone", OUTCOME_NOT_RUN)
+        elif call.route.is_idempotent:
             call.is_abandoned = True
             self.outbox.add(CancelAttempt(call.token))
 
@@ -228,11 +229,16 @@
                 detail=event.malformed_pause,
             )
 
+    def begin_closing(self):
+        """Direct callers to other hosts with each response from now on."""
+        self.error_responder.is_closing = True
+        self.sender.is_closing = True
+
     def on_items(self):
         """Update the routes from the replica."""
         routes = self.replica.routes.values()
         self.route_index = RouteIndex(routes)
-        self.lowest_priority_by_service = lowest_priorities(routes)
+        self.sender.ranks, self.sender.least_urgent_ranks = rank_priorities(routes)
 
     def on_endpoints(self, changed_endpoints, changed_units):
         """Drop observations of removed endpoints, and send calls that wait for changed units."""
@@ -244,58 +250,7 @@
             elif self.notices.is_unreported_leaving(record):
                 # A new leader does not know what the previous one was told.
                 self.report(LeavingObserved(name, record.started_ms))
-        for unit in changed_units:
-            for call in self.waiting_calls.pop(unit, ()):
-                if call.token in self.calls:
-                    call.cancel_timer()
-                    call.awaited_unit = None
-                    self._send(call)
-
-    # --- Sending -------------------------------------------------------------------
-
-    def _send(self, call):
-        if call.deadline_s - self.timers.now_s < MIN_TIME_LEFT_S:
-            self._refuse(call, "no-room", "no time left before the deadline")
-            return
-        service = self.replica.services.get(call.service)
-        if service is not None and service.keyed and call.key is not None:
-            self._send_to_holder(call)
-        else:
-            self._send_to_any(call)
-
-    def _send_to_holder(self, call):
-        name = self.replica.owner_of(call.service, call.key)
-        record = self.replica.endpoints.get(name)
-        now_s = self.timers.now_s
-        if record is None or not self.notices.accepts_held_keys(record, now_s):
-            self._wait_for_holder(call)
-            return
-        pause_left_s = self.notices.pause_left_s(record, now_s)
-        if pause_left_s:
-            self._refuse(
-                call, "endpoint-refused", f"endpoint {name} wants no requests", pause_left_s
-            )
-            return
-        observation = self.observations.observation_of(name)
-        is_doubtful = observation.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
-        if is_doubtful and not observation.may_probe(now_s):
-            self._refuse(call, "connect-failed", f"endpoint {name} does not respond")
-        elif is_doubtful:
-            self._probe(call, record)
-        elif not observation.has_room(self._extra_requests(call), now_s):
-            self._refuse(
-                call, "no-room", f"{observation.in_flight} requests in flight at endpoint {name}"
-            )
-        else:
-            self._forward(call, record)
-
-    def _probe(self, call, record):
-        """Send a call over a new connection to an endpoint that may be unreachable.
-
-        Open connections may no longer work although new ones do.
-        """
-        self.outbox.add(CloseIdleConnections(record.address))
-        self._forward(call, record)
+        self.sender.on_endpoints(changed_units)
 
     def _cancel_silent_attempts(self, endpoint, sent_s):
         """Cancel older idempotent attempts at an endpoint that has responded to a later one."""
@@ -306,102 +261,12 @@
             if call.endpoint == endpoint and is_older and call.route.is_idempotent:
                 self.outbox.add(CancelAttempt(call.token, only_reused=True))
 
-    def _extra_requests(self, call):
-        """Return the number of requests beyond the limit that a call's priority allows.
-
-        An endpoint serves its queue in order of arrival. So urgent requests can only be
-        preferred by holding back the others.
-        """
-        return URGENT_EXTRA_REQUESTS if self._is_urgent(call) else 0
-
-    def _is_urgent(self, call):
-        """Return whether the service of a call has less urgent routes."""
-        lowest = self.lowest_priority_by_service.get(call.service)
-        priority = call.route.priority
-        return lowest is not None and priority is not None and priority < lowest
-
-    def _send_to_any(self, call):
-        names = self.replica.by_service.get(call.service, ())
-        records = [self.replica.endpoints[name] for name in names]
-        record = self.endpoint_picker.pick(
-            records,
-            call.tried_endpoints,
-            self._extra_requests(call),
-            call.route.objective_s,
-            self.timers.now_s,
-        )
-        if record is None:
-            code = "no-room" if call.tried_endpoints else "no-endpoint"
-            detail = f"service {call.service} has {len(records)} endpoints"
-            self._refuse(call, code, detail, self._shortest_pause_s(records))
-        else:
-            self._forward(call, record)
-
-    def _shortest_pause_s(self, records):
-        """Return when the first endpoint accepts requests again, ``None`` if one does already."""
-        now_s = self.timers.now_s
-        pauses_s = [
-            self.notices.pause_left_s(record, now_s)
-            for record in records
-            if self.notices.accepts_any(record)
-        ]
-        return min(pauses_s, default=0.0) or None
-
-    def _forward(self, call, record):
-        now_s = self.timers.now_s
-        call.endpoint = record.name
-        call.endpoint_started_ms = record.started_ms
-        call.sent_s = now_s
-        call.delivery_count += 1
-        if record.name not in call.tried_endpoints:
-            call.tried_endpoints.append(record.name)
-        self.observations.observation_of(record.name).note_sent(now_s)
-        call.cancel_timer()
-        call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch_caller(call))
-        self.outbox.add(
-            Forward(
-                call.token,
-                record.name,
-                record.address,
-                {},
-                call.deadline_s - now_s,
-                self.error_responder.is_closing,
-            )
-        )
-
-    def _watch_caller(self, call):
-        call.timer = None
-        if call.token in self.calls and call.endpoint:
-            self.outbox.add(WatchCaller(call.token))
-
-    def _wait_for_holder(self, call):
-        """Delay a call while its key has no holder, or refuse it if it has waited too long."""
-        now_s = self.timers.now_s
-        left_s = call.deadline_s - now_s
-        wait_s = min(MAX_KEY_WAIT_S - (now_s - call.arrived_s), MAX_KEY_WAIT_SHARE * left_s)
-        if wait_s <= 0:
-            self._refuse(call, "key-moving", f"unit {call.key // KEYS_PER_UNIT} has no holder")
-            return
-        call.awaited_unit = (call.service, call.key // KEYS_PER_UNIT)
-        self.waiting_calls.setdefault(call.awaited_unit, []).append(call)
-        call.timer = self.timers.subscribe(wait_s, lambda: self._on_wait_expired(call))
-
-    def _on_wait_expired(self, call):
-        call.timer = None
-        waiting_for_unit = self.waiting_calls.get(call.awaited_unit)
-        if waiting_for_unit and call in waiting_for_unit:
-            waiting_for_unit.remove(call)
-            if not waiting_for_unit:
-                del self.waiting_calls[call.awaited_unit]
-        call.awaited_unit = None
-        if call.token in self.calls:
-            self._refuse(call, "key-moving", f"unit {call.key // KEYS_PER_UNIT} has no holder")
-
     # --- Failures ------------------------------------------------------------------
 
-    def _end_attempt(self, call):
+    def _end_attempt(self, call, response_s=0.0, was_refused=False):
         endpoint, call.endpoint = call.endpoint, ""
         call.cancel_timer()
+        self.permits.release(call.token, response_s, was_refused)
         if endpoint:
             self.observations.observation_of(endpoint).note_ended()
         return endpoint
@@ -418,7 +283,7 @@
             and not observation.is_busy(call.route.objective_s)
             and call.delivery_count < MAX_DELIVERIES
         )
-        if not self._is_keyed(call):
+        if not self.sender.is_keyed(call):
             self._resend_or_finish(call, "endpoint-refused", OUTCOME_NOT_RUN)
         elif may_be_accepted and self._may_resend(call):
             # No other endpoint may run it, and one that is not full may accept it now.
@@ -436,7 +301,7 @@
     def _resend_after_pause(self, call):
         call.timer = None
         if call.token in self.calls:
-            self._send(call)
+            self.sender.send(call)
 
     def _on_unreachable(self, call, endpoint):
         """Handle a failure to connect: the request was certainly not run."""
@@ -451,7 +316,7 @@
         if call.deadline_s - now_s < MIN_TIME_LEFT_S:
             self._refuse(call, "no-room", "no time left before the deadline")
         elif (
-            self._is_keyed(call)
+            self.sender.is_keyed(call)
             and is_first_failure
             and record is not None
             and self.notices.accepts_held_keys(record, now_s)
@@ -459,7 +324,7 @@
             and not call.is_body_consumed
         ):
             # One lost packet has the same effect; two failures show an unreachable endpoint.
-            self._forward(call, record)
+            self.sender.forward(call, record)
         else:
             self._resend_or_finish(call, "connect-failed", OUTCOME_NOT_RUN)
 
@@ -468,10 +333,11 @@
         if not self._may_resend(call):
             self._finish(call, "key-moving", OUTCOME_NOT_RUN)
             return
-        if self._is_keyed(call) and self.replica.owner_of(call.service, call.key) == endpoint:
-            self._wait_for_holder(call)
+        owner = self.replica.owner_of(call.service, call.key)
+        if self.sender.is_keyed(call) and owner == endpoint:
+            self.sender.wait_for_holder(call)
         else:
-            self._send(call)
+            self.sender.send(call)
 
     def _on_connection_lost(self, call, event, endpoint):
         call.may_have_run = True
@@ -496,11 +362,11 @@
 
     def _resend_or_finish(self, call, code, outcome):
         """Send a call again if that is safe and allowed, else respond with an error."""
-        if self._is_keyed(call) and code != "answer-lost":
+        if self.sender.is_keyed(call) and code != "answer-lost":
             # Only the holder can run it, and it has just refused it or cannot be reached.
             self._finish(call, code, outcome)
         elif self._may_resend(call):
-            self._send(call)
+            self.sender.send(call)
         else:
             self._finish(call, code, outcome)
 
@@ -517,10 +383,6 @@
         self.stats.retries += 1
         return True
 
-    def _is_keyed(self, call):
-        service = self.replica.services.get(call.service)
-        return service is not None and service.keyed is not None and call.key is not None
-
     # --- Ends ----------------------------------------------------------------------
 
     def _refuse(self, call, code, detail, retry_after_s=None):
@@ -529,4 +391,5 @@
     def _finish(self, call, code, outcome, detail="", retry_after_s=None):
         self.calls.pop(call.token, None)
         call.cancel_timer()
+        self.sender.forget(call)
         self.error_responder.respond(call, code, outcome, detail, retry_after_s)
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -126,6 +126,21 @@
     assert isinstance(harness.effects()[0], Forward)
 
 
+def test_caller_that_leaves_while_its_call_waits_for_a_holder_is_not_sent():
+    harness = DispatcherHarness()
+    harness.remove_holder()
+    token = harness.call("charge")
+    assert harness.effects() == []
+    assert harness.watched_tokens == [token]
+    harness.dispatcher.on_caller_disconnected(CallerDisconnected(token))
+    (response,) = harness.effects()
+    assert (response.code, response.outcome) == ("caller-gone", "not-run")
+    owners = {"till": (OwnedUnitRanges("till-1", (0, 8192)),)}
+    _, units = harness.replica.apply_endpoints(EndpointsDelta(1, 2, 3, False, (), (), owners))
+    harness.dispatcher.on_endpoints([], units)
+    assert harness.effects() == []
+
+
 def test_call_for_a_key_without_holder_is_refused_before_its_deadline():
     harness = DispatcherHarness()
     harness.remove_holder()
--- a/greengagerock/testing/dispatcher_harness.py
+++ b/greengagerock/testing/dispatcher_harness.py
@@ -3,7 +3,13 @@
 from random import Random
 
 from greengagerock.core import TimerService
-from greengagerock.core.interface import AttemptFailed, CallArrived, LogEvent, Outbox
+from greengagerock.core.interface import (
+    AttemptFailed,
+    CallArrived,
+    LogEvent,
+    Outbox,
+    WatchCaller,
+)
 from greengagerock.routing.dispatcher import Dispatcher
 from greengagerock.routing.retry_budget import SharedRetryBudget
 from greengagerock.testing.item_builders import build_first_patch
@@ -34,6 +40,7 @@
         self.timers = TimerService(10.0)
         self.outbox = Outbox()
         self.reports = []
+        self.watched_tokens = []
         self.dispatcher = Dispatcher(
             "z",
             self.replica,
@@ -68,8 +75,10 @@
         self.dispatcher.on_attempt_failed(AttemptFailed(token, reason, has_sent_bytes, False))
 
     def effects(self):
-        """Return effects other than log lines since the last call."""
-        return [e for e in self.outbox.drain() if not isinstance(e, LogEvent)]
+        """Return effects other than log lines and watches of callers since the last call."""
+        drained = self.outbox.drain()
+        self.watched_tokens += [e.token for e in drained if isinstance(e, WatchCaller)]
+        return [e for e in drained if not isinstance(e, LogEvent | WatchCaller)]
 
     def remove_holder(self):
         """Remove the holder of all keys."""
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -161,6 +161,7 @@
     Args:
         seed: Seed of delays and nodes.
         hold_s: Time that an endpoint holds keys after a report.
+        uses_gates: Whether routers ask gatekeepers for permits.
         **options: Options of ``FakeSystem``.
 
     Attributes:
@@ -169,9 +170,10 @@
         double_holds: Tuples of time, two endpoint names and up to three units that both held.
     """
 
-    def __init__(self, seed=1, hold_s=6.0, **options):
+    def __init__(self, seed=1, hold_s=6.0, uses_gates=True, **options):
         super().__init__(seed, **options)
         self.hold_s = hold_s
+        self.uses_gates = uses_gates
         self.reporting_endpoints = {}
         self.replies = {}
         self.double_holds = []
@@ -183,7 +185,13 @@
         """Add a controller or a router and start it."""
         record = msgspec.structs.replace(build_host(name, zone), address=self.address_of(name))
         site = SiteConfig(
-            name, zone, record.address, tuple(seeds), may_bootstrap, hold_s=self.hold_s
+            name,
+            zone,
+            record.address,
+            tuple(seeds),
+            may_bootstrap,
+            hold_s=self.hold_s,
+            uses_gates=self.uses_gates,
         )
         disk = FakeDisk(f"{name}#1") if role == "controller" else None
         host = FakeHost(SiteHostConfig(record, site), disk)
@@ -391,7 +399,7 @@
     seed=1, controllers=3, routers=2, reporting_endpoints=6, hold_s=6.0, **options
 ):
     """Return a settled site with a keyed service, an unkeyed one, and routes to both."""
-    site = FakeSite(seed, hold_s, **options)
+    site = FakeSite(seed, hold_s=hold_s, **options)
     names = [f"core-{number}" for number in range(1, controllers + 1)]
     seeds = [site.address_of(name) for name in names[:3]]
     for number, name in enumerate(names, 1):
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -30,6 +30,7 @@
     VoteRequest,
 )
 from greengagerock.routing.crash_suspects import CrashReport
+from greengagerock.routing.gate_messages import PermitRelease, PermitReply, PermitRequest
 from greengagerock.routing.key_claims import (
     ClaimsReply,
     ClaimsRequest,
@@ -78,6 +79,9 @@
     | ViewDelta
     | NotLeading
     | LeavingObserved
+    | PermitRequest
+    | PermitReply
+    | PermitRelease
 )
 
 
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -153,7 +153,7 @@
 
     def _execute_effects(self, event):
         while True:
-            effect = self.app.bridge.post_and_wait(self.token, event, LOOP_TIMEOUT_S)
+            effect = self._wait_for_effect(event)
             if effect is None:
                 self.app.log("loop-silent", code="internal-error", request_id=self.request_id)
                 effect = RespondWithError(self.token, "internal-error", OUTCOME_UNKNOWN, "", True)
@@ -171,6 +171,34 @@
                     continue
             return self._relay_response(effect, result, data)
 
+    def _wait_for_effect(self, event):
+        """Pass an event to the loop and wait for its decision.
+
+        The loop may let the request wait for its turn and watch the caller meanwhile.
+        """
+        bridge = self.app.bridge
+        watch = Attempt(self._watchable_descriptor())
+        bridge.register_attempt(self.token, watch)
+        try:
+            return bridge.post_and_wait(self.token, event, LOOP_TIMEOUT_S)
+        finally:
+            self._end_attempt(watch)
+
+    def _watchable_descriptor(self):
+        """Return the descriptor of the caller's socket, or ``None`` if it is not to be watched.
+
+        If the caller closes its connection, reading a streamed body fails, so the socket need
+        not be watched.
+        """
+        is_streamed = self.body is not None and not self.body.is_repeatable
+        return None if is_streamed else self.environ["greengage.descriptor"]
+
+    def _end_attempt(self, attempt):
+        self.app.bridge.unregister_attempt(self.token)
+        watched_descriptor = attempt.end()
+        if watched_descriptor is not None:
+            self.app.bridge.unwatch_caller(watched_descriptor)
+
     def _read_short_response(self, response):
         """Return the body of a short response, or ``None`` if it is truncated.
 
@@ -198,11 +226,7 @@
         Returns:
             A response whose body is unread, or an ``AttemptFailed`` event.
         """
-        # If the caller closes its connection, reading a streamed body fails, so the socket need
-        # not be watched.
-        is_streamed = self.body is not None and not self.body.is_repeatable
-        descriptor = None if is_streamed else self.environ["greengage.descriptor"]
-        attempt = Attempt(descriptor)
+        attempt = Attempt(self._watchable_descriptor())
         self.app.bridge.register_attempt(self.token, attempt)
         self.sent_at_s = time.monotonic()
         try:
@@ -216,10 +240,7 @@
                 self._inspect_response,
             )
         finally:
-            self.app.bridge.unregister_attempt(self.token)
-            watched_descriptor = attempt.end()
-            if watched_descriptor is not None:
-                self.app.bridge.unwatch_caller(watched_descriptor)
+            self._end_attempt(attempt)
 
     def _inspect_response(self, response):
         """Pass on what the endpoint says about itself; return why the response is unusable.
