--- a/greengagerock/control/gate_planner.py
+++ b/greengagerock/control/gate_planner.py
@@ -8,6 +8,9 @@
 BUSY_SHARE = 0.5
 # Decayed number of responses below which a mean is not used.
 MIN_RESPONSES = 3.0
+# Decayed number of responses per router above which each router sees the load of the endpoint by
+# itself, so that a gate would only cost messages.
+MAX_RESPONSES_PER_ROUTER = 0.6
 # Time after the last request that had to wait at a gate until the gate is given up.
 KEEP_S = 4.0
 PLAN_INTERVAL_S = 0.4
@@ -98,7 +101,8 @@
         self._planned_s = now_s
         for service, name, responses, mean_s in mean_response_times:
             objective_s = objectives.get(service)
-            if objective_s is None or responses < MIN_RESPONSES:
+            most = MAX_RESPONSES_PER_ROUTER * len(routers)
+            if objective_s is None or not MIN_RESPONSES <= responses <= most:
                 continue
             if mean_s > BUSY_SHARE * objective_s:
                 self.gates.setdefault(name, Gate("", now_s)).needed_s = now_s
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -67,10 +67,10 @@
             detail = detail or code
             code, outcome = "answer-lost", OUTCOME_UNKNOWN
         self.stats.count(call.service, code)
-        self._log(call, code, outcome, detail)
         retry_s = None
         if outcome == OUTCOME_NOT_RUN:
             retry_s = RETRY_AFTER_S.get(code) if retry_after_s is None else retry_after_s
+        self._log(call, code, outcome, detail, retry_s)
         self.outbox.add(
             RespondWithError(call.token, code, outcome, detail, self.is_closing, retry_s)
         )
@@ -86,7 +86,7 @@
             after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
         )
 
-    def _log(self, call, code, outcome, detail):
+    def _log(self, call, code, outcome, detail, retry_s):
         now_s = self.timers.now_s
         self.outbox.log(
             "request-failed",
@@ -99,6 +99,7 @@
             tried=",".join(call.tried_endpoints),
             waited_ms=round(1000 * (now_s - call.arrived_s)),
             left_ms=round(1000 * (call.deadline_s - now_s)),
+            retry_after_ms="" if retry_s is None else round(1000 * retry_s),
             items_revision=self.replica.items_revision,
             live=f"{self.replica.epoch}.{self.replica.endpoints_revision}",
             detail=detail,
--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -28,9 +28,10 @@
         dropped: Messages dropped because the link was full or not connected.
         redialled: Links that were dialled again because sent messages were not acknowledged.
         undecodable: Received messages that could not be decoded.
+        sent_bytes_by_kind: Size of the sent messages in bytes, by tag of the message.
     """
 
-    __slots__ = (
+    COUNTERS = (
         "dropped",
         "received_bytes",
         "received_messages",
@@ -39,10 +40,19 @@
         "sent_messages",
         "undecodable",
     )
+    __slots__ = (*COUNTERS, "sent_bytes_by_kind")
 
     def __init__(self):
-        for name in self.__slots__:
+        for name in self.COUNTERS:
             setattr(self, name, 0)
+        self.sent_bytes_by_kind = {}
+
+    def count_sent(self, message, size):
+        """Count a message passed to a link."""
+        self.sent_messages += 1
+        self.sent_bytes += size
+        kind = message.__struct_config__.tag
+        self.sent_bytes_by_kind[kind] = self.sent_bytes_by_kind.get(kind, 0) + size
 
 
 class Links:
@@ -106,8 +116,7 @@
         except pynng.NNGException:
             self.stats.dropped += 1
         else:
-            self.stats.sent_messages += 1
-            self.stats.sent_bytes += len(data)
+            self.stats.count_sent(message, len(data))
 
     def receive(self):
         """Return the queued messages, at most ``MAX_RECEIVE_BATCH``.
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -1,5 +1,7 @@
 """Metrics in the Prometheus text format."""
 
+import threading
+
 from prometheus_client import CollectorRegistry, Gauge, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
@@ -71,7 +73,7 @@
         """Yield metric families."""
         yield from self._requests()
         yield from self._routes()
-        yield from self._links()
+        yield from collect_link_metrics(self.links.stats)
         yield from self._controller()
 
     def _requests(self):
@@ -112,13 +114,6 @@
             value=min(age_s, 1e9),
         )
 
-    def _links(self):
-        stats = self.links.stats
-        for name in stats.__slots__:
-            yield CounterMetricFamily(
-                f"greengage_link_{name}", f"Links: {name}.", value=getattr(stats, name)
-            )
-
     def _controller(self):
         controller = self.node.controller
         if controller is None:
@@ -166,9 +161,31 @@
         yield CounterMetricFamily(
             "greengage_retries", "Further attempts.", value=self.node.stats.retries
         )
-        for name in self.links.stats.__slots__:
-            yield CounterMetricFamily(
-                f"greengage_link_{name}",
-                f"Links: {name}.",
-                value=getattr(self.links.stats, name),
-            )
+        yield from self._gates()
+        yield from collect_link_metrics(self.links.stats)
+        yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
+
+    def _gates(self):
+        """Yield the state of the gates that a router keeps; a controller keeps none."""
+        gatekeeper = getattr(self.node, "gatekeeper", None)
+        gates = [] if gatekeeper is None else list(gatekeeper.gates.values())
+        for name, description, count in (
+            ("gates", "Gates kept.", len(gates)),
+            ("gate_waiting", "Requests at gates.", sum(len(gate.queue) for gate in gates)),
+            ("gate_permits", "Permits given.", sum(len(gate.permits) for gate in gates)),
+        ):
+            yield GaugeMetricFamily(f"greengage_{name}", description, value=count)
+
+
+def collect_link_metrics(stats):
+    """Yield metric families of the ``LinkStats`` of a host."""
+    by_kind = CounterMetricFamily(
+        "greengage_link_sent_bytes_by_kind", "Links: sent bytes by kind.", labels=["kind"]
+    )
+    for kind, size in list(stats.sent_bytes_by_kind.items()):
+        by_kind.add_metric([kind], size)
+    yield by_kind
+    for name in stats.COUNTERS:
+        yield CounterMetricFamily(
+            f"greengage_link_{name}", f"Links: {name}.", value=getattr(stats, name)
+        )
