Allow for a slow own link before a peer counts as unreachable

Cause: on the grown and large sites an entry host's link carries 2 to 2.6 Mbit/s, and a scanned document of 90 KB occupies it for 0.3 s. A slow failure is not tried again at the same endpoint.

--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -84,6 +84,7 @@
             self._send_to_router,
         )
         self.dispatcher.permits.is_enabled = config.uses_gates
+        self.dispatcher.permits.reply_timeout_s += config.link_delay_s / 2
         self.stats = self.dispatcher.stats
         self.had_leader = False
         self.is_stopping = False
--- a/greengagerock/platform/tests/test_wire.py
+++ b/greengagerock/platform/tests/test_wire.py
@@ -98,6 +98,7 @@
     "bootstrap": True,
     "data-dir": None,
     "heartbeat": "870ms",
+    "limits": {"cpu-share": 0.43, "link-mbps": 2.5},
     "bounds": ["grace=6s", "hold-max=10000ms", "retry-budget-ratio=0.2"],
     "something-new": [1],
 }
@@ -216,6 +217,7 @@
     assert settings.link_address == "10.1.0.35:7660"
     assert settings.seeds == ("10.1.0.38:7660", "10.2.0.31:7660")
     assert (settings.report_interval_s, settings.may_found) == (0.87, True)
+    assert settings.link_mbit_s == 2.5
 
 
 @pytest.mark.parametrize("name", ["ip", "zone", "listen", "internal-ports", "node-name"])
--- a/greengagerock/platform/wire_settings.py
+++ b/greengagerock/platform/wire_settings.py
@@ -33,6 +33,16 @@
     control: str = ""
 
 
+class WireMachine(msgspec.Struct, rename="kebab"):
+    """Resources of the host; other fields are ignored.
+
+    Attributes:
+        link_mbps: Speed of its network link in megabits per second.
+    """
+
+    link_mbps: float = 1000.0
+
+
 class WireSettings(msgspec.Struct, rename="kebab"):
     """The fields of the settings file that are used; other fields are ignored.
 
@@ -46,6 +56,7 @@
         bootstrap: Whether this host may bootstrap the voter group, because the whole system
             starts for the first time.
         data_dir: Data folder on the host's disk, if it has a disk.
+        limits: Resources of the host.
         heartbeat: Usual interval between two reports of an endpoint.
         bounds: Bounds as ``name=value``, as a list or separated by commas.
     """
@@ -58,6 +69,7 @@
     seeds: list[str] = []
     bootstrap: bool = False
     data_dir: str | None = None
+    limits: WireMachine = msgspec.field(default_factory=WireMachine)
     heartbeat: str = DEFAULT_REPORT_INTERVAL
     bounds: list[str] | str = []
 
@@ -102,6 +114,7 @@
         report_interval_s=parse_duration(wire.heartbeat or DEFAULT_REPORT_INTERVAL),
         hold_s=hold_s,
         stop_grace_s=_read_bound_s(bounds, "grace", 6.0),
+        link_mbit_s=wire.limits.link_mbps if wire.limits.link_mbps > 0 else 1000.0,
         retries=RetrySettings(
             float(bounds.get("retry-budget-ratio", 0.2)),
             float(bounds.get("retry-budget-slack", 60)),
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -3,7 +3,7 @@
 from greengagerock.assignment.units import KEYS_PER_UNIT
 from greengagerock.core.interface import CloseIdleConnections, Forward, WatchCaller
 from greengagerock.routing.gate_messages import Granted, Queued, Refused
-from greengagerock.routing.permit_client import OVERDUE_MARGIN_S, OVERDUE_WAITS, REPLY_TIMEOUT_S
+from greengagerock.routing.permit_client import OVERDUE_MARGIN_S, OVERDUE_WAITS
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
 # new holder within one report interval.
@@ -183,7 +183,7 @@
         rank = self.ranks.get((call.service, call.route.priority), 0)
         call.cancel_timer()
         call.timer = self.timers.subscribe(
-            REPLY_TIMEOUT_S, lambda: self._on_gatekeeper_silent(call)
+            self.permits.reply_timeout_s, lambda: self._on_gatekeeper_silent(call)
         )
         self.calls_awaiting_permits[call.token] = call
         self.permits.request(call, record, gatekeeper, mean_s, rank, now_s)
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -29,6 +29,8 @@
 # Pause before a call is sent again to a holder that refused it although it is not full, and the
 # largest number of times that it is sent.
 RESEND_PAUSE_S = 0.02
+# A connection that fails later than this leaves no time for a second one to the same endpoint.
+QUICK_FAILURE_S = 0.3
 MAX_DELIVERIES = 3
 
 
@@ -318,6 +320,7 @@
         elif (
             self.sender.is_keyed(call)
             and is_first_failure
+            and now_s - call.sent_s < QUICK_FAILURE_S
             and record is not None
             and self.notices.accepts_held_keys(record, now_s)
             and not self.notices.pause_left_s(record, now_s)
--- a/greengagerock/routing/permit_client.py
+++ b/greengagerock/routing/permit_client.py
@@ -2,7 +2,8 @@
 
 from greengagerock.routing.gate_messages import PermitRelease, PermitRequest
 
-# Longest wait for the first reply of a gatekeeper. Then the request is sent without a permit.
+# Longest wait for the first reply of a gatekeeper, besides the delay of this host's own link. Then
+# the request is sent without a permit.
 REPLY_TIMEOUT_S = 0.15
 # Time for which a gatekeeper that did not reply is not asked.
 UNRESPONSIVE_S = 1.0
@@ -41,16 +42,18 @@
         replica: The ``ViewReplica``, which names the gatekeepers.
         send: Callable that sends a message to a router's address.
         is_enabled: Whether gatekeepers are asked.
+        reply_timeout_s: Longest wait for the first reply of a gatekeeper.
 
     Attributes:
         permits: The ``Permit`` by token of the call.
         asked_again_s: For each gatekeeper that did not reply, when it is asked again.
     """
 
-    __slots__ = ("asked_again_s", "is_enabled", "permits", "replica", "send")
+    __slots__ = ("asked_again_s", "is_enabled", "permits", "replica", "reply_timeout_s", "send")
 
     def __init__(self, replica, send, is_enabled=True):
         self.is_enabled = is_enabled
+        self.reply_timeout_s = REPLY_TIMEOUT_S
         self.replica = replica
         self.send = send
         self.permits = {}
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -46,6 +46,7 @@
         report_interval_s: Usual time between two reports of an endpoint.
         hold_s: Time for which an endpoint holds its keys after a report.
         stop_grace_s: Time from the stop request until the process is killed.
+        link_mbit_s: Speed of the host's network link in megabits per second.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone; 0 treats all zones alike.
         uses_gates: Whether routers keep the queues of busy endpoints and ask each other for
@@ -70,6 +71,7 @@
     report_interval_s: Seconds = 1.0
     hold_s: Seconds = 9.0
     stop_grace_s: Seconds = 6.0
+    link_mbit_s: Annotated[float, Meta(gt=0, le=1_000_000)] = 1000.0
     zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
     uses_gates: bool = True
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
