Let long responses take turns on slow links; take the gates of endpoints out again

Cause: entry hosts of the grown and large sites have links of 2 to 2.6 Mbit/s. A long response occupies such a link for 0.3 s twice, and everything else waits behind it. Change: routing/link_schedule.py lets three long responses at a time in on a slow link; others wait while they can still be in time, or are refused at once. Long is what occupies the link for a tenth of a second, learnt by route. Gates and the longer time-outs are taken out.

--- a/greengagerock/control/response_times.py
+++ b/greengagerock/control/response_times.py
@@ -71,12 +71,6 @@
             self.number += 1
             self.packed = encode_delta(self.summary())
 
-    def means(self):
-        """Yield service, endpoint, decayed number of responses and their mean in seconds."""
-        for name, (responses, time_s, _, service) in self._sums.items():
-            if responses > 0:
-                yield service, name, responses, time_s / responses
-
     def summary(self):
         """Return the ``EndpointResponseTimes`` to send to routers."""
         sums_by_service = {}
--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -1,7 +1,6 @@
 """Sends the leader's views to routers and tracks what routers have confirmed."""
 
 from greengagerock.control.confirmations import Confirmations
-from greengagerock.control.gate_planner import GatePlanner, RouterState
 from greengagerock.control.response_times import ResponseTimes
 from greengagerock.view import (
     EndpointRecord,
@@ -16,8 +15,6 @@
 PUSH_DELAY_S = 0.04
 # Time without a poll after which a router is no longer sent changes.
 SUBSCRIBER_TIMEOUT_S = 2.5
-# Time without a poll after which the gates of a router are given to others.
-GATEKEEPER_SILENCE_S = 1.2
 
 
 class Subscriber:
@@ -51,14 +48,12 @@
         bans: Time until which requests are refused, by fingerprint.
         endpoints_history: The ``EndpointsHistory`` of this term.
         response_times: The ``ResponseTimes`` over all routers.
-        gate_planner: The ``GatePlanner``.
         confirmations: The ``Confirmations`` of item changes.
         subscribers: A ``Subscriber`` by link address.
     """
 
     def __init__(self, address, voter, store, timers, outbox, is_active):
         self.voter = voter
-        self.store = store
         self.timers = timers
         self.outbox = outbox
         self.is_active = is_active
@@ -77,7 +72,6 @@
         self.packed_endpoints = PackedDeltaCache(self.endpoints_history)
         self.confirmations = Confirmations()
         self.response_times = ResponseTimes(self.voter.term)
-        self.gate_planner = GatePlanner(self.voter.term, self.timers.now_s)
         self.subscribers = {}
         self.push_timer = None
 
@@ -88,8 +82,6 @@
         if address not in self.subscribers:
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
-        if poll.needed_gates:
-            self.gate_planner.note_needed(poll.needed_gates, address, self.timers.now_s)
         self._send_view(address, poll)
         self._confirm()
 
@@ -103,32 +95,6 @@
         """Perform periodic work."""
         self._confirm()
         self.response_times.publish(self.timers.now_s)
-        self._plan_gates()
-
-    def _plan_gates(self):
-        """Open and close gates of endpoints, and send routers the changes."""
-        now_s = self.timers.now_s
-        if not self.gate_planner.is_due(now_s):
-            return
-        has_changed = self.gate_planner.plan(
-            self.response_times.means(),
-            shortest_objectives(self.store.items),
-            {name: record.zone for name, record in self.endpoints_history.endpoints.items()},
-            [
-                RouterState(address, subscriber.poll.zone)
-                for address, subscriber in self.subscribers.items()
-                if subscriber.poll.keeps_gates
-                and now_s - subscriber.last_poll_s <= GATEKEEPER_SILENCE_S
-            ],
-            now_s,
-        )
-        if has_changed:
-            self.outbox.log(
-                "gates-changed",
-                number=self.gate_planner.number,
-                gates=len(self.gate_planner.gates),
-            )
-            self.schedule_push()
 
     def call_when_confirmed(self, callback):
         """Call ``callback`` once routers have the newest items, immediately if they do."""
@@ -189,7 +155,6 @@
             self.response_times.packed
             if poll.response_times_number != self.response_times.number
             else None,
-            self.gate_planner.packed if poll.gates_number != self.gate_planner.number else None,
         )
         self.outbox.send(address, delta)
 
@@ -204,21 +169,3 @@
             and poll.epoch == endpoints_history.epoch
             and poll.endpoints_revision >= (endpoints_history.settled_revision or 1)
         )
-
-
-def shortest_objectives(items):
-    """Return the shortest latency objective of the routes to each service with keys.
-
-    Args:
-        items: The ``Items``.
-    """
-    objectives = {}
-    for route in items.routes.values():
-        if route.objective_s is None:
-            continue
-        for weighted_service in route.weighted_services:
-            service = items.services.get(weighted_service.service)
-            if service is not None and service.keyed is not None:
-                shortest_s = objectives.get(service.name, route.objective_s)
-                objectives[service.name] = min(shortest_s, route.objective_s)
-    return objectives
--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -183,11 +183,13 @@
         token: The request.
         complete: Whether the complete response was sent.
         response_time_s: Time until the endpoint's response arrived, in seconds, or 0 if none did.
+        body_bytes: Size of the response's body that was sent to the caller.
     """
 
     token: int
     complete: bool
     response_time_s: float = 0.0
+    body_bytes: int = 0
 
 
 class AnnouncementArrived(msgspec.Struct, frozen=True):
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -19,7 +19,7 @@
 from greengagerock.node.controller_node import ControllerNode
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site_config import SiteConfig
-from greengagerock.settings.link_speed import link_delay_s
+from greengagerock.settings.link_speed import slow_link_bytes_per_s
 from greengagerock.settings.site import split_address
 from greengagerock.storage import DataFolder
 from greengagerock.transport import Links
@@ -107,7 +107,7 @@
         self.node = self._make_node()
         if self.folder is not None:
             self.writer = RetryingRecordWriter(self.folder, self._post, log)
-        self.upstream = Upstream(settings.limits, link_delay_s(settings.link_mbit_s))
+        self.upstream = Upstream(settings.limits)
         self.loop = EventLoop(self.node, self.links, self.bridge, self.writer, self.upstream, log)
         self.loop.apply_limits = self._apply_limits
         self.bridge.post = self.loop.post
@@ -179,9 +179,8 @@
             settings.retries.slack,
             settings.retries.window_s,
             settings.stop_grace_s,
-            link_delay_s(settings.link_mbit_s),
+            slow_link_bytes_per_s(settings.link_mbit_s),
             settings.zone_preference,
-            settings.uses_gates,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -24,11 +24,8 @@
 )
 from greengagerock.discovery import LeaderFinder
 from greengagerock.routing.dispatcher import Dispatcher
-from greengagerock.routing.gate_messages import PermitRelease, PermitReply, PermitRequest
-from greengagerock.routing.gatekeeper import Gatekeeper
 from greengagerock.routing.retry_budget import SharedRetryBudget
 from greengagerock.view import (
-    EndpointGates,
     EndpointResponseTimes,
     EndpointsDelta,
     ItemsDelta,
@@ -70,21 +67,17 @@
         self.budget = SharedRetryBudget(
             config.retry_ratio, config.retry_slack, config.retry_window_s
         )
-        random = Random(config.seed)
-        self.gatekeeper = Gatekeeper(self.timers, self._send_to_router, random)
         self.dispatcher = Dispatcher(
             config.zone,
             self.replica,
             self.budget,
             self.timers,
             self.outbox,
-            random,
+            Random(config.seed),
             self._report,
             config.zone_preference,
-            self._send_to_router,
+            config.link_bytes_per_s,
         )
-        self.dispatcher.permits.is_enabled = config.uses_gates
-        self.dispatcher.permits.reply_timeout_s += config.link_delay_s / 2
         self.stats = self.dispatcher.stats
         self.had_leader = False
         self.is_stopping = False
@@ -96,11 +89,8 @@
         return self.timers.next_due_s()
 
     def waits_for_requests(self):
-        """Return whether something waits for the end of requests in flight.
-
-        At a stop, it is the stop; of a request with a permit, the next one at its endpoint.
-        """
-        return self.is_stopping or self.dispatcher.permits.holds_any
+        """Return whether a stop, or a call that waits for its turn, needs requests to end."""
+        return self.is_stopping or bool(self.dispatcher.sender.calls_awaiting_turns)
 
     def start(self):
         """Return the effects of the node's creation."""
@@ -158,40 +148,20 @@
         interval_s = POLL_INTERVAL_S if has_leader else SEARCH_INTERVAL_S
         self.timers.subscribe(interval_s, self._poll)
         dispatcher = self.dispatcher
-        poll = self._make_poll(
+        poll = self.replica.poll(
             dispatcher.observations.collect_responses(), dispatcher.demand.collect()
         )
         for address in self.finder.poll_addresses(now_s):
             self.outbox.send(address, poll)
 
-    def _make_poll(self, response_times=None, demand=None):
-        return self.replica.poll(
-            response_times or {},
-            demand or {},
-            self.config.zone,
-            self.config.uses_gates and not self.is_stopping,
-            self.gatekeeper.needed_gates(),
-        )
-
-    def _send_to_router(self, address, message):
-        """Send a message to a router, which may be this one."""
-        if address == self.config.address:
-            self.timers.subscribe(0.0, lambda: self._on_message(message, address))
-        else:
-            self.outbox.send(address, message)
-
     def _on_message(self, message, address):
         match message:
-            case PermitRequest() | PermitRelease():
-                self.gatekeeper.handle(message, address)
-            case PermitReply():
-                self.dispatcher.sender.on_permit_reply(message)
             case ViewDelta():
                 self._on_view_delta(message, address)
             case NotLeading(leader, controllers):
                 other_leader = self.finder.record_non_leader(address, leader, controllers)
                 if other_leader:
-                    self.outbox.send(other_leader, self._make_poll())
+                    self.outbox.send(other_leader, self.replica.poll({}, {}))
             case _:
                 self.outbox.log("bad-message", code="bad-message", detail=type(message).__name__)
 
@@ -206,7 +176,6 @@
                 if delta.response_times is None
                 else decode_delta(delta.response_times, EndpointResponseTimes)
             )
-            gates = None if delta.gates is None else decode_delta(delta.gates, EndpointGates)
         except GreengageError as error:
             self.outbox.log("bad-message", code=error.code, detail=error.detail)
             return
@@ -218,12 +187,10 @@
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
-        if gates is not None and gates.number > self.replica.gates.number:
-            self.replica.gates = gates
         self.dispatcher.banned_fingerprints = frozenset(delta.bans)
         if items is not None and self._apply_items(items):
             # The leader acknowledges a change only after routers have confirmed its items.
-            self.outbox.send(address, self._make_poll())
+            self.outbox.send(address, self.replica.poll({}, {}))
         if endpoints_delta is not None:
             is_first_of_epoch = (
                 endpoints_delta.since == 0 and endpoints_delta.epoch != self.replica.epoch
@@ -233,7 +200,7 @@
             if is_first_of_epoch:
                 # The leader sends changes without a poll only to routers that have confirmed
                 # the full view.
-                self.outbox.send(address, self._make_poll())
+                self.outbox.send(address, self.replica.poll({}, {}))
 
     def _apply_items(self, items):
         """Apply configuration items and return whether anything has changed."""
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -22,10 +22,9 @@
         retry_slack: Retries allowed in addition, over all routers.
         retry_window_s: Time window over which both limits are counted.
         stop_grace_s: Time from the stop request until the process is killed.
-        link_delay_s: How long a packet may wait for the host's own link.
+        link_bytes_per_s: Speed of the host's network link if it is slow, else ``None``.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone.
-        uses_gates: Whether requests to busy endpoints are ordered by gatekeepers.
     """
 
     host: str
@@ -40,6 +39,5 @@
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
     stop_grace_s: float = 6.0
-    link_delay_s: float = 0.0
+    link_bytes_per_s: float | None = None
     zone_preference: float = DEFAULT_ZONE_PREFERENCE
-    uses_gates: bool = True
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -2,8 +2,7 @@
 
 from greengagerock.assignment.units import KEYS_PER_UNIT
 from greengagerock.core.interface import CloseIdleConnections, Forward, WatchCaller
-from greengagerock.routing.gate_messages import Granted, Queued, Refused
-from greengagerock.routing.permit_client import OVERDUE_MARGIN_S, OVERDUE_WAITS
+from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
 # new holder within one report interval.
@@ -27,7 +26,7 @@
         health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
         endpoint_picker: The ``EndpointPicker``.
-        permits: The ``PermitClient``.
+        link_schedule: The ``LinkSchedule``.
         timers: The timer service.
         outbox: Receives effects.
         refuse: Callable that refuses a call, with an error code, a detail and the time after
@@ -37,7 +36,7 @@
         ranks: Rank of each priority among the routes of a service, by (service, priority).
         least_urgent_ranks: Highest rank of each service.
         waiting_calls: Calls that wait for a holder of their key, by (service, unit).
-        calls_awaiting_permits: Calls that wait for a permit, by token.
+        calls_awaiting_turns: Calls that wait for their turn on the link, by token.
         is_closing: Whether responses direct callers to other hosts.
     """
 
@@ -48,7 +47,7 @@
         health,
         notices,
         endpoint_picker,
-        permits,
+        link_schedule,
         timers,
         outbox,
         refuse,
@@ -58,50 +57,80 @@
         self.health = health
         self.notices = notices
         self.endpoint_picker = endpoint_picker
-        self.permits = permits
+        self.link_schedule = link_schedule
         self.timers = timers
         self.outbox = outbox
         self.refuse = refuse
         self.ranks = {}
         self.least_urgent_ranks = {}
         self.waiting_calls = {}
-        self.calls_awaiting_permits = {}
+        self.calls_awaiting_turns = {}
         self.is_closing = False
 
     def send(self, call):
         """Send a call, let it wait, or refuse it."""
         if call.deadline_s - self.timers.now_s < MIN_TIME_LEFT_S:
             self.refuse(call, "no-room", "no time left before the deadline")
-        elif self.is_keyed(call):
-            self._send_to_holder(call)
-        else:
-            self._send_to_any(call)
+        elif self._has_turn(call):
+            if self.is_keyed(call):
+                self._send_to_holder(call)
+            else:
+                self._send_to_any(call)
+
+    def _has_turn(self, call):
+        """Return whether a call may be sent now; otherwise it waits or was refused."""
+        now_s = self.timers.now_s
+        objective_s = call.route.objective_s
+        useful_until_s = call.deadline_s
+        if objective_s is not None:
+            useful_until_s = min(useful_until_s, call.arrived_s + objective_s)
+        decision = self.link_schedule.request(
+            call.token, call.route, useful_until_s - now_s, now_s
+        )
+        match decision:
+            case Start():
+                return True
+            case WaitForTurn():
+                self.calls_awaiting_turns[call.token] = call
+                call.timer = self.timers.subscribe(
+                    max(0.0, useful_until_s - now_s), self._start_next_turns
+                )
+                self.outbox.add(WatchCaller(call.token))
+            case RefuseLong(retry_after_s):
+                self.refuse(call, "no-room", "this host's link is busy", retry_after_s)
+        return False
+
+    def end_turn(self, call, is_complete):
+        """Give the turn of a call that has ended to the next ones."""
+        self.calls_awaiting_turns.pop(call.token, None)
+        self.link_schedule.end(call.token, self.timers.now_s, is_complete)
+        if self.calls_awaiting_turns:
+            self._start_next_turns()
+
+    def _start_next_turns(self):
+        started, hopeless = self.link_schedule.next_turns(self.timers.now_s)
+        for token in started:
+            call = self.calls_awaiting_turns.pop(token)
+            call.cancel_timer()
+            self.send(call)
+        for token in hopeless:
+            call = self.calls_awaiting_turns.pop(token)
+            call.timer = None
+            self.refuse(call, "no-room", "this host's link was busy for too long")
 
     def is_keyed(self, call):
         """Return whether only the holder of the call's key may run it."""
         service = self.replica.services.get(call.service)
         return service is not None and service.keyed is not None and call.key is not None
 
-    def forget(self, call):
-        """Stop the waiting of a call that has ended."""
-        self.calls_awaiting_permits.pop(call.token, None)
-        self.permits.release(call.token)
-
     def on_endpoints(self, changed_units):
-        """Send the calls that waited for a holder of changed units, or at their old holder."""
+        """Send the calls that waited for a holder of changed units."""
         for unit in changed_units:
             for call in self.waiting_calls.pop(unit, ()):
                 if call.awaited_unit == unit:
                     call.cancel_timer()
                     call.awaited_unit = None
                     self.send(call)
-        if not changed_units:
-            return
-        for call in list(self.calls_awaiting_permits.values()):
-            permit = self.permits.permits[call.token]
-            if self.replica.owner_of(call.service, call.key) != permit.endpoint:
-                self._end_wait_for_permit(call)
-                self.send(call)
 
     # --- Services with keys --------------------------------------------------------
 
@@ -124,20 +153,11 @@
             self.refuse(call, "connect-failed", f"endpoint {name} does not respond")
         elif is_doubtful:
             self._probe(call, record)
+        elif not observation.has_room(self._extra_requests(call), now_s):
+            detail = f"{observation.in_flight} requests in flight at endpoint {name}"
+            self.refuse(call, "no-room", detail)
         else:
-            gatekeeper = self.permits.gatekeeper_of(record, now_s)
-            if gatekeeper is None:
-                self._send_without_permit(call, record)
-            else:
-                self._request_permit(call, record, gatekeeper)
-
-    def _send_without_permit(self, call, record):
-        observation = self.observations.observation_of(record.name)
-        if observation.has_room(self._extra_requests(call), self.timers.now_s):
             self.forward(call, record)
-        else:
-            detail = f"{observation.in_flight} requests in flight at endpoint {record.name}"
-            self.refuse(call, "no-room", detail)
 
     def _probe(self, call, record):
         """Send a call over a new connection to an endpoint that may be unreachable.
@@ -174,91 +194,6 @@
                 del self.waiting_calls[call.awaited_unit]
         call.awaited_unit = None
 
-    # --- Permits -------------------------------------------------------------------
-
-    def _request_permit(self, call, record, gatekeeper):
-        """Wait for a permit of the endpoint's gatekeeper, for a short time."""
-        now_s = self.timers.now_s
-        mean_s = self.observations.observation_of(record.name).mean_response_s
-        rank = self.ranks.get((call.service, call.route.priority), 0)
-        call.cancel_timer()
-        call.timer = self.timers.subscribe(
-            self.permits.reply_timeout_s, lambda: self._on_gatekeeper_silent(call)
-        )
-        self.calls_awaiting_permits[call.token] = call
-        self.permits.request(call, record, gatekeeper, mean_s, rank, now_s)
-
-    def on_permit_reply(self, reply):
-        """Process the ``PermitReply`` of a gatekeeper."""
-        call = self.calls_awaiting_permits.get(reply.token)
-        match reply.decision:
-            case _ if call is None:
-                # The call was sent without a permit or has ended, and its release was sent.
-                return
-            case Granted():
-                self._on_permit_granted(call)
-            case Queued(wait_s):
-                self._wait_for_turn(call, wait_s)
-            case Refused(retry_after_s):
-                endpoint = self.permits.permits[call.token].endpoint
-                self._end_wait_for_permit(call)
-                self.refuse(
-                    call, "no-room", f"endpoint {endpoint} is busy for all routers", retry_after_s
-                )
-
-    def _on_permit_granted(self, call):
-        permit = self.permits.permits[call.token]
-        record = self.replica.endpoints.get(permit.endpoint)
-        is_holder = self.replica.owner_of(call.service, call.key) == permit.endpoint
-        now_s = self.timers.now_s
-        may_send = (
-            is_holder
-            and record is not None
-            and record.started_ms == permit.started_ms
-            and self.notices.accepts_held_keys(record, now_s)
-            and not self.notices.pause_left_s(record, now_s)
-            and call.deadline_s - now_s >= MIN_TIME_LEFT_S
-        )
-        if not may_send:
-            self._end_wait_for_permit(call)
-            self.send(call)
-            return
-        del self.calls_awaiting_permits[call.token]
-        permit.is_held = True
-        call.cancel_timer()
-        self.forward(call, record)
-
-    def _wait_for_turn(self, call, wait_s):
-        """Wait for the permit, and watch the caller meanwhile."""
-        call.cancel_timer()
-        left_s = call.deadline_s - self.timers.now_s
-        overdue_s = min(OVERDUE_WAITS * wait_s + OVERDUE_MARGIN_S, max(0.0, left_s))
-        call.timer = self.timers.subscribe(overdue_s, lambda: self._on_turn_overdue(call))
-        self.outbox.add(WatchCaller(call.token))
-
-    def _on_turn_overdue(self, call):
-        call.timer = None
-        self._end_wait_for_permit(call)
-        self.refuse(call, "no-room", "the gatekeeper gave no permit in time")
-
-    def _on_gatekeeper_silent(self, call):
-        call.timer = None
-        permit = self.permits.permits[call.token]
-        self.permits.mark_unresponsive(permit.gatekeeper, self.timers.now_s)
-        self.outbox.log(
-            "gatekeeper-silent",
-            request_id=call.request_id,
-            gatekeeper=permit.gatekeeper,
-            endpoint=permit.endpoint,
-        )
-        self._end_wait_for_permit(call)
-        self.send(call)
-
-    def _end_wait_for_permit(self, call):
-        call.cancel_timer()
-        self.calls_awaiting_permits.pop(call.token, None)
-        self.permits.release(call.token)
-
     # --- Services without keys -----------------------------------------------------
 
     def _send_to_any(self, call):
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -18,8 +18,8 @@
     REASON_TIMEOUT,
 )
 from greengagerock.routing.health import EndpointHealth
+from greengagerock.routing.link_schedule import LinkSchedule
 from greengagerock.routing.observations import EndpointObservations
-from greengagerock.routing.permit_client import PermitClient
 from greengagerock.routing.priorities import rank_priorities
 from greengagerock.routing.route_index import RouteIndex
 from greengagerock.routing.service_picker import ServicePicker
@@ -29,8 +29,6 @@
 # Pause before a call is sent again to a holder that refused it although it is not full, and the
 # largest number of times that it is sent.
 RESEND_PAUSE_S = 0.02
-# A connection that fails later than this leaves no time for a second one to the same endpoint.
-QUICK_FAILURE_S = 0.3
 MAX_DELIVERIES = 3
 
 
@@ -46,7 +44,7 @@
         random: Random number generator.
         report: Callable that sends a ``CrashReport`` or ``LeavingObserved`` to the leader.
         zone_preference: Preference of the ``EndpointPicker`` for endpoints of the own zone.
-        send_to_gatekeeper: Callable that sends a message to a gatekeeper's address.
+        link_bytes_per_s: Speed of the host's network link if it is slow, else ``None``.
 
     Attributes:
         route_index: The ``RouteIndex``.
@@ -59,7 +57,6 @@
         demand: The ``KeyDemand``.
         stats: The ``RouterStats``.
         error_responder: The ``ErrorResponder``.
-        permits: The ``PermitClient``.
         sender: The ``CallSender``.
         calls: Calls in progress by token.
         banned_fingerprints: Fingerprints of requests that crashed several endpoints.
@@ -76,7 +73,7 @@
         random,
         report,
         zone_preference=DEFAULT_ZONE_PREFERENCE,
-        send_to_gatekeeper=lambda address, message: None,
+        link_bytes_per_s=None,
     ):
         self.zone = zone
         self.replica = replica
@@ -96,14 +93,13 @@
         self.demand = KeyDemand()
         self.stats = RouterStats()
         self.error_responder = ErrorResponder(replica, self.stats, timers, outbox)
-        self.permits = PermitClient(replica, send_to_gatekeeper)
         self.sender = CallSender(
             replica,
             self.observations,
             self.health,
             self.notices,
             self.endpoint_picker,
-            self.permits,
+            LinkSchedule(link_bytes_per_s, random),
             timers,
             outbox,
             self._refuse,
@@ -143,7 +139,7 @@
         call = self.calls.get(event.token)
         if call is None:
             return
-        endpoint = self._end_attempt(call, was_refused=event.reason == REASON_REFUSED)
+        endpoint = self._end_attempt(call)
         now_s = self.timers.now_s
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
         self.error_responder.log_failed_attempt(call, event, endpoint)
@@ -171,7 +167,7 @@
         if call is None:
             return
         call.cancel_timer()
-        endpoint = self._end_attempt(call, event.response_time_s)
+        endpoint = self._end_attempt(call)
         outcome = "answered" if event.complete else "cut-off"
         if event.response_time_s:
             observation = self.observations.observation_of(endpoint)
@@ -181,9 +177,11 @@
                 event.response_time_s, call.route.objective_s, self.timers.now_s
             )
         if event.complete:
+            self.sender.link_schedule.note_size(call.route.name, event.body_bytes)
             self.health.note_success(endpoint)
             self.recent_responses.note(call.fingerprint)
         self.stats.count(call.service, outcome)
+        self.sender.end_turn(call, event.complete)
 
     def on_caller_disconnected(self, event):
         """End the wait of a caller that has disconnected, or its attempt if that is idempotent."""
@@ -197,7 +195,7 @@
             waited_ms=round(1000 * (self.timers.now_s - call.arrived_s)),
         )
         if not call.endpoint:
-            # It waits for a holder or a permit; nothing of it was sent.
+            # It waits for a holder or its turn; nothing of it was sent.
             self.sender.stop_waiting_for_holder(call)
             self._finish(call, "caller-gone", OUTCOME_NOT_RUN)
         elif call.route.is_idempotent:
@@ -265,10 +263,9 @@
 
     # --- Failures ------------------------------------------------------------------
 
-    def _end_attempt(self, call, response_s=0.0, was_refused=False):
+    def _end_attempt(self, call):
         endpoint, call.endpoint = call.endpoint, ""
         call.cancel_timer()
-        self.permits.release(call.token, response_s, was_refused)
         if endpoint:
             self.observations.observation_of(endpoint).note_ended()
         return endpoint
@@ -320,7 +317,6 @@
         elif (
             self.sender.is_keyed(call)
             and is_first_failure
-            and now_s - call.sent_s < QUICK_FAILURE_S
             and record is not None
             and self.notices.accepts_held_keys(record, now_s)
             and not self.notices.pause_left_s(record, now_s)
@@ -394,5 +390,5 @@
     def _finish(self, call, code, outcome, detail="", retry_after_s=None):
         self.calls.pop(call.token, None)
         call.cancel_timer()
-        self.sender.forget(call)
+        self.sender.end_turn(call, False)
         self.error_responder.respond(call, code, outcome, detail, retry_after_s)
--- a/greengagerock/settings/link_speed.py
+++ b/greengagerock/settings/link_speed.py
@@ -1,23 +1,21 @@
-"""Time limits that follow from the speed of a host's own network link.
+"""Which network links are so slow that responses have to be scheduled on them."""
 
-On a slow link, a packet waits behind the responses that the host relays at the same time. This
-wait must not be taken for an unreachable peer.
-"""
+# Faster links are no bottleneck for a host that serves callers.
+SLOW_LINK_MBIT_S = 100.0
+BITS_PER_MEGABIT = 1_000_000
+BITS_PER_BYTE = 8
 
-# Size of a response that others have to wait for, such as a scanned document.
-LONG_RESPONSE_BYTES = 128 * 1024
-# Number of such responses that a packet may have to wait for.
-LONG_RESPONSES_AHEAD = 2
 
-
-def link_delay_s(link_mbit_s):
-    """Return how long a packet may wait for the host's link, in seconds.
+def slow_link_bytes_per_s(link_mbit_s):
+    """Return the speed of a slow link in bytes per second, or ``None`` for a fast one.
 
     Args:
         link_mbit_s: Speed of the link in megabits per second.
 
     Examples:
-        >>> round(link_delay_s(2.5), 2), round(link_delay_s(1000), 3)
-        (0.84, 0.002)
+        >>> slow_link_bytes_per_s(2.0), slow_link_bytes_per_s(1000.0)
+        (250000.0, None)
     """
-    return LONG_RESPONSES_AHEAD * LONG_RESPONSE_BYTES * 8 / (link_mbit_s * 1e6)
+    if link_mbit_s >= SLOW_LINK_MBIT_S:
+        return None
+    return link_mbit_s * BITS_PER_MEGABIT / BITS_PER_BYTE
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -49,8 +49,6 @@
         link_mbit_s: Speed of the host's network link in megabits per second.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone; 0 treats all zones alike.
-        uses_gates: Whether routers keep the queues of busy endpoints and ask each other for
-            permits to send to them. Set it alike on all hosts.
         retries: Limits on retries.
         limits: Limits of the HTTP servers and client.
         log: Settings of the log.
@@ -73,7 +71,6 @@
     stop_grace_s: Seconds = 6.0
     link_mbit_s: Annotated[float, Meta(gt=0, le=1_000_000)] = 1000.0
     zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
-    uses_gates: bool = True
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -161,7 +161,6 @@
     Args:
         seed: Seed of delays and nodes.
         hold_s: Time that an endpoint holds keys after a report.
-        uses_gates: Whether routers ask gatekeepers for permits.
         **options: Options of ``FakeSystem``.
 
     Attributes:
@@ -170,10 +169,9 @@
         double_holds: Tuples of time, two endpoint names and up to three units that both held.
     """
 
-    def __init__(self, seed=1, hold_s=6.0, uses_gates=True, **options):
+    def __init__(self, seed=1, hold_s=6.0, **options):
         super().__init__(seed, **options)
         self.hold_s = hold_s
-        self.uses_gates = uses_gates
         self.reporting_endpoints = {}
         self.replies = {}
         self.double_holds = []
@@ -191,7 +189,6 @@
             tuple(seeds),
             may_bootstrap,
             hold_s=self.hold_s,
-            uses_gates=self.uses_gates,
         )
         disk = FakeDisk(f"{name}#1") if role == "controller" else None
         host = FakeHost(SiteHostConfig(record, site), disk)
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -30,7 +30,6 @@
     VoteRequest,
 )
 from greengagerock.routing.crash_suspects import CrashReport
-from greengagerock.routing.gate_messages import PermitRelease, PermitReply, PermitRequest
 from greengagerock.routing.key_claims import (
     ClaimsReply,
     ClaimsRequest,
@@ -79,9 +78,6 @@
     | ViewDelta
     | NotLeading
     | LeavingObserved
-    | PermitRequest
-    | PermitReply
-    | PermitRelease
 )
 
 
--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -5,7 +5,6 @@
 import pynng
 
 from greengagerock.core import GreengageError
-from greengagerock.routing.gate_messages import MESSAGES_WITHOUT_REPLY
 from greengagerock.transport.codec import Envelope, decode_envelope, encode_envelope
 from greengagerock.transport.monitor import LINK_SILENCE_LIMIT_S, LinkMonitor
 
@@ -106,8 +105,7 @@
         """
         if self.monitor.is_suspect(address, now_s):
             self._redial(address)
-        expects_reply = not isinstance(message, MESSAGES_WITHOUT_REPLY)
-        sequence = self.monitor.record_sent(address, now_s, expects_reply)
+        sequence = self.monitor.record_sent(address, now_s)
         data = encode_envelope(Envelope(self.host, self.address, sent_at, message, sequence))
         try:
             # Dialling also fails if the process has no free file descriptor.
--- a/greengagerock/transport/monitor.py
+++ b/greengagerock/transport/monitor.py
@@ -80,19 +80,12 @@
         self.silence_limit_s = silence_limit_s
         self.peers = {}
 
-    def record_sent(self, address, now_s, expects_reply=True):
-        """Record that a message is sent, and return the ``MessageSequence`` to include in it.
-
-        Args:
-            address: Link address of the peer.
-            now_s: Monotonic time in seconds.
-            expects_reply: Whether the peer sends a message back soon, which acknowledges it.
-        """
+    def record_sent(self, address, now_s):
+        """Record that a message is sent, and return the ``MessageSequence`` to include in it."""
         peer = self._peer(address)
         peer.last_sent += 1
         unacknowledged = peer.unacknowledged
-        is_sampled = not unacknowledged or now_s - unacknowledged[-1][1] >= SAMPLE_INTERVAL_S
-        if expects_reply and is_sampled:
+        if not unacknowledged or now_s - unacknowledged[-1][1] >= SAMPLE_INTERVAL_S:
             unacknowledged.append((peer.last_sent, now_s))
         return MessageSequence(
             self.instance, peer.last_sent, peer.received_instance, peer.last_received
--- a/greengagerock/view/__init__.py
+++ b/greengagerock/view/__init__.py
@@ -2,7 +2,6 @@
 
 from greengagerock.view.histories import EndpointsHistory, ItemsHistory
 from greengagerock.view.messages import (
-    EndpointGates,
     EndpointRecord,
     EndpointResponseTimes,
     EndpointsDelta,
@@ -17,7 +16,6 @@
 from greengagerock.view.replica import ViewReplica
 
 __all__ = [
-    "EndpointGates",
     "EndpointRecord",
     "EndpointResponseTimes",
     "OwnedUnitRanges",
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -120,20 +120,6 @@
     endpoints: dict[str, int]
 
 
-class EndpointGates(msgspec.Struct, frozen=True, array_like=True):
-    """The endpoints whose requests are ordered by a gatekeeper.
-
-    Attributes:
-        number: Sequence number of this message.
-        gatekeepers: Link addresses of the routers that are gatekeepers.
-        endpoints: Index of the gatekeeper by name of the endpoint.
-    """
-
-    number: int
-    gatekeepers: tuple[str, ...]
-    endpoints: dict[str, int]
-
-
 class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll"):
     """A router's request for the changes that it does not have.
 
@@ -145,10 +131,6 @@
             each endpoint that responded.
         demand: Number of requests since the last poll, by service and block of keys.
         response_times_number: Number of the newest ``EndpointResponseTimes`` that the router has.
-        zone: Availability zone of the router.
-        keeps_gates: Whether the router may be a gatekeeper.
-        needed_gates: Endpoints at whose gates on this router requests had to wait recently.
-        gates_number: Number of the newest ``EndpointGates`` that the router has.
     """
 
     items_revision: int
@@ -157,10 +139,6 @@
     response_times: dict[str, tuple[int, float]] = msgspec.field(default={}, name="answers")
     demand: dict[str, dict[int, int]] = {}
     response_times_number: int = msgspec.field(default=0, name="times_number")
-    zone: str = ""
-    keeps_gates: bool = False
-    needed_gates: tuple[str, ...] = ()
-    gates_number: int = 0
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
@@ -175,7 +153,6 @@
         bans: Fingerprints of requests that crashed several endpoints.
         response_times: Packed ``EndpointResponseTimes``, or ``None`` if the router has the
             newest ones.
-        gates: Packed ``EndpointGates``, or ``None`` if the router has the newest ones.
     """
 
     items: bytes | None
@@ -184,7 +161,6 @@
     routers: int
     bans: tuple[str, ...] = ()
     response_times: bytes | None = msgspec.field(default=None, name="times")
-    gates: bytes | None = None
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -1,7 +1,7 @@
 """A router's copy of the items, endpoints and unit owners."""
 
 from greengagerock.assignment.units import KEYS_PER_UNIT
-from greengagerock.view.messages import EndpointGates, EndpointResponseTimes, ViewPoll
+from greengagerock.view.messages import EndpointResponseTimes, ViewPoll
 
 
 class ViewReplica:
@@ -19,7 +19,6 @@
         endpoints_revision: Last revision of that leader that was applied.
         removed_versions: Version at removal by kind and name of removed items.
         response_times: The newest ``EndpointResponseTimes``.
-        gates: The newest ``EndpointGates``.
     """
 
     def __init__(self):
@@ -34,23 +33,19 @@
         self.endpoints_revision = 0
         self.removed_versions = {}
         self.response_times = EndpointResponseTimes(0, {}, {})
-        self.gates = EndpointGates(0, (), {})
 
     @property
     def has_configuration(self):
         """Whether the configuration has been received."""
         return self.items_revision > 0
 
-    def poll(self, response_times, demand, zone="", keeps_gates=False, needed_gates=()):
+    def poll(self, response_times, demand):
         """Return the message that requests the missing changes.
 
         Args:
             response_times: Number and mean time in seconds of each endpoint's responses to this
                 router since the last poll.
             demand: Number of requests since the last poll, by service and block of keys.
-            zone: Availability zone of the router.
-            keeps_gates: Whether the router may be a gatekeeper.
-            needed_gates: Endpoints at whose gates on this router requests had to wait recently.
         """
         return ViewPoll(
             self.items_revision,
@@ -59,10 +54,6 @@
             response_times,
             demand,
             self.response_times.number,
-            zone,
-            keeps_gates,
-            needed_gates,
-            self.gates.number,
         )
 
     def shared_mean_s(self, endpoint):
@@ -77,13 +68,6 @@
             mean_ms = self.response_times.services.get(record.service) if record else None
         return None if mean_ms is None else mean_ms / 1000
 
-    def gatekeeper_of(self, endpoint):
-        """Return the link address of an endpoint's gatekeeper, or ``None`` if it has no gate."""
-        index = self.gates.endpoints.get(endpoint)
-        if index is None or not 0 <= index < len(self.gates.gatekeepers):
-            return None
-        return self.gates.gatekeepers[index]
-
     def owner_of(self, service, key):
         """Return the name of the endpoint that owns a key, or empty if none is known."""
         return self.owners.get(service, {}).get(key // KEYS_PER_UNIT, "")
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -303,7 +303,7 @@
 
     def close(self):
         """Notify the loop that the request has ended."""
-        event = RequestEnded(self.exchange.token, True, self.response_time_s)
+        event = RequestEnded(self.exchange.token, True, self.response_time_s, len(self.data))
         self.exchange.app.bridge.post_deferred(event)
 
 
@@ -371,7 +371,9 @@
         else:
             # Unread data must not be read as the response to another request.
             self.response.close()
-        event = RequestEnded(self.exchange.token, self.is_complete, self.response_time_s)
+        event = RequestEnded(
+            self.exchange.token, self.is_complete, self.response_time_s, self.relayed_bytes
+        )
         self.exchange.app.bridge.post_deferred(event)
 
 
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -161,20 +161,21 @@
         yield CounterMetricFamily(
             "greengage_retries", "Further attempts.", value=self.node.stats.retries
         )
-        yield from self._gates()
+        yield from self._link_turns()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
-    def _gates(self):
-        """Yield the state of the gates that a router keeps; a controller keeps none."""
-        gatekeeper = getattr(self.node, "gatekeeper", None)
-        gates = [] if gatekeeper is None else list(gatekeeper.gates.values())
+    def _link_turns(self):
+        """Yield how many long responses use and await a router's slow link."""
+        dispatcher = getattr(self.node, "dispatcher", None)
+        if dispatcher is None:
+            return
+        schedule = dispatcher.sender.link_schedule
         for name, description, count in (
-            ("gates", "Gates kept.", len(gates)),
-            ("gate_waiting", "Requests at gates.", sum(len(gate.queue) for gate in gates)),
-            ("gate_permits", "Permits given.", sum(len(gate.permits) for gate in gates)),
+            ("turns", "Long responses on the slow link.", len(schedule.running)),
+            ("waiting", "Long responses that wait for the link.", len(schedule.waiting)),
         ):
-            yield GaugeMetricFamily(f"greengage_{name}", description, value=count)
+            yield GaugeMetricFamily(f"greengage_link_{name}", description, value=count)
 
 
 def collect_link_metrics(stats):
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -21,8 +21,6 @@
 BODY_CHUNK_BYTES = 64 * 1024
 # urllib3 rejects a timeout of 0, which a request at its deadline would have.
 MIN_TIMEOUT_S = 0.001
-# Largest share of a request's remaining time that connecting may take on a slow link.
-MAX_CONNECT_SHARE = 0.25
 
 # Retries are decided by the decision core, not by urllib3. The object is shared, so that none is
 # created per request.
@@ -227,12 +225,10 @@
 
     Args:
         limits: The ``LimitSettings``.
-        link_delay_s: How long a packet may wait for this host's own link.
     """
 
-    def __init__(self, limits, link_delay_s=0.0):
+    def __init__(self, limits):
         self.limits = limits
-        self.connect_timeout_s = limits.connect_timeout_s + link_delay_s
         self.pools = {}
 
     def pool(self, address):
@@ -272,11 +268,7 @@
             A urllib3 response whose body is unread, or an ``AttemptFailed`` event.
         """
         read_timeout_s = max(forward.timeout_s, MIN_TIMEOUT_S)
-        connect_timeout_s = min(
-            self.connect_timeout_s,
-            max(self.limits.connect_timeout_s, MAX_CONNECT_SHARE * read_timeout_s),
-            read_timeout_s,
-        )
+        connect_timeout_s = min(self.limits.connect_timeout_s, read_timeout_s)
         timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
         attempt.target = uri
         _thread_state.attempt = attempt
