Load at the start of a router only what routers need

Cause: each start of an entry host imported the controllers' node, the operators' language with its grammars, the command line's library and the servers of the other layout: 706 modules, 50 MB and 0.75 to 0.83 s of processor time. On a small host that is two seconds in which its callers use others, after each kill and at each step of a rolling restart, and memory that is paid for at 188 hosts.

--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -11,7 +11,7 @@
 
 import urllib3
 
-from greengagerock.settings import LimitSettings
+from greengagerock.settings.schema import LimitSettings
 from greengagerock.web.caller_application import read_headers
 from greengagerock.web.native_dialect import origin_form, split_uri
 from greengagerock.web.server import HttpServer
--- a/greengagerock/agent/tests/test_grant_table.py
+++ b/greengagerock/agent/tests/test_grant_table.py
@@ -1,6 +1,6 @@
 """Tests of the grants of an endpoint."""
 
-from greengagerock.agent import GrantTable
+from greengagerock.agent.grant_table import GrantTable
 from greengagerock.model import AnnouncementReply, GrantedUnit
 
 
--- a/greengagerock/cli/main.py
+++ b/greengagerock/cli/main.py
@@ -15,7 +15,7 @@
 from greengagerock.cli.output import OutputFormat, render_rows
 from greengagerock.control.operator_messages import OperatorRequest
 from greengagerock.core import ERROR_KINDS, GreengageError, merge_timelines
-from greengagerock.settings import SettingsError, load_settings
+from greengagerock.settings.checker import SettingsError, load_settings
 
 DEFAULT_ADDRESS = "127.0.0.1:8081"
 MICROSECONDS_PER_SECOND = 1_000_000
--- a/greengagerock/control/operator_requests.py
+++ b/greengagerock/control/operator_requests.py
@@ -9,7 +9,7 @@
 from greengagerock.control.queries import QueryContext, Table, execute_query
 from greengagerock.control.state_machine import fingerprint_change
 from greengagerock.core import GreengageError, StatementError
-from greengagerock.language import parse_statement
+from greengagerock.language.parser import parse_statement
 from greengagerock.model import Routes
 from greengagerock.model.timing import OPERATOR_RELAY_TIMEOUT_S
 
--- a/greengagerock/control/tests/test_state_machine.py
+++ b/greengagerock/control/tests/test_state_machine.py
@@ -9,7 +9,7 @@
     RevokeUnits,
 )
 from greengagerock.control.state_machine import ControlStateMachine
-from greengagerock.language import parse_statement
+from greengagerock.language.parser import parse_statement
 from greengagerock.model import STATE_LOST, Owner, Unit, slot_of_key
 from greengagerock.testing.model_builders import build_endpoint
 
--- a/greengagerock/control/tests/test_state_machine_differential.py
+++ b/greengagerock/control/tests/test_state_machine_differential.py
@@ -11,7 +11,7 @@
     RevokeUnits,
 )
 from greengagerock.control.state_machine import ControlStateMachine
-from greengagerock.language import parse_statement
+from greengagerock.language.parser import parse_statement
 from greengagerock.model import STATE_LOST, STATE_READY, Unit
 from greengagerock.testing.model_builders import build_endpoint
 
--- a/greengagerock/daemon/daemon.py
+++ b/greengagerock/daemon/daemon.py
@@ -10,19 +10,17 @@
 from greengagerock.daemon.loop import EventLoop
 from greengagerock.daemon.record_writer import RecordWriter
 from greengagerock.daemon.status import describe_host
-from greengagerock.node import Node, NodeConfig
-from greengagerock.settings import join_address
+from greengagerock.node.node import Node
+from greengagerock.node.node_config import NodeConfig
+from greengagerock.settings.schema import join_address
 from greengagerock.storage import DataFolder
 from greengagerock.transport import Links
-from greengagerock.web import (
-    CallerApplication,
-    EndpointRoot,
-    HttpServer,
-    Metrics,
-    OperatorRoot,
-    Upstream,
-    make_application,
-)
+from greengagerock.web.caller_application import CallerApplication
+from greengagerock.web.endpoint_handlers import EndpointRoot
+from greengagerock.web.metrics import Metrics
+from greengagerock.web.operator_handlers import OperatorRoot, make_application
+from greengagerock.web.server import HttpServer
+from greengagerock.web.upstream import Upstream
 
 OPERATOR_THREADS = 6
 ENDPOINT_THREADS = 8
--- a/greengagerock/daemon/main.py
+++ b/greengagerock/daemon/main.py
@@ -12,7 +12,7 @@
 from greengagerock.daemon.daemon import Daemon
 from greengagerock.daemon.logs import configure_logs, make_event_log
 from greengagerock.daemon.site import serve_site
-from greengagerock.settings import SettingsError, load_settings
+from greengagerock.settings.checker import SettingsError, load_settings
 from greengagerock.settings.site import SiteSettings
 
 EXIT_OK = 0
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -16,17 +16,17 @@
 from greengagerock.daemon.logs import format_pairs
 from greengagerock.daemon.loop import EventLoop
 from greengagerock.daemon.record_writer import RecordWriter
-from greengagerock.node.controller_node import ControllerNode
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site_config import SiteConfig
 from greengagerock.settings.link_speed import slow_link_bytes_per_s
 from greengagerock.settings.site import split_address
 from greengagerock.storage import DataFolder
 from greengagerock.transport import Links
-from greengagerock.web import CallerApplication, HttpServer, Metrics, Upstream
-from greengagerock.web.control_application import ControlApplication
-from greengagerock.web.metrics import SiteCollector
+from greengagerock.web.caller_application import CallerApplication
+from greengagerock.web.metrics import Metrics, SiteCollector
 from greengagerock.web.route_dialect import NativeRouteDialect
+from greengagerock.web.server import HttpServer
+from greengagerock.web.upstream import Upstream
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -122,7 +122,7 @@
             log,
             dialect or NativeRouteDialect(),
         )
-        self.control_application = ControlApplication(self.bridge, log, control_dialect)
+        self.control_dialect = control_dialect
         self.caller_server = None
         self.servers = self._make_servers()
 
@@ -185,6 +185,9 @@
         now_s = time.monotonic()
         if settings.role == "router":
             return RouterNode(config, now_s, wall_clock_us)
+        # Routers, of which there are many, do without this module and all that it imports.
+        from greengagerock.node.controller_node import ControllerNode
+
         self.folder = DataFolder(settings.data_folder, settings.host)
         return ControllerNode(config, self.folder.durable_state, now_s, wall_clock_us)
 
@@ -201,9 +204,11 @@
                 self._make_server(settings.readiness, self.caller_application, AUXILIARY_THREADS)
             )
         if settings.control:
-            servers.append(
-                self._make_server(settings.control, self.control_application, CONTROL_THREADS)
-            )
+            # As for the controller's node, routers do without it.
+            from greengagerock.web.control_application import ControlApplication
+
+            application = ControlApplication(self.bridge, self.log, self.control_dialect)
+            servers.append(self._make_server(settings.control, application, CONTROL_THREADS))
         if settings.metrics:
             servers.append(
                 self._make_server(settings.metrics, self._respond_with_metrics, AUXILIARY_THREADS)
--- a/greengagerock/language/items.py
+++ b/greengagerock/language/items.py
@@ -1,5 +1,6 @@
 """Parsing and formatting of the text form of configuration items."""
 
+from functools import cache
 from importlib.resources import files
 
 from lark import Lark, Transformer, UnexpectedInput, v_args
@@ -113,11 +114,13 @@
         return statements
 
 
-_parser = Lark(
-    files("greengagerock.language").joinpath("items.lark").read_text(),
-    parser="lalr",
-    lexer="contextual",
-)
+@cache
+def _make_parser():
+    """Return the parser; hosts that read no statements don't spend the time to build it."""
+    grammar = files("greengagerock.language").joinpath("items.lark").read_text()
+    return Lark(grammar, parser="lalr", lexer="contextual")
+
+
 _builder = _Builder()
 
 
@@ -141,7 +144,7 @@
         (KeyedRules(warm_up_s=2.0, grant_location=None), (Removal(name='old', version=4),))
     """
     try:
-        statements = _builder.transform(_parser.parse(text))
+        statements = _builder.transform(_make_parser().parse(text))
     except UnexpectedInput as error:
         detail = f"unexpected word at line {error.line}, column {error.column}"
         raise StatementError("syntax-error", detail, max(error.column, 0)) from error
--- a/greengagerock/language/parser.py
+++ b/greengagerock/language/parser.py
@@ -1,5 +1,6 @@
 """The parser of operators' statements, which builds actions and queries from them."""
 
+from functools import cache
 from importlib.resources import files
 
 from lark import Lark, Transformer, UnexpectedInput, v_args
@@ -175,8 +176,13 @@
         return query_types.ShowVoters()
 
 
-_GRAMMAR = files("greengagerock.language").joinpath("grammar.lark").read_text()
-_parser = Lark(_GRAMMAR, parser="lalr", maybe_placeholders=False)
+@cache
+def _make_parser():
+    """Return the parser; hosts that read no statements don't spend the time to build it."""
+    grammar = files("greengagerock.language").joinpath("grammar.lark").read_text()
+    return Lark(grammar, parser="lalr", maybe_placeholders=False)
+
+
 _builder = _Builder()
 
 
@@ -199,7 +205,7 @@
         (DrainEndpoint(name='till-1'),)
     """
     try:
-        return _builder.transform(_parser.parse(text))
+        return _builder.transform(_make_parser().parse(text))
     except UnexpectedInput as error:
         raise _to_statement_error(error, text) from error
 
--- a/greengagerock/language/tests/test_parser.py
+++ b/greengagerock/language/tests/test_parser.py
@@ -14,7 +14,7 @@
 )
 from greengagerock.control.queries import query_types
 from greengagerock.core import StatementError
-from greengagerock.language import parse_statement
+from greengagerock.language.parser import parse_statement
 from greengagerock.model import HeaderKey, NoKey, PathKey, QueryKey
 
 STATEMENTS = {
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -56,7 +56,6 @@
     VoteReply,
     VoteRequest,
 )
-from greengagerock.routing import Router
 from greengagerock.routing.claim_recovery import ClaimRecovery
 from greengagerock.routing.crash_suspects import CrashReport
 from greengagerock.routing.key_claims import (
@@ -67,6 +66,7 @@
     KeyClaimResult,
     KeyRelease,
 )
+from greengagerock.routing.router import Router
 
 
 class Node:
--- a/greengagerock/platform/control_dialect.py
+++ b/greengagerock/platform/control_dialect.py
@@ -9,7 +9,7 @@
     decode_report,
     encode_report_response,
 )
-from greengagerock.web.control_application import LEAVE_CALL, PATCH_CALL, READ_CALL, REPORT_CALL
+from greengagerock.web.control_calls import LEAVE_CALL, PATCH_CALL, READ_CALL, REPORT_CALL
 
 _ENDPOINT_PATH = re.compile(r"/greengagerock/instances/([^/]{1,200})/(heartbeat|leave)")
 _CALL_BY_REQUEST = {
--- a/greengagerock/platform/run.py
+++ b/greengagerock/platform/run.py
@@ -1,12 +1,10 @@
 """Starts the daemon with the platform's settings file and dialects."""
 
 import greengagerock.daemon.ignore_sighup  # noqa: F401, I001 - must precede slow imports
+import argparse
 import os
 import sys
 from pathlib import Path
-from typing import Annotated
-
-from cyclopts import App, Parameter
 
 from greengagerock.core import GreengageError
 from greengagerock.daemon.site import serve_site
@@ -17,13 +15,31 @@
 SETTINGS_VARIABLE = "GREENGAGEROCK_BOOT"
 EXIT_BAD_SETTINGS = 2
 
-app = App(name="greengagerock.platform.run", help="greengagerockd on the users' platform.")
+DEFAULT_METRICS_PORT = 9464
+
+
+def parse_arguments(arguments):
+    """Parse the command line.
+
+    The standard library's parser starts faster than the one of the command-line tool, and this
+    program is started again after each loss of a host.
+
+    Args:
+        arguments: The words after the program's name.
+    """
+    parser = argparse.ArgumentParser(
+        prog="greengagerock.platform.run", description="greengagerockd on the users' platform."
+    )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=DEFAULT_METRICS_PORT,
+        help="port on which metrics are served",
+    )
+    return parser.parse_args(arguments)
 
 
-@app.default
-def serve(
-    *, metrics_port: Annotated[int, Parameter(help="Port on which metrics are served.")] = 9464
-) -> int:
+def serve(metrics_port):
     """Serve until SIGTERM or SIGINT.
 
     Args:
@@ -49,4 +65,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(app())
+    sys.exit(serve(parse_arguments(sys.argv[1:]).metrics_port))
--- a/greengagerock/routing/tests/test_router.py
+++ b/greengagerock/routing/tests/test_router.py
@@ -28,7 +28,7 @@
     Service,
     Unit,
 )
-from greengagerock.routing import Router
+from greengagerock.routing.router import Router
 from greengagerock.testing.model_builders import build_endpoint, build_service
 
 
--- a/greengagerock/settings/tests/test_checker.py
+++ b/greengagerock/settings/tests/test_checker.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from greengagerock.settings import SettingsError, load_settings, parse_settings
+from greengagerock.settings.checker import SettingsError, load_settings, parse_settings
 
 VALID = """\
 host: h1
--- a/greengagerock/testing/baseline_router.py
+++ b/greengagerock/testing/baseline_router.py
@@ -2,7 +2,7 @@
 
 from greengagerock.core import OUTCOME_NOT_RUN, GreengageError
 from greengagerock.core.interface import RespondWithError
-from greengagerock.routing import Router
+from greengagerock.routing.router import Router
 
 MAX_ATTEMPTS = 4
 
--- a/greengagerock/testing/fake_hosts.py
+++ b/greengagerock/testing/fake_hosts.py
@@ -1,6 +1,6 @@
 """Simulated disks, hosts and endpoints of ``FakeSystem``."""
 
-from greengagerock.agent import GrantTable
+from greengagerock.agent.grant_table import GrantTable
 from greengagerock.replication import DurableState
 
 
--- a/greengagerock/testing/fake_system.py
+++ b/greengagerock/testing/fake_system.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from greengagerock.agent import ORDER_HEADER, Order
 from greengagerock.agent.announcer import CHANGE_ANNOUNCEMENT_DELAY_S
+from greengagerock.agent.orders import ORDER_HEADER, Order
 from greengagerock.control.operator_messages import OperatorRequest
 from greengagerock.core.interface import (
     AnnouncementArrived,
@@ -34,7 +34,7 @@
     TimeAdvanced,
 )
 from greengagerock.model.timing import ANNOUNCE_INTERVAL_S
-from greengagerock.node import Node
+from greengagerock.node.node import Node
 from greengagerock.testing.fake_hosts import FakeDisk, FakeEndpoint, FakeHost
 
 MESSAGE_DELAY_RANGE_S = (0.0005, 0.002)
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -10,7 +10,7 @@
 from greengagerock.platform.wire_reports import decode_leaving, decode_report
 from greengagerock.platform.wire_settings import decode_settings
 from greengagerock.routing.endpoint_notices import MAX_PAUSE_S, EndpointNotices
-from greengagerock.settings import parse_settings
+from greengagerock.settings.checker import parse_settings
 from greengagerock.storage.frames import encode_frame, scan_frames
 from greengagerock.testing.launch_site import INITIAL_STATEMENTS
 from greengagerock.transport import Envelope, decode_envelope, encode_envelope
--- a/greengagerock/testing/fuzz/http_server.py
+++ b/greengagerock/testing/fuzz/http_server.py
@@ -2,9 +2,9 @@
 
 import socket
 
-from greengagerock.settings import LimitSettings
-from greengagerock.web import HttpServer
+from greengagerock.settings.schema import LimitSettings
 from greengagerock.web.caller_application import make_body_reader
+from greengagerock.web.server import HttpServer
 from greengagerock.web.upstream import CallerBodyError
 
 SOCKET_TIMEOUT_S = 5.0
--- a/greengagerock/testing/stand_in.py
+++ b/greengagerock/testing/stand_in.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
-from greengagerock.agent import ORDER_HEADER, Announcer, GrantTable, Order
+from greengagerock.agent.announcer import Announcer
+from greengagerock.agent.grant_table import GrantTable
+from greengagerock.agent.orders import ORDER_HEADER, Order
 from greengagerock.model import STATE_DRAINING, STATE_READY, Announcement
 from greengagerock.testing.fault_switches import Switches
 
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -9,15 +9,11 @@
 from greengagerock.core import ERROR_KINDS, GreengageError
 from greengagerock.core.interface import EndpointReportArrived, ItemsRequested, PatchArrived
 from greengagerock.language.items import format_items, parse_items
+from greengagerock.web.control_calls import PATCH_CALL, READ_CALL, REPORT_CALL
 
 DECISION_TIMEOUT_S = 1.5
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
-REPORT_CALL = "report"
-LEAVE_CALL = "leave"
-PATCH_CALL = "patch"
-READ_CALL = "read"
-
 
 class NativeControlDialect:
     """Paths and bodies of this project's own interface to controllers.
--- /dev/null
+++ b/greengagerock/web/control_calls.py
@@ -0,0 +1,6 @@
+"""The types of calls that controllers serve to endpoints and operators."""
+
+REPORT_CALL = "report"
+LEAVE_CALL = "leave"
+PATCH_CALL = "patch"
+READ_CALL = "read"
