--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -9,6 +9,9 @@
 MAX_KEY_WAIT_S = 0.5
 # Largest share of the remaining time that a call waits for a holder of its key.
 MAX_KEY_WAIT_SHARE = 0.3
+# Longest time that a call waits for its turn on the link, below the time for which the I/O layer
+# waits for a decision.
+MAX_TURN_WAIT_S = 4.0
 # Time after sending from which on the I/O layer watches whether the caller is still connected.
 WATCH_AFTER_S = 0.2
 # Requests above the limit of an endpoint that are allowed for an urgent route.
@@ -81,7 +84,7 @@
         """Return whether a call may be sent now; otherwise it waits or was refused."""
         now_s = self.timers.now_s
         objective_s = call.route.objective_s
-        useful_until_s = call.deadline_s
+        useful_until_s = min(call.deadline_s, now_s + MAX_TURN_WAIT_S)
         if objective_s is not None:
             useful_until_s = min(useful_until_s, call.arrived_s + objective_s)
         decision = self.link_schedule.request(
--- a/greengagerock/routing/tests/test_link_schedule.py
+++ b/greengagerock/routing/tests/test_link_schedule.py
@@ -3,6 +3,7 @@
 import heapq
 from random import Random
 
+import msgspec
 import pytest
 
 from greengagerock.core.interface import (
@@ -21,6 +22,7 @@
 )
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 from greengagerock.testing.item_builders import build_route
+from greengagerock.web.caller_application import LOOP_TIMEOUT_S
 
 LINK_BYTES_PER_S = 250_000
 SCANS = build_route("scans", kind="download", objective_s=2.0, weighted_services=(("docs", 1),))
@@ -198,6 +200,23 @@
     assert 0.1 <= response.retry_after_s <= 2.0
 
 
+def test_wait_without_an_objective_ends_before_the_io_layer_gives_up():
+    harness = build_harness()
+    routes = harness.replica.routes
+    routes["prices"] = msgspec.structs.replace(
+        routes["prices"], objective_s=None, timeout_s=60.0, version=9
+    )
+    harness.dispatcher.on_items()
+    schedule = harness.dispatcher.sender.link_schedule
+    tokens = [harness.call("prices", None, budget_s=60.0) for _ in range(PARALLEL + 1)]
+    for token in tokens[:PARALLEL]:
+        schedule.running[token] = (99.0, 10.0)
+    harness.effects()
+    harness.timers.advance(harness.timers.now_s + LOOP_TIMEOUT_S - 0.5)
+    (response,) = [e for e in harness.effects() if isinstance(e, RespondWithError)]
+    assert (response.token, response.outcome) == (tokens[-1], "not-run")
+
+
 def test_short_call_does_not_wait_behind_long_ones():
     harness = build_harness()
     for _ in range(PARALLEL + 2):
