--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -248,7 +248,7 @@
                 self.observations.forget(name)
                 self.notices.forget(name)
             elif self.notices.is_unreported_leaving(record):
-                # A new leader does not know what the previous one was told.
+                # A new leader lacks the reports that the previous one received.
                 self.report(LeavingObserved(name, record.started_ms))
         self.sender.on_endpoints(changed_units)
 
