--- a/greengagerock/web/worker_pool.py
+++ b/greengagerock/web/worker_pool.py
@@ -111,6 +111,7 @@
             with self._lock:
                 if self._is_surplus():
                     self._remove_current_thread()
+                    # The library has no public name for the value that ends a worker.
                     return threadpool._SHUTDOWNREQUEST
                 may_end_later = len(self._threads) > self.min
             try:
