Let a test of worker threads wait for its last connection

It released the first requests without waiting for the last connection, which then found a free thread. Change: the test waits until the connection is queued; its assertions are the same.

--- a/greengagerock/web/tests/test_worker_pool.py
+++ b/greengagerock/web/tests/test_worker_pool.py
@@ -66,14 +66,14 @@
     return threads
 
 
-def wait_for_thread_count(pool, count):
-    """Wait until the pool has ``count`` threads; return the last number seen."""
+def wait_until(condition):
+    """Wait until a condition holds; return whether it did in time."""
     never_set = threading.Event()
     for _ in range(int(WAIT_S / 0.02)):
-        if len(pool._threads) == count:
-            break
+        if condition():
+            return True
         never_set.wait(0.02)
-    return len(pool._threads)
+    return False
 
 
 def test_threads_follow_a_burst_and_go_back_without_cutting_a_request_off(server):
@@ -89,7 +89,7 @@
     for sender in senders:
         sender.join(WAIT_S)
     assert results == [200] * MAX_THREADS
-    assert wait_for_thread_count(pool, MIN_THREADS) == MIN_THREADS
+    assert wait_until(lambda: len(pool._threads) == MIN_THREADS)
     senders = send_requests(3, results)
     for sender in senders:
         sender.join(WAIT_S)
@@ -121,6 +121,8 @@
     senders = send_requests(MIN_THREADS + 1, results)
     for _ in range(MIN_THREADS):
         assert application.arrived.acquire(timeout=WAIT_S)
+    # On a busy machine, the last connection may come later than the others reach the application.
+    assert wait_until(lambda: pool.pending > MIN_THREADS)
     application.release.set()
     for sender in senders:
         sender.join(WAIT_S)
