Log acknowledged leaves at the leader and withdrawn endpoints at routers

The logs of the reproduction (leaving-in-doubt.toml) do not tell a leader that acknowledges a leave without knowing the endpoint from a router that lacks the change or ignores it. No logic changes.

--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -138,6 +138,14 @@
     def _on_leave_committed(self, index, leave):
         pending = self.pending_replies.pop(index, None)
         if pending is not None:
+            self.outbox.log(
+                "leave-acknowledged",
+                endpoint=leave.endpoint,
+                born_ms=leave.started_ms,
+                index=index,
+                registered=leave.endpoint in self.directory.instances,
+                routers=len(self.router_updater.subscribers),
+            )
             reply, prepared = pending
             reply(prepared)
 
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -41,6 +41,8 @@
 # The load balancer checks once per second and removes a host after two failed checks; the
 # next response on each open connection closes it.
 UNREADY_PERIOD_S = 3.2
+# Largest number of endpoint names in one field of a log line.
+MAX_LOGGED_NAMES = 16
 # The process ends at least this long before the end of the grace period.
 STOP_MARGIN_S = 0.6
 
@@ -197,11 +199,29 @@
             )
             endpoint_names, units = self.replica.apply_endpoints(endpoints_delta)
             self.dispatcher.on_endpoints(endpoint_names, units)
+            self._log_withdrawn(endpoint_names)
             if is_first_of_epoch:
                 # The leader sends changes without a poll only to routers that have confirmed
                 # the full view.
                 self.outbox.send(address, self.replica.poll({}, {}))
 
+    def _log_withdrawn(self, changed_endpoints):
+        """Log which endpoints get no new requests from now on, according to the leader."""
+        endpoints = self.replica.endpoints
+        removed = [name for name in changed_endpoints if name not in endpoints]
+        leaving = [
+            name for name in changed_endpoints if name in endpoints and endpoints[name].leaving
+        ]
+        if removed or leaving:
+            self.outbox.log(
+                "endpoints-withdrawn",
+                leader=self.finder.leader,
+                live=f"{self.replica.epoch}.{self.replica.endpoints_revision}",
+                leaving=",".join(leaving[:MAX_LOGGED_NAMES]),
+                removed=",".join(removed[:MAX_LOGGED_NAMES]),
+                count=len(leaving) + len(removed),
+            )
+
     def _apply_items(self, items):
         """Apply configuration items and return whether anything has changed."""
         limits = self.replica.limits
