Put a leave in force also if the acknowledging leader does not know the endpoint

What callers saw: requests went to endpoints more than 2 s after their leave had been acknowledged, also to processes about to end. Cause: a leave message names no start of the instance. A new leader to which the endpoint had not reported acknowledged it, but had nothing to mark, sent nothing to routers, and stored the leave with start 0, which matches no report. Routers kept their record, and a late report of the endpoint listed it again as one that stays. The class: an acknowledgement that rests on state which only the previous leader had. Now: the leader withdraws such an endpoint from routers' views by name; routers keep in mind which instance that was, report its start, and refuse to use that instance again; the first report after such a leave counts as late unless the instance is known. A later instance under the same name is served.

--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -31,6 +31,7 @@
         "keys-all-held",
         "keys-without-holder",
         "leave-acknowledged",
+        "leave-identified",
         "leader-begins",
         "leader-elected",
         "leader-found",
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -197,6 +197,10 @@
             is_first_of_epoch = (
                 endpoints_delta.since == 0 and endpoints_delta.epoch != self.replica.epoch
             )
+            if self.replica.accepts(endpoints_delta):
+                self.dispatcher.on_left(
+                    self.replica.left_instances(endpoints_delta), endpoints_delta.left
+                )
             endpoint_names, units = self.replica.apply_endpoints(endpoints_delta)
             self.dispatcher.on_endpoints(endpoint_names, units)
             self._log_withdrawn(endpoint_names)
--- a/greengagerock/node/tests/test_leaves.py
+++ b/greengagerock/node/tests/test_leaves.py
@@ -99,6 +99,37 @@
     assert count_runs(site, leaving_endpoint) == 0
 
 
+def test_repeated_leave_at_a_later_leader_does_not_withdraw_the_restarted_endpoint():
+    site = build_fake_site(controllers=5)
+    left = site.reporting_endpoints["docs-1"]
+    assert leave(site, find_leader_name(site), left)
+    left.is_up = False
+    assert leave(site, replace_leader(site, left), left)
+    restarted = FakeReportingEndpoint("docs-1", 101, "docs", started_ms=9000)
+    site.add_reporting_endpoint(restarted)
+    site.run_for(2.0)
+    assert count_runs(site, restarted) > 0
+
+
+def test_second_instance_of_a_name_leaves_although_a_leave_of_the_first_is_stored():
+    site = build_fake_site(controllers=5)
+    first = site.reporting_endpoints["docs-1"]
+    assert leave(site, find_leader_name(site), first)
+    first.is_up = False
+    second = FakeReportingEndpoint("docs-1", 101, "docs", started_ms=9000)
+    site.add_reporting_endpoint(second)
+    site.run_for(2.0)
+    late_report = second.report()
+    leader = replace_leader(site, second)
+    site.run_for(1.0)
+    assert leave(site, leader, second)
+    site.run_for(DRAIN_S)
+    assert count_runs(site, second) == 0
+    report_late(site, leader, late_report)
+    site.run_for(0.1)
+    assert count_runs(site, second) == 0
+
+
 def test_restarted_endpoint_with_the_name_of_one_that_left_gets_requests():
     site = build_fake_site()
     left = site.reporting_endpoints["docs-1"]
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -240,6 +240,20 @@
         self.route_index = RouteIndex(routes)
         self.sender.ranks, self.sender.least_urgent_ranks = rank_priorities(routes)
 
+    def on_left(self, records, started_ms_by_name):
+        """Record that endpoint instances have left, and report starts that the leader lacks.
+
+        A later leader may list such an instance again when a late report of it arrives.
+
+        Args:
+            records: The ``EndpointRecord`` objects of the instances.
+            started_ms_by_name: Start of each instance as far as the leader has it, or 0.
+        """
+        for record in records:
+            self.notices.note_leaving(record.name, record.started_ms, self.timers.now_s)
+            if not started_ms_by_name[record.name]:
+                self.report(LeavingObserved(record.name, record.started_ms))
+
     def on_endpoints(self, changed_endpoints, changed_units):
         """Drop observations of removed endpoints, and send calls that wait for changed units."""
         for name in changed_endpoints:
--- a/greengagerock/routing/endpoint_notices.py
+++ b/greengagerock/routing/endpoint_notices.py
@@ -3,6 +3,8 @@
 # A leaving endpoint gets requests for keys that it still holds for this long after its notice.
 # Nobody else can run them, and it serves for at least two seconds more.
 LEAVING_KEYS_GRACE_S = 1.0
+# The leave of an instance is kept this long, since its late reports may list it again.
+LEAVE_RETENTION_S = 600.0
 # Longest pause that an endpoint can request. A faulty endpoint must not stay without requests.
 MAX_PAUSE_S = 60.0
 
@@ -55,6 +57,7 @@
         if notice is None or notice.leaving_since_s is not None:
             return False
         notice.leaving_since_s = now_s
+        self._drop_old_leaves(now_s)
         return True
 
     def note_pause(self, endpoint, started_ms, pause_s, now_s):
@@ -87,8 +90,20 @@
         return not record.leaving and not self.accepts_any(record)
 
     def forget(self, endpoint):
-        """Drop the notices of an endpoint that has ended."""
-        self.by_endpoint.pop(endpoint, None)
+        """Drop the notices of an endpoint that has ended, unless it has left."""
+        notice = self.by_endpoint.get(endpoint)
+        if notice is not None and notice.leaving_since_s is None:
+            del self.by_endpoint[endpoint]
+
+    def _drop_old_leaves(self, now_s):
+        old = [
+            name
+            for name, notice in self.by_endpoint.items()
+            if notice.leaving_since_s is not None
+            and now_s - notice.leaving_since_s > LEAVE_RETENTION_S
+        ]
+        for name in old:
+            del self.by_endpoint[name]
 
     def _current(self, record):
         notice = self.by_endpoint.get(record.name)
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -47,6 +47,7 @@
     (EndpointRecord("till-1", "10.0.0.9:80", "till", "a", 3),),
     (),
     {"till": (OwnedUnitRanges("till-1", (0, 8192)),)},
+    {"till-2": 1000},
 )
 
 
--- a/greengagerock/view/histories.py
+++ b/greengagerock/view/histories.py
@@ -92,6 +92,8 @@
             ``None`` before; routers with an older revision get a full delta.
         endpoints: ``EndpointRecord`` objects by name.
         endpoint_revisions: Revision of the last change or removal by endpoint name.
+        left: Start of the instance, or 0 if it is unknown, of endpoints whose leave was
+            acknowledged and that are not in ``endpoints``, by name.
         owners: For each service, the owner's name by unit.
         owner_changes: Tuples of revision, service and unit, oldest first.
     """
@@ -102,6 +104,7 @@
         self.settled_revision = None
         self.endpoints = {}
         self.endpoint_revisions = {}
+        self.left = {}
         self.owners = {}
         self.owner_changes = deque()
 
@@ -115,6 +118,18 @@
         self.revision += 1
         self.endpoints[record.name] = record
         self.endpoint_revisions[record.name] = self.revision
+        self.left.pop(record.name, None)
+
+    def note_left(self, name, started_ms):
+        """Record the acknowledged leave of an instance that has not reported in this term.
+
+        Args:
+            name: Name of the endpoint.
+            started_ms: Start of the instance, or 0 if it is unknown.
+        """
+        self.revision += 1
+        self.left[name] = started_ms
+        self.endpoint_revisions[name] = self.revision
 
     def remove_endpoint(self, name):
         """Record the removal of an endpoint; routers may have it from an earlier leader."""
@@ -168,10 +183,16 @@
             self.revision,
             False,
             tuple(self.endpoints[name] for name in names if name in self.endpoints),
-            tuple(name for name in names if name not in self.endpoints),
+            self._removed_among(names),
             group_owners(
                 (service, unit, self.owners[service][unit]) for service, unit in sorted(changed)
             ),
+            {name: self.left[name] for name in names if name in self.left},
+        )
+
+    def _removed_among(self, names):
+        return tuple(
+            name for name in names if name not in self.endpoints and name not in self.left
         )
 
     def _units_changed_since(self, revision):
@@ -200,8 +221,9 @@
             self.revision,
             is_complete,
             tuple(self.endpoints.values()),
-            tuple(name for name in self.endpoint_revisions if name not in self.endpoints),
+            self._removed_among(self.endpoint_revisions),
             group_owners(owners),
+            dict(self.left),
         )
 
 
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -94,6 +94,8 @@
         endpoints: New or changed endpoints.
         removed: Names of removed endpoints.
         owners: Units whose owner changed, by service.
+        left: Endpoints whose leave was acknowledged and that the leader does not list: the start
+            of the instance in milliseconds since 1970, or 0 if the leader lacks it, by name.
     """
 
     epoch: int
@@ -103,6 +105,7 @@
     endpoints: tuple[EndpointRecord, ...] = ()
     removed: tuple[str, ...] = ()
     owners: dict[str, tuple[OwnedUnitRanges, ...]] = {}
+    left: dict[str, int] = {}
 
 
 class EndpointResponseTimes(msgspec.Struct, frozen=True, array_like=True):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -99,14 +99,11 @@
             A pair: names of endpoints that changed or were removed, and the (service, unit)
             pairs whose owner changed.
         """
-        if delta.epoch < self.epoch:
-            return [], []
-        applied = self.endpoints_revision if delta.epoch == self.epoch else 0
-        if delta.revision <= applied or delta.since > applied:
+        if not self.accepts(delta):
             return [], []
         self.epoch = delta.epoch
         self.endpoints_revision = delta.revision
-        names = list(delta.removed)
+        names = list(delta.removed) + [record.name for record in self.left_instances(delta)]
         if delta.complete:
             listed = {record.name for record in delta.endpoints}
             names += [name for name in self.endpoints if name not in listed]
@@ -120,6 +117,18 @@
                 names.append(record.name)
         return names, self._apply_owners(delta.owners)
 
+    def accepts(self, delta):
+        """Return whether an ``EndpointsDelta`` follows the applied revision."""
+        if delta.epoch < self.epoch:
+            return False
+        applied = self.endpoints_revision if delta.epoch == self.epoch else 0
+        return delta.revision > applied and delta.since <= applied
+
+    def left_instances(self, delta):
+        """Return the records of the instances that left according to an ``EndpointsDelta``."""
+        records = [self.endpoints[name] for name in delta.left if name in self.endpoints]
+        return [r for r in records if delta.left[r.name] in (0, r.started_ms)]
+
     def _apply_owners(self, changes):
         changed = []
         for service, changed_units in changes.items():
