Let routers end the use of leaving holders themselves

What callers saw: a holder of keys whose leave was acknowledged kept getting requests for as long as no controller led. Cause: routers send a leaving holder requests for its keys until the leader withdraws them after one second; a leader that ends within that second never does. Evidence: test_holder_whose_leave_was_acknowledged_gets_no_request_while_no_controller_leads failed before. Now: a router starts the second itself when it gets the record of a leaving endpoint, as it does for notices in responses.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -255,12 +255,18 @@
                 self.report(LeavingObserved(record.name, record.started_ms))
 
     def on_endpoints(self, changed_endpoints, changed_units):
-        """Drop observations of removed endpoints, and send calls that wait for changed units."""
+        """Drop observations of removed endpoints, and send calls that wait for changed units.
+
+        The time for which a leaving endpoint still gets requests for its keys is measured here,
+        since the leader may end before it withdraws the keys.
+        """
         for name in changed_endpoints:
             record = self.replica.endpoints.get(name)
             if record is None:
                 self.observations.forget(name)
                 self.notices.forget(name)
+            elif record.leaving:
+                self.notices.note_leaving(name, record.started_ms, self.timers.now_s)
             elif self.notices.is_unreported_leaving(record):
                 # A new leader lacks the reports that the previous one received.
                 self.report(LeavingObserved(name, record.started_ms))
