Read and log the limits that endpoints name, without acting on them

A response may say how many requests a second its endpoint takes from all hosts together. No request is treated differently.

--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -24,6 +24,7 @@
         "endpoint-ended",
         "endpoint-joined",
         "endpoint-leaving",
+        "endpoint-limit",
         "endpoint-paused",
         "endpoint-says-leaving",
         "endpoints-withdrawn",
--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -144,12 +144,19 @@
         is_leaving: Whether the endpoint is about to end.
         pause_s: How long the endpoint wants no requests from this host, in seconds.
         malformed_pause: Text that should give such a time but cannot be read, or empty.
+        limit_per_s: Requests per second that the endpoint takes from all hosts together, or
+            ``None`` if the response names no limit.
+        ends_limit: Whether the endpoint had a limit when the request was sent, and names none now.
+        malformed_limit: Text that should give a limit but cannot be read, or empty.
     """
 
     token: int
     is_leaving: bool = False
     pause_s: float = 0.0
     malformed_pause: str = ""
+    limit_per_s: float | None = None
+    ends_limit: bool = False
+    malformed_limit: str = ""
 
 
 class ResponseStarted(msgspec.Struct, frozen=True):
@@ -240,6 +247,7 @@
         headers: Headers to add to the request.
         timeout_s: Remaining time for the whole request, in seconds.
         close: Whether to close the caller's connection after the response.
+        is_limited: Whether the endpoint has named a limit on the requests that it takes.
     """
 
     token: int
@@ -248,6 +256,7 @@
     headers: dict[str, str]
     timeout_s: float
     close: bool = False
+    is_limited: bool = False
 
 
 class RespondWithError(msgspec.Struct, frozen=True):
--- a/greengagerock/platform/caller_dialect.py
+++ b/greengagerock/platform/caller_dialect.py
@@ -23,6 +23,8 @@
 LEAVING_HEADER = "Server-Leaving"
 # Time for which an endpoint that refuses a request wants no others from this host.
 PAUSE_HEADER = "Retry-After"
+# Requests per second that an endpoint takes from all hosts together.
+LIMIT_HEADER = "Server-Limit"
 
 _ROUTER_HEADERS = frozenset({TIMEOUT_HEADER, EXPECTED_ENDPOINT_HEADER})
 # Statuses that suggest that a request was not executed. Only with ``NOT_RUN_HEADER`` is this
@@ -81,7 +83,7 @@
             return REASON_CONNECTION_LOST
         return None
 
-    def read_notice(self, token, response, request_id):
+    def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         headers = response.headers
         is_other_response = headers.get(REQUEST_ID_HEADER, request_id) != request_id
@@ -89,7 +91,8 @@
             # Another endpoint may have the address now.
             return None
         pause_text = headers.get(PAUSE_HEADER) if response.status == 503 else None
-        return make_notice(token, LEAVING_HEADER in headers, pause_text)
+        limit_text = headers.get(LIMIT_HEADER)
+        return make_notice(token, LEAVING_HEADER in headers, pause_text, limit_text, was_limited)
 
     def added_headers(self, request_id, endpoint):
         """Return the headers that this host adds to a response: none to an endpoint's response."""
--- a/greengagerock/platform/tests/test_caller_dialect.py
+++ b/greengagerock/platform/tests/test_caller_dialect.py
@@ -110,6 +110,13 @@
         (response(200, Retry_After="2"), None),
         (response(421, X_Not_Executed="1", Server_Leaving="1"), None),
         (response(200, X_Request_Id="other", Server_Leaving="1"), None),
+        (response(200, Server_Limit="5.6"), EndpointNoticed(1, limit_per_s=5.6)),
+        (response(200, Server_Limit="0"), EndpointNoticed(1, limit_per_s=0.0)),
+        (response(200, Server_Limit="many"), EndpointNoticed(1, malformed_limit="many")),
+        (response(200, Server_Limit="-5"), EndpointNoticed(1, malformed_limit="-5")),
+        (response(200, Server_Limit="9" * 50), EndpointNoticed(1, malformed_limit="9" * 40)),
+        (response(421, Server_Limit="5.6"), None),
+        (response(200, X_Request_Id="other", Server_Limit="5.6"), None),
     ],
 )
 def test_notice_of_a_response(endpoint_response, notice):
@@ -127,3 +134,12 @@
     )
     assert status.startswith("502")
     assert "Retry-After" not in dict(headers)
+
+
+def test_response_without_a_limit_ends_the_one_that_was_known_when_the_request_was_sent():
+    ended = EndpointNoticed(1, ends_limit=True)
+    assert DIALECT.read_notice(1, response(200), "r", was_limited=True) == ended
+    named = EndpointNoticed(1, limit_per_s=4.0)
+    assert DIALECT.read_notice(1, response(200, Server_Limit="4"), "r", True) == named
+    unreadable = EndpointNoticed(1, malformed_limit="x")
+    assert DIALECT.read_notice(1, response(200, Server_Limit="x"), "r", True) == unreadable
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -6,6 +6,7 @@
 from greengagerock.routing.calls import Call
 from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
+from greengagerock.routing.endpoint_limits import EndpointLimits
 from greengagerock.routing.endpoint_notices import EndpointNotices
 from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE, EndpointPicker
 from greengagerock.routing.error_responses import ErrorResponder
@@ -52,6 +53,7 @@
         observations: The ``EndpointObservations``.
         health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
+        limits: The ``EndpointLimits``.
         endpoint_picker: The ``EndpointPicker``.
         recent_responses: The ``RecentResponses``.
         demand: The ``KeyDemand``.
@@ -86,6 +88,7 @@
         self.observations = EndpointObservations(replica.shared_mean_s)
         self.health = EndpointHealth()
         self.notices = EndpointNotices()
+        self.limits = EndpointLimits()
         self.endpoint_picker = EndpointPicker(
             zone, self.observations, self.health, self.notices, random, zone_preference
         )
@@ -228,6 +231,30 @@
                 request_id=call.request_id,
                 detail=event.malformed_pause,
             )
+        self._on_limit(event, call)
+
+    def _on_limit(self, event, call):
+        """Process what a response says about the requests that an endpoint takes."""
+        name, started_ms = call.endpoint, call.endpoint_started_ms
+        if event.malformed_limit:
+            self.outbox.log(
+                "bad-limit",
+                code="bad-announcement",
+                endpoint=name,
+                request_id=call.request_id,
+                detail=event.malformed_limit,
+            )
+        if event.limit_per_s is not None:
+            is_new = self.limits.note_limit(name, started_ms, event.limit_per_s, self.timers.now_s)
+        else:
+            is_new = event.ends_limit and self.limits.note_end(name, started_ms)
+        if is_new:
+            self.outbox.log(
+                "endpoint-limit",
+                endpoint=name,
+                request_id=call.request_id,
+                per_s="none" if event.limit_per_s is None else event.limit_per_s,
+            )
 
     def begin_closing(self):
         """Direct callers to other hosts with each response from now on."""
@@ -265,6 +292,7 @@
             if record is None:
                 self.observations.forget(name)
                 self.notices.forget(name)
+                self.limits.forget(name)
             elif record.leaving:
                 self.notices.note_leaving(name, record.started_ms, self.timers.now_s)
             elif self.notices.is_unreported_leaving(record):
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -25,7 +25,7 @@
     encode_delta,
 )
 from greengagerock.web.control_application import NativeControlDialect
-from greengagerock.web.notice_headers import MAX_READ_PAUSE_S, make_notice
+from greengagerock.web.notice_headers import MAX_READ_LIMIT_PER_S, MAX_READ_PAUSE_S, make_notice
 
 NATIVE_SETTINGS = """
 host: edge-1
@@ -90,12 +90,15 @@
 
 
 def check_notice(data):
-    """Read bytes as the pause that an endpoint requests, and apply it.
+    """Read bytes as the pause and as the limit that an endpoint requests, and apply the pause.
 
     Raises:
-        AssertionError: If the pause is not a finite time of bounded length.
+        AssertionError: If the pause is not a finite time of bounded length, or the limit not a
+            finite number.
     """
-    notice = make_notice(1, False, data.decode("latin-1"))
+    text = data.decode("latin-1")
+    notice = make_notice(1, False, text, text)
+    assert notice.limit_per_s is None or 0 <= notice.limit_per_s <= MAX_READ_LIMIT_PER_S
     assert 0 <= notice.pause_s <= MAX_READ_PAUSE_S
     notices = EndpointNotices()
     notices.note_pause("e", 1, notice.pause_s, 0.0)
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -95,6 +95,7 @@
         "endpoint",
         "environ",
         "headers",
+        "is_endpoint_limited",
         "request_id",
         "sent_at_s",
         "start_response",
@@ -109,6 +110,7 @@
         self.start_response = start_response
         self.endpoint = ""
         self.sent_at_s = 0.0
+        self.is_endpoint_limited = False
         self.target = app.dialect.target(environ)
         self.headers = read_headers(environ)
         self.body = make_body_reader(environ)
@@ -229,6 +231,7 @@
         attempt = Attempt(self._watchable_descriptor())
         self.app.bridge.register_attempt(self.token, attempt)
         self.sent_at_s = time.monotonic()
+        self.is_endpoint_limited = forward.is_limited
         try:
             return self.app.upstream.send(
                 forward,
@@ -249,7 +252,9 @@
             A reason, or ``None`` if the response can be sent to the caller.
         """
         dialect = self.app.dialect
-        notice = dialect.read_notice(self.token, response, self.request_id)
+        notice = dialect.read_notice(
+            self.token, response, self.request_id, self.is_endpoint_limited
+        )
         if notice is not None:
             self.app.bridge.post_deferred(notice)
         return dialect.failure_reason(response, self.request_id)
--- a/greengagerock/web/native_dialect.py
+++ b/greengagerock/web/native_dialect.py
@@ -93,7 +93,7 @@
         """Return why a response cannot be sent to the caller, or ``None`` if it can."""
         return REASON_REFUSED if REFUSED_HEADER in response.headers else None
 
-    def read_notice(self, token, response, request_id):
+    def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         return None
 
--- a/greengagerock/web/notice_headers.py
+++ b/greengagerock/web/notice_headers.py
@@ -1,11 +1,16 @@
 """Reads from response headers which further requests an endpoint accepts."""
 
+import re
+
 from greengagerock.core.interface import EndpointNoticed
 
 # Longer texts are cut off in the log.
 MAX_LOGGED_CHARACTERS = 40
 # A pause is limited to this time here, so that no calculation with it can overflow.
 MAX_READ_PAUSE_S = 86_400.0
+# Largest limit that has the number of digits that are read.
+MAX_READ_LIMIT_PER_S = 1e9
+_DECIMAL_NUMBER = re.compile(r"(?=\.?[0-9])[0-9]{0,9}(\.[0-9]{0,9})?")
 
 
 def parse_pause_s(text):
@@ -24,17 +29,40 @@
     return min(pause_s, MAX_READ_PAUSE_S) if pause_s >= 0 else None
 
 
-def make_notice(token, is_leaving, pause_text):
+def parse_limit_per_s(text):
+    """Return a limit in requests per second, or ``None`` if the text is no decimal number.
+
+    Examples:
+        >>> parse_limit_per_s("5.6"), parse_limit_per_s("0"), parse_limit_per_s("-1")
+        (5.6, 0.0, None)
+        >>> [parse_limit_per_s(text) for text in ("nan", "1e9", "5.6, 5.6", "", ".")]
+        [None, None, None, None, None]
+    """
+    text = text.strip()
+    return float(text) if _DECIMAL_NUMBER.fullmatch(text) else None
+
+
+def make_notice(token, is_leaving, pause_text, limit_text=None, was_limited=False):
     """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice.
 
     Args:
         token: Token of the request.
         is_leaving: Whether the endpoint says that it leaves.
         pause_text: The time for which it wants no requests, or ``None``.
+        limit_text: The requests per second that it takes from all hosts together, or ``None``.
+        was_limited: Whether the endpoint had a limit when the request was sent.
     """
-    if pause_text is None:
-        return EndpointNoticed(token, True) if is_leaving else None
-    pause_s = parse_pause_s(pause_text)
-    if pause_s is None:
-        return EndpointNoticed(token, is_leaving, 0.0, pause_text[:MAX_LOGGED_CHARACTERS])
-    return EndpointNoticed(token, is_leaving, pause_s)
+    pause_s = 0.0 if pause_text is None else parse_pause_s(pause_text)
+    limit_per_s = None if limit_text is None else parse_limit_per_s(limit_text)
+    ends_limit = was_limited and limit_text is None
+    if not (is_leaving or ends_limit) and pause_text is None and limit_text is None:
+        return None
+    return EndpointNoticed(
+        token,
+        is_leaving,
+        pause_s or 0.0,
+        pause_text[:MAX_LOGGED_CHARACTERS] if pause_s is None else "",
+        limit_per_s,
+        ends_limit,
+        limit_text[:MAX_LOGGED_CHARACTERS] if limit_text and limit_per_s is None else "",
+    )
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -11,6 +11,8 @@
 
 # Set by an endpoint that is about to end.
 LEAVING_HEADER = "greengage-leaving"
+# Requests per second that an endpoint takes from all hosts together.
+LIMIT_HEADER = "greengage-limit"
 KEY_HEADER = "greengage-key"
 TIMEOUT_HEADER = "greengage-timeout-ms"
 REQUEST_ID_HEADER = "greengage-request-id"
@@ -96,7 +98,7 @@
             return None
         return REASON_NOT_OWNER if refusal == REFUSED_NOT_OWNER else REASON_REFUSED
 
-    def read_notice(self, token, response, request_id):
+    def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         headers = response.headers
         refusal = headers.get(REFUSED_HEADER)
@@ -106,7 +108,8 @@
         if headers.get(REQUEST_ID_HEADER, request_id) != request_id:
             return None
         pause_text = None if refusal is None else headers.get("Retry-After")
-        return make_notice(token, LEAVING_HEADER in headers, pause_text)
+        limit_text = headers.get(LIMIT_HEADER)
+        return make_notice(token, LEAVING_HEADER in headers, pause_text, limit_text, was_limited)
 
 
 def parse_timeout_s(value):
