--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -9,6 +9,7 @@
 from greengagerock.core.interface import (
     AttemptFailed,
     CallArrived,
+    EndpointNoticed,
     EndpointReportArrived,
     Forward,
     ItemsRequested,
@@ -62,6 +63,9 @@
         processing_time_s: Time that it takes to run a request.
         queue_limit: Requests that may wait for a slot, or ``None`` if it runs any number at
             once.
+        limit_per_s: Requests per second that it says it takes, or ``None``.
+        arrivals: Tuples of time and router, for each request that reached it.
+        notified_routers: Time at which each router first got a response that names the limit.
     """
 
     def __init__(self, name, number, service="till", zone="zone-1", started_ms=1000):
@@ -80,6 +84,9 @@
         self.runs = []
         self.processing_time_s = 0.01
         self.queue_limit = None
+        self.limit_per_s = None
+        self.arrivals = []
+        self.notified_routers = {}
         self._busy_until_s = [0.0] * SLOTS_PER_ENDPOINT
 
     def enqueue_request(self, now_s):
@@ -97,6 +104,27 @@
         self._busy_until_s[slot] = now_s + wait_s + self.processing_time_s
         return wait_s + self.processing_time_s
 
+    def count_over_limit(self, window_s, delay_s, since_s):
+        """Return the largest excess of requests over the limit in any window.
+
+        The endpoint tolerates half as many again as the limit allows, and five. Requests of a
+        router count from ``delay_s`` after its first response that named the limit.
+
+        Args:
+            window_s: Length of a window in seconds.
+            delay_s: Time after which a router's requests count, in seconds.
+            since_s: Start of the first window.
+        """
+        times = [
+            time_s
+            for time_s, router in self.arrivals
+            if time_s >= since_s
+            and router in self.notified_routers
+            and time_s >= self.notified_routers[router] + delay_s
+        ]
+        counts = [sum(t <= u < t + window_s for u in times) for t in times]
+        return max(counts, default=0) - (1.5 * self.limit_per_s * window_s + 5)
+
     def report(self):
         """Return the endpoint's next report."""
         self.sequence += 1
@@ -376,11 +404,20 @@
                 failure = AttemptFailed(effect.token, "not-owner", False, False)
                 self._end_request(host, run_number, effect.token, failure)
             else:
-                self._execute_call(host, run_number, endpoint, call)
+                endpoint.arrivals.append((self.now_s, host.config.host.name))
+                self._execute_call(host, run_number, endpoint, call, effect.is_limited)
 
         self.at(CALL_DELAY_S, arrive)
 
-    def _execute_call(self, host, run_number, endpoint, call):
+    def _respond_with_limit(self, host, endpoint, token, was_limited):
+        """Pass on what the head of a response says about the endpoint's limit."""
+        if endpoint.limit_per_s is not None:
+            endpoint.notified_routers.setdefault(host.config.host.name, self.now_s)
+            self._feed(host, EndpointNoticed(token, limit_per_s=endpoint.limit_per_s))
+        elif was_limited:
+            self._feed(host, EndpointNoticed(token, ends_limit=True))
+
+    def _execute_call(self, host, run_number, endpoint, call, was_limited):
         duration_s = endpoint.enqueue_request(self.now_s)
         if duration_s is None:
             failure = AttemptFailed(call.token, "refused", True, False)
@@ -389,7 +426,13 @@
         unit = None if call.key is None else call.key // KEYS_PER_UNIT
         endpoint.runs.append((call.request_id, unit, self.now_s))
         completion = RequestEnded(call.token, True, duration_s)
-        self.at(duration_s, lambda: self._end_request(host, run_number, call.token, completion))
+
+        def complete():
+            if host.run_number == run_number:
+                self._respond_with_limit(host, endpoint, call.token, was_limited)
+            self._end_request(host, run_number, call.token, completion)
+
+        self.at(duration_s, complete)
 
 
 def build_fake_site(
