Keep the limits that endpoints name over all routers together

What callers and endpoints saw: an endpoint in need that named 3.9 requests a second got 49 in 4 s (allowed 28), as before it named them. Now: routers report what responses say and how many requests they have for such an endpoint; the leader divides the limit by demand and sends it to all routers, also to those that have not got such a response. Few routers each keep a token bucket, whose sum stays within what the endpoint tolerates even if all are emptied at once; many routers admit at random with the ratio of limit and demand. Without a leader a router takes an equal part of the largest recent number of routers. What is over the limit goes to another endpoint, or is refused at once as not run, with the time of the next free place. Still listed as known: keys do not move away from a limited holder.

--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -1,6 +1,7 @@
 """Sends the leader's views to routers and tracks what routers have confirmed."""
 
 from greengagerock.control.confirmations import Confirmations
+from greengagerock.control.limit_shares import LimitShares
 from greengagerock.control.response_times import ResponseTimes
 from greengagerock.view import (
     EndpointRecord,
@@ -49,6 +50,7 @@
         endpoints_history: The ``EndpointsHistory`` of this term.
         response_times: The ``ResponseTimes`` over all routers.
         confirmations: The ``Confirmations`` of item changes.
+        limit_shares: The ``LimitShares`` of this term.
         subscribers: A ``Subscriber`` by link address.
     """
 
@@ -72,6 +74,7 @@
         self.packed_endpoints = PackedDeltaCache(self.endpoints_history)
         self.confirmations = Confirmations()
         self.response_times = ResponseTimes(self.voter.term)
+        self.limit_shares = LimitShares(self.timers.now_s)
         self.subscribers = {}
         self.push_timer = None
 
@@ -82,6 +85,7 @@
         if address not in self.subscribers:
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
+        self.limit_shares.on_reports(address, poll.limits, self.timers.now_s)
         self._send_view(address, poll)
         self._confirm()
 
@@ -155,6 +159,7 @@
             self.response_times.packed
             if poll.response_times_number != self.response_times.number
             else None,
+            self.limit_shares.shares_for(address, len(self.subscribers), self.timers.now_s),
         )
         self.outbox.send(address, delta)
 
--- a/greengagerock/core/errors.py
+++ b/greengagerock/core/errors.py
@@ -51,6 +51,7 @@
     ErrorKind("stopping", 503, "This daemon is stopping.", 1),
     ErrorKind("connect-failed", 503, "The endpoint could not be reached.", 1),
     ErrorKind("endpoint-refused", 503, "The endpoint refused the request without running it.", 1),
+    ErrorKind("endpoint-limited", 503, "The endpoint takes only so many requests a second.", 1),
     ErrorKind("answer-lost", 502, "The connection broke before the endpoint responded.", 1),
     ErrorKind("deadline-exceeded", 504, "The deadline passed before the endpoint responded.", 1),
     ErrorKind("not-ready", 503, "This daemon has not yet joined the system.", 1),
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -151,7 +151,9 @@
         self.timers.subscribe(interval_s, self._poll)
         dispatcher = self.dispatcher
         poll = self.replica.poll(
-            dispatcher.observations.collect_responses(), dispatcher.demand.collect()
+            dispatcher.observations.collect_responses(),
+            dispatcher.demand.collect(),
+            dispatcher.limits.collect_reports(now_s),
         )
         for address in self.finder.poll_addresses(now_s):
             self.outbox.send(address, poll)
@@ -186,6 +188,7 @@
             return
         self.finder.record_leader(address, delta.controllers, self.timers.now_s)
         self.budget.router_count = delta.routers
+        self.dispatcher.limits.apply_shares(delta.limits, delta.routers, self.timers.now_s)
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -28,6 +28,7 @@
         observations: The ``EndpointObservations``.
         health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
+        limits: The ``EndpointLimits``.
         endpoint_picker: The ``EndpointPicker``.
         link_schedule: The ``LinkSchedule``.
         timers: The timer service.
@@ -49,6 +50,7 @@
         observations,
         health,
         notices,
+        limits,
         endpoint_picker,
         link_schedule,
         timers,
@@ -59,6 +61,7 @@
         self.observations = observations
         self.health = health
         self.notices = notices
+        self.limits = limits
         self.endpoint_picker = endpoint_picker
         self.link_schedule = link_schedule
         self.timers = timers
@@ -154,11 +157,14 @@
         is_doubtful = observation.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
         if is_doubtful and not observation.may_probe(now_s):
             self.refuse(call, "connect-failed", f"endpoint {name} does not respond")
-        elif is_doubtful:
-            self._probe(call, record)
-        elif not observation.has_room(self._extra_requests(call), now_s):
+        elif not is_doubtful and not observation.has_room(self._extra_requests(call), now_s):
             detail = f"{observation.in_flight} requests in flight at endpoint {name}"
             self.refuse(call, "no-room", detail)
+        elif not self.limits.try_take(record, now_s):
+            retry_after_s = self.limits.retry_after_s(record, now_s)
+            self.refuse(call, "endpoint-limited", f"limit of endpoint {name}", retry_after_s)
+        elif is_doubtful:
+            self._probe(call, record)
         else:
             self.forward(call, record)
 
@@ -202,20 +208,39 @@
     def _send_to_any(self, call):
         names = self.replica.by_service.get(call.service, ())
         records = [self.replica.endpoints[name] for name in names]
-        record = self.endpoint_picker.pick(
-            records,
-            call.tried_endpoints,
-            self._extra_requests(call),
-            call.route.objective_s,
-            self.timers.now_s,
-        )
-        if record is None:
+        record, limited = self._pick_within_limits(call, records)
+        if record is None and limited:
+            self._refuse_limited(call, records, limited)
+        elif record is None:
             code = "no-room" if call.tried_endpoints else "no-endpoint"
             detail = f"service {call.service} has {len(records)} endpoints"
             self.refuse(call, code, detail, self._shortest_pause_s(records))
         else:
             self.forward(call, record)
 
+    def _pick_within_limits(self, call, records):
+        """Return an endpoint whose limit admits a call, or ``None``, and those that do not."""
+        now_s = self.timers.now_s
+        excluded = list(call.tried_endpoints)
+        limited = []
+        while True:
+            record = self.endpoint_picker.pick(
+                records, excluded, self._extra_requests(call), call.route.objective_s, now_s
+            )
+            if record is None or self.limits.try_take(record, now_s):
+                return record, limited
+            limited.append(record)
+            excluded.append(record.name)
+
+    def _refuse_limited(self, call, records, limited):
+        now_s = self.timers.now_s
+        waits_s = [self.limits.retry_after_s(record, now_s) for record in limited]
+        pause_s = self._shortest_pause_s(records)
+        if pause_s is not None:
+            waits_s.append(pause_s)
+        names = ",".join(record.name for record in limited[:8])
+        self.refuse(call, "endpoint-limited", f"limits of endpoints {names}", min(waits_s))
+
     def _shortest_pause_s(self, records):
         """Return when the first endpoint accepts requests again, ``None`` if one does already."""
         now_s = self.timers.now_s
@@ -258,6 +283,7 @@
                 {},
                 call.deadline_s - now_s,
                 self.is_closing,
+                self.limits.is_limited(record, now_s),
             )
         )
 
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -88,7 +88,7 @@
         self.observations = EndpointObservations(replica.shared_mean_s)
         self.health = EndpointHealth()
         self.notices = EndpointNotices()
-        self.limits = EndpointLimits()
+        self.limits = EndpointLimits(random)
         self.endpoint_picker = EndpointPicker(
             zone, self.observations, self.health, self.notices, random, zone_preference
         )
@@ -101,6 +101,7 @@
             self.observations,
             self.health,
             self.notices,
+            self.limits,
             self.endpoint_picker,
             LinkSchedule(link_bytes_per_s, random),
             timers,
@@ -247,7 +248,7 @@
         if event.limit_per_s is not None:
             is_new = self.limits.note_limit(name, started_ms, event.limit_per_s, self.timers.now_s)
         else:
-            is_new = event.ends_limit and self.limits.note_end(name, started_ms)
+            is_new = event.ends_limit and self.limits.note_end(name, started_ms, self.timers.now_s)
         if is_new:
             self.outbox.log(
                 "endpoint-limit",
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -123,6 +123,45 @@
     endpoints: dict[str, int]
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a router knows of an endpoint's limit on the requests of all routers.
+
+    Attributes:
+        started_ms: Start of the endpoint instance, in milliseconds since 1970.
+        requests: Requests for the endpoint since the last poll, also refused ones.
+        age_s: Time since the newest response to this router, in seconds, or ``None`` if it knows
+            the limit from the leader only.
+        limit_per_s: Requests per second that this response named, ``None`` for no limit.
+    """
+
+    started_ms: int
+    requests: int
+    age_s: float | None
+    limit_per_s: float | None
+
+
+class LimitShare(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint's limit, and a router's share of it.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        started_ms: Start of the endpoint instance, in milliseconds since 1970.
+        age_s: Time since the newest response to any router, in seconds.
+        limit_per_s: Requests per second that it named, ``None`` if the limit has ended.
+        share: Share of the router that gets this message, from 0 to 1, or ``None`` if the leader
+            does not know all routers yet.
+        demand_per_s: Requests per second that all routers have for the endpoint, or ``None`` if
+            the leader does not know all routers yet.
+    """
+
+    endpoint: str
+    started_ms: int
+    age_s: float
+    limit_per_s: float | None
+    share: float | None
+    demand_per_s: float | None
+
+
 class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll"):
     """A router's request for the changes that it does not have.
 
@@ -134,6 +173,7 @@
             each endpoint that responded.
         demand: Number of requests since the last poll, by service and block of keys.
         response_times_number: Number of the newest ``EndpointResponseTimes`` that the router has.
+        limits: What the router knows of endpoints' limits, by endpoint name.
     """
 
     items_revision: int
@@ -142,6 +182,7 @@
     response_times: dict[str, tuple[int, float]] = msgspec.field(default={}, name="answers")
     demand: dict[str, dict[int, int]] = {}
     response_times_number: int = msgspec.field(default=0, name="times_number")
+    limits: dict[str, LimitReport] = {}
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
@@ -156,6 +197,7 @@
         bans: Fingerprints of requests that crashed several endpoints.
         response_times: Packed ``EndpointResponseTimes``, or ``None`` if the router has the
             newest ones.
+        limits: Limits of endpoints, with the router's shares.
     """
 
     items: bytes | None
@@ -164,6 +206,7 @@
     routers: int
     bans: tuple[str, ...] = ()
     response_times: bytes | None = msgspec.field(default=None, name="times")
+    limits: tuple[LimitShare, ...] = ()
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -39,13 +39,14 @@
         """Whether the configuration has been received."""
         return self.items_revision > 0
 
-    def poll(self, response_times, demand):
+    def poll(self, response_times, demand, limits=None):
         """Return the message that requests the missing changes.
 
         Args:
             response_times: Number and mean time in seconds of each endpoint's responses to this
                 router since the last poll.
             demand: Number of requests since the last poll, by service and block of keys.
+            limits: ``LimitReport`` objects by endpoint name.
         """
         return ViewPoll(
             self.items_revision,
@@ -54,6 +55,7 @@
             response_times,
             demand,
             self.response_times.number,
+            limits or {},
         )
 
     def shared_mean_s(self, endpoint):
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -162,6 +162,7 @@
             "greengage_retries", "Further attempts.", value=self.node.stats.retries
         )
         yield from self._link_turns()
+        yield from self._limits()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
@@ -177,6 +178,16 @@
         ):
             yield GaugeMetricFamily(f"greengage_link_{name}", description, value=count)
 
+    def _limits(self):
+        """Yield how many endpoints limit the requests that they take."""
+        dispatcher = getattr(self.node, "dispatcher", None)
+        if dispatcher is not None:
+            yield GaugeMetricFamily(
+                "greengage_limited_endpoints",
+                "Endpoints that limit the requests that they take.",
+                value=len(dispatcher.limits.by_endpoint),
+            )
+
 
 def collect_link_metrics(stats):
     """Yield metric families of the ``LinkStats`` of a host."""
