Move keys away from holders that limit their requests

What callers saw: with the limit kept, five in six requests for a limited holder's keys were refused for as long as the limit lasted. Cause: only the holder can run them, and the leader took no notice of the limit when it assigned keys. Now: a limit that has lasted a second bounds the holder's weight to what its limit allows of the demand; keys return afterwards. Tests of a router's knowledge of limits and of real processes are with it.

--- a/greengagerock/assignment/endpoint_weights.py
+++ b/greengagerock/assignment/endpoint_weights.py
@@ -15,6 +15,15 @@
 HIGHEST_WEIGHT = 2.0
 # Relative deviation from the mean response time up to which an endpoint keeps its weight.
 TOLERANCE = 0.2
+# Share of an endpoint's limit that the requests for its keys should use.
+LIMIT_USE_SHARE = 0.8
+# Time after which the weight of a limited endpoint is derived anew. Its demand is a mean over
+# about two seconds, so it lags behind the keys.
+CAP_INTERVAL_S = 4.0
+# An endpoint with a limit keeps some keys: only responses say when the limit has ended.
+LOWEST_CAP = 0.02
+# Lower demand counts as this, so that the weight of an endpoint without requests stays finite.
+MIN_DEMAND_PER_S = 0.1
 
 
 class EndpointWeights:
@@ -26,6 +35,8 @@
         responses: Number of responses and sum of their times since the last adjustment, by
             endpoint name.
         adjusted_s: When the weights were last adjusted.
+        caps: Largest weight of each endpoint that limits its requests, and when it was derived, by
+            endpoint name.
 
     Examples:
         >>> weights = EndpointWeights()
@@ -37,13 +48,14 @@
         True
     """
 
-    __slots__ = ("adjusted_s", "mean_response_s", "responses", "weights")
+    __slots__ = ("adjusted_s", "caps", "mean_response_s", "responses", "weights")
 
     def __init__(self):
         self.mean_response_s = 0.0
         self.weights = {}
         self.responses = {}
         self.adjusted_s = 0.0
+        self.caps = {}
 
     def add_responses(self, endpoint, count, mean_s):
         """Add the responses that a router received from an endpoint since its previous message."""
@@ -53,12 +65,43 @@
 
     def weight(self, endpoint):
         """Return an endpoint's share of the load relative to an equal share."""
-        return self.weights.get(endpoint, 1.0)
+        weight = self.weights.get(endpoint, 1.0)
+        cap, _ = self.caps.get(endpoint, (weight, 0.0))
+        return min(weight, cap)
+
+    def cap(self, endpoint, weight, limit_per_s, demand_per_s, now_s):
+        """Bound the weight of an endpoint that limits its requests.
+
+        Args:
+            endpoint: Name of the endpoint.
+            weight: Weight that its present keys amount to.
+            limit_per_s: Requests per second that it takes.
+            demand_per_s: Requests per second for its present keys.
+            now_s: Monotonic time in seconds.
+
+        Examples:
+            >>> weights = EndpointWeights()
+            >>> weights.cap("e1", 1.0, 5.0, 20.0, 0.0)
+            >>> weights.weight("e1"), weights.weight("e2")
+            (0.2, 1.0)
+        """
+        _, capped_s = self.caps.get(endpoint, (1.0, float("-inf")))
+        if now_s - capped_s < CAP_INTERVAL_S or (
+            endpoint not in self.caps and demand_per_s <= limit_per_s
+        ):
+            return
+        target = weight * LIMIT_USE_SHARE * limit_per_s / max(demand_per_s, MIN_DEMAND_PER_S)
+        self.caps[endpoint] = (max(LOWEST_CAP, target), now_s)
+
+    def end_cap(self, endpoint):
+        """Drop the bound of an endpoint that has no limit any more."""
+        self.caps.pop(endpoint, None)
 
     def forget(self, endpoint):
         """Drop the data of an endpoint that has ended."""
         self.weights.pop(endpoint, None)
         self.responses.pop(endpoint, None)
+        self.caps.pop(endpoint, None)
 
     def adjust(self, now_s):
         """Adjust the weights if an interval has passed, and return whether they were adjusted."""
@@ -74,7 +117,7 @@
         for endpoint, (count, time_s) in responses.items():
             if count >= MIN_RESPONSES and time_s > 0:
                 self._adjust_weight(endpoint, mean_response_s / (time_s / count))
-        mean = sum(self.weight(endpoint) for endpoint in responses) / len(responses)
+        mean = sum(self.weights.get(endpoint, 1.0) for endpoint in responses) / len(responses)
         self.responses = {
             name: entry for name, entry in responses.items() if entry[0] < MIN_RESPONSES
         }
@@ -86,5 +129,5 @@
         if abs(ratio - 1.0) < TOLERANCE:
             return
         factor = min(MAX_INCREASE, max(MAX_DECREASE, ratio**0.5))
-        weight = self.weight(endpoint) * factor
+        weight = self.weights.get(endpoint, 1.0) * factor
         self.weights[endpoint] = min(HIGHEST_WEIGHT, max(LOWEST_WEIGHT, weight))
--- a/greengagerock/control/limit_shares.py
+++ b/greengagerock/control/limit_shares.py
@@ -8,6 +8,8 @@
 EQUAL_PART = 0.3
 # Time constant of the decay of the demand.
 DECAY_S = 2.0
+# A limit that has lasted this long is taken into account when keys are assigned.
+LASTING_S = 1.0
 # Interval at which the demand of all routers is summed, and rate below which a router counts as
 # having none.
 SUM_INTERVAL_S = 0.1
@@ -151,19 +153,18 @@
             if state.observed_s > float("-inf")
         )
 
-    def limit_of(self, endpoint, started_ms, min_age_s, now_s):
-        """Return the limit of an instance in requests per second, or ``None``.
+    def lasting_limit(self, endpoint, started_ms, now_s):
+        """Return the ``LimitState`` of an instance whose limit has lasted, or ``None``.
 
         Args:
             endpoint: Name of the endpoint.
             started_ms: Start of the instance, in milliseconds since 1970.
-            min_age_s: Time for which the limit must have lasted.
             now_s: Monotonic time in seconds.
         """
         state = self.limits.get(endpoint)
-        if state is None or state.started_ms != started_ms or now_s - state.since_s < min_age_s:
+        if state is None or state.started_ms != started_ms or state.limit_per_s is None:
             return None
-        return state.limit_per_s
+        return state if now_s - state.since_s >= LASTING_S else None
 
     def _drop_outdated(self, now_s):
         for name, state in list(self.limits.items()):
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -8,6 +8,7 @@
 )
 from greengagerock.assignment.instance_directory import FORGET_AFTER_S
 from greengagerock.assignment.key_assignments import lessor_hold_s
+from greengagerock.assignment.units import UNIT_COUNT
 from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
 from greengagerock.control.router_updater import RouterUpdater
 from greengagerock.core import GreengageError
@@ -355,6 +356,7 @@
                 self._withdraw_units(instance)
         for service, assignments in self.assignments_by_service.items():
             instances = self.directory.of_service(service)
+            self._apply_limits(assignments, instances, now_s)
             assignments.advance(instances, now_s)
             assignments.plan_balance_moves(instances, now_s)
             self._spread_hot_units(service, assignments, instances, now_s)
@@ -367,6 +369,24 @@
             del self.router_updater.bans[fingerprint]
             self.crash_counter.forget(fingerprint)
 
+    def _apply_limits(self, assignments, instances, now_s):
+        """Give endpoints that limit their requests fewer keys while the limit lasts."""
+        for instance in instances:
+            limit = self.router_updater.limit_shares.lasting_limit(
+                instance.name, instance.report.started_ms, now_s
+            )
+            if limit is None:
+                assignments.weights.end_cap(instance.name)
+                continue
+            held_share = len(assignments.held.get(instance, ())) / UNIT_COUNT
+            assignments.weights.cap(
+                instance.name,
+                held_share * len(instances),
+                limit.limit_per_s,
+                limit.demand_per_s,
+                now_s,
+            )
+
     def _spread_hot_units(self, service, assignments, instances, now_s):
         plans = assignments.plan_rebalancing(instances, now_s)
         for source, chunks in plans.items():
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -16,6 +16,7 @@
 from greengagerock.web.route_dialect import (
     KEY_HEADER,
     LEAVING_HEADER,
+    LIMIT_HEADER,
     REFUSED_NOT_OWNER,
     REQUEST_ID_HEADER,
 )
@@ -50,6 +51,7 @@
             connection is closed without a response; ``full``: the request is refused.
         retry_after: Value of the header with which refused requests are to come back, or empty.
         says_leaving: Whether its responses say that it leaves.
+        limit: Value of the header that names how many requests a second it takes, or empty.
         delay_s: Time that it takes to run a request.
         drain_acknowledged_s: Monotonic time of the first accepted report that announced draining,
             or ``None``.
@@ -77,6 +79,7 @@
         self.response_fault = "whole"
         self.retry_after = ""
         self.says_leaving = False
+        self.limit = ""
         self.delay_s = 0.0
         self.lock = threading.Lock()
         self.stop_requested = threading.Event()
@@ -279,6 +282,8 @@
             self.send_header(REQUEST_ID_HEADER, request_id)
         if self.server.endpoint.says_leaving:
             self.send_header(LEAVING_HEADER, "1")
+        if self.server.endpoint.limit:
+            self.send_header(LIMIT_HEADER, self.server.endpoint.limit)
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(content) if length is None else length))
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -34,7 +34,7 @@
     if "site" in request.fixturenames:
         for endpoint in request.getfixturevalue("site").reporting_endpoints.values():
             endpoint.response_fault = "whole"
-            endpoint.retry_after = ""
+            endpoint.retry_after = endpoint.limit = ""
             if endpoint.says_leaving:
                 endpoint.restart()
             endpoint.delay_s = 0.0
@@ -112,6 +112,31 @@
     site.wait_until(site.serves_all_keys)
 
 
+def test_endpoint_that_names_a_limit_gets_no_more_through_both_routers(site):
+    """The only endpoint that holds the key names a limit; its end is observed as well."""
+    holder = find_endpoint_holding(site, 77)
+    holder.limit = "2.0"
+    site.call("/balance/limit", 77)
+    site.wait_until(lambda: site.call("/balance/limit", 77, router=1).status == 503)
+    runs = sum(holder.runs.values())
+    responses = [site.call(f"/balance/limit-{n}", 77, router=n % 2) for n in range(30)]
+    refused = [response for response in responses if response.status == 503]
+    assert sum(holder.runs.values()) - runs <= 1.5 * 2.0 * 4 + 5
+    assert len(refused) >= 10
+    for response in refused:
+        assert response.headers["Greengage-Outcome"] == "not-run"
+        assert 0 < float(response.headers["Retry-After"]) <= 5
+    holder.limit = "nonsense"
+    site.wait_until(lambda: site.call("/balance/limit", 77).status == 200)
+    log = site.folder / "edge-1.log"
+    site.wait_until(lambda: "event=bad-limit" in log.read_text())
+    holder.limit = ""
+    site.wait_until(
+        lambda: all(site.call(f"/balance/back-{n}", 77).status == 200 for n in range(20))
+    )
+    site.wait_until(site.serves_all_keys)
+
+
 def test_endpoint_that_says_it_leaves_gets_no_more_requests(site):
     """Of the two endpoints without keys, the one that the router prefers says that it leaves."""
     name = site.call("/prices/notice").data.split()[0].decode()
