Read responses of endpoints by complete lines of bounded length

What callers could get: a success whose head was cut off. The libraries take the end of a connection for the end of a line, so a status line, a header or a chunk size that is cut off passed for a complete one; a head cut off before its length made an empty body look whole, and a chunk size that begins with 0 ended a response. Nothing bounded interim responses, the length of a chunk size, or the body of a refusal that is read so that its connection can be used again. Now: lines are read by a reader that refuses truncated and long ones and bounds the head; a refusal's body beyond 4 KiB closes the connection.

--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -1,10 +1,12 @@
 """Attempts on connections to endpoints that fail before the request is sent."""
 
+import contextlib
 import socket
 import struct
 import threading
 
 import pytest
+import urllib3
 
 from greengagerock.core.interface import AttemptFailed, Forward
 from greengagerock.settings.schema import LimitSettings
@@ -54,3 +56,80 @@
     sock, _ = server.accept()
     assert sock.recv(100) == b""
     server.close()
+
+
+def serve_once(data):
+    """Start an endpoint that answers one connection with bytes and closes it.
+
+    Returns:
+        Its address.
+    """
+    server = socket.create_server(("127.37.0.3", 0))
+
+    def serve():
+        sock, _ = server.accept()
+        with sock:
+            sock.recv(65_536)
+            with contextlib.suppress(OSError):
+                # The client may close the connection before it has read everything.
+                sock.sendall(data)
+        server.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    return f"127.37.0.3:{server.getsockname()[1]}"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 O",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nSeal: 1\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"Same: line\r\n" * 20_000,
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 20_000,
+        b"x" * 200_000,
+        b"",
+    ],
+)
+def test_truncated_or_endless_head_is_not_taken_for_a_response(data):
+    forward = Forward(1, "e", serve_once(data), {}, 5.0)
+    result = Upstream(LimitSettings()).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: None
+    )
+    assert result == AttemptFailed(1, "lost", True, False)
+
+
+@pytest.mark.parametrize("chunk", [b"", b"5\r\nhello\r\n0", b"0" * 100_000, b"5\r\nhello\r\n"])
+def test_truncated_chunk_size_does_not_end_a_response(chunk):
+    data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
+    forward = Forward(1, "e", serve_once(data), {}, 5.0)
+    response = Upstream(LimitSettings()).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: None
+    )
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        list(response.stream(65_536, decode_content=False))
+
+
+def test_refusal_with_a_long_body_is_not_read_to_its_end():
+    server = socket.create_server(("127.37.0.5", 8604))
+    closed = threading.Event()
+
+    def serve():
+        sock, _ = server.accept()
+        sock.recv(65_536)
+        try:
+            sock.sendall(b"HTTP/1.1 503 Busy\r\n\r\n")
+            while True:
+                sock.sendall(b"x" * 65_536)
+        except OSError:
+            closed.set()
+
+    threading.Thread(target=serve, daemon=True).start()
+    forward = Forward(1, "e", "127.37.0.5:8604", {}, 5.0)
+    result = Upstream(LimitSettings()).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: "refused"
+    )
+    assert result == AttemptFailed(1, "refused", False, False)
+    assert closed.wait(10.0)
+    server.close()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import threading
+from http.client import HTTPException, HTTPResponse
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -18,6 +19,12 @@
 )
 
 CONNECTIONS_PER_ENDPOINT = 32
+# Largest head of a response, interim responses included.
+MAX_HEAD_BYTES = 64 * 1024
+# Longest line of a response's head, chunk sizes and trailers.
+MAX_LINE_BYTES = 64 * 1024
+# Largest body of a refusal that is read; the bytes of a longer one may have no end.
+MAX_DISCARDED_BYTES = 4096
 BODY_CHUNK_BYTES = 64 * 1024
 # urllib3 rejects a timeout of 0, which a request at its deadline would have.
 MIN_TIMEOUT_S = 0.001
@@ -116,9 +123,60 @@
                 return
 
 
+class LineReader:
+    """The file of a socket, with lines that are complete and of bounded length.
+
+    The standard library and urllib3 take the end of the connection for the end of a line, so
+    that a truncated head or chunk size would pass for a complete one.
+
+    Args:
+        file: The file of the socket.
+
+    Attributes:
+        left_head_bytes: Number of bytes that the head may still have, ``None`` after the head.
+    """
+
+    def __init__(self, file):
+        self.file = file
+        self.left_head_bytes = MAX_HEAD_BYTES
+
+    def readline(self, limit=MAX_LINE_BYTES):
+        """Read a line.
+
+        Raises:
+            HTTPException: If the line is truncated or longer than ``MAX_LINE_BYTES``, or the head
+                is truncated or longer than ``MAX_HEAD_BYTES``.
+        """
+        line = self.file.readline(min(limit, MAX_LINE_BYTES) if limit >= 0 else MAX_LINE_BYTES)
+        if self.left_head_bytes is not None:
+            if not line and self.left_head_bytes < MAX_HEAD_BYTES:
+                raise HTTPException("response head truncated")
+            self.left_head_bytes -= len(line)
+            if self.left_head_bytes < 0:
+                raise HTTPException(f"response head longer than {MAX_HEAD_BYTES} bytes")
+        if line and not line.endswith(b"\n"):
+            raise HTTPException(f"line truncated or too long: got {len(line)} bytes")
+        return line
+
+    def __getattr__(self, name):
+        return getattr(self.file, name)
+
+
+class StrictResponse(HTTPResponse):
+    """A response of the standard library that is read through a ``LineReader``."""
+
+    def begin(self):
+        """Read the head."""
+        reader = self.fp = LineReader(self.fp)
+        super().begin()
+        reader.left_head_bytes = None
+
+
 class TrackedConnection(HTTPConnection):
     """A connection that records in the current ``Attempt`` whether bytes were sent."""
 
+    response_class = StrictResponse
+
     def request(self, method, url, *arguments, **options):
         """Send a request with the unchanged target of the attempt, not normalised by urllib3."""
         attempt = getattr(_thread_state, "attempt", None)
@@ -220,6 +278,16 @@
         yield self.data
 
 
+def discard_body(response):
+    """Read a short body so that its connection can be used again, else close the connection."""
+    length = response.headers.get("Content-Length", "")
+    if length.isdigit() and int(length) <= MAX_DISCARDED_BYTES:
+        response.drain_conn()
+        response.release_conn()
+    else:
+        response.close()
+
+
 class Upstream:
     """The connection pools of one host, one for each endpoint address.
 
@@ -298,8 +366,7 @@
             # Further data on this connection cannot be assigned to a request.
             response.close()
             return AttemptFailed(forward.token, reason, True, bool(body and body.is_consumed))
-        response.drain_conn()
-        response.release_conn()
+        discard_body(response)
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
     def _failure(self, forward, error, attempt, body):
