End attempts whose response is still incomplete after the deadline

What callers saw: an endpoint that sends bytes without end, slowly, in a head or a body, held its caller and a worker thread for as long as it went on. Cause: the time-out of an attempt applies to each read from the socket, and nothing looked at the whole attempt. While a body was read, the loop could not cancel the attempt either. Such an attempt counts as timed out, not as a crash of the endpoint.

--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -117,7 +117,9 @@
                 dispatcher.on_notice(event)
             case CallerDisconnected():
                 dispatcher.on_caller_disconnected(event)
-            case TimeAdvanced() | ResponseStarted():
+            case ResponseStarted():
+                dispatcher.on_response_started(event)
+            case TimeAdvanced():
                 pass
             case MessageReceived():
                 if event.sent_at is not None:
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -1,7 +1,12 @@
 """Choice of the endpoint for a call, and of the moment at which the call is sent to it."""
 
 from greengagerock.assignment.units import KEYS_PER_UNIT
-from greengagerock.core.interface import CloseIdleConnections, Forward, WatchCaller
+from greengagerock.core.interface import (
+    CancelAttempt,
+    CloseIdleConnections,
+    Forward,
+    WatchCaller,
+)
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
@@ -14,6 +19,10 @@
 MAX_TURN_WAIT_S = 4.0
 # Time after sending from which on the I/O layer watches whether the caller is still connected.
 WATCH_AFTER_S = 0.2
+# Time after the deadline at which an attempt without a complete response is cancelled, and the
+# same for a long response that is being relayed.
+OVERDUE_S = 0.25
+STREAM_GRACE_S = 5.0
 # Requests above the limit of an endpoint that are allowed for an urgent route.
 URGENT_EXTRA_REQUESTS = 1
 # Calls with less time left than this are not sent.
@@ -269,6 +278,7 @@
         call.endpoint = record.name
         call.endpoint_started_ms = record.started_ms
         call.sent_s = now_s
+        call.has_stream = call.is_overdue = False
         call.delivery_count += 1
         if record.name not in call.tried_endpoints:
             call.tried_endpoints.append(record.name)
@@ -291,3 +301,24 @@
         call.timer = None
         if call.endpoint:
             self.outbox.add(WatchCaller(call.token))
+            self._schedule_overdue(call, call.deadline_s + OVERDUE_S)
+
+    def _schedule_overdue(self, call, due_s):
+        wait_s = max(OVERDUE_S, due_s - self.timers.now_s)
+        call.timer = self.timers.subscribe(wait_s, lambda: self._cancel_overdue(call))
+
+    def _cancel_overdue(self, call):
+        """End an attempt whose response is still incomplete long after the deadline.
+
+        The I/O layer's time-out ends only silent connections, and bytes may come without end.
+        """
+        call.timer = None
+        if not call.endpoint:
+            return
+        stream_end_s = call.deadline_s + STREAM_GRACE_S
+        if call.has_stream and self.timers.now_s < stream_end_s:
+            self._schedule_overdue(call, stream_end_s)
+            return
+        call.is_overdue = True
+        self.outbox.add(CancelAttempt(call.token))
+        self._schedule_overdue(call, self.timers.now_s)
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -20,6 +20,8 @@
         delivery_count: Number of times that it may have reached an endpoint.
         awaited_unit: The (service, unit) whose holder it waits for, or ``None``.
         timer: Pending timer of the call, such as the end of a wait, or ``None``.
+        has_stream: Whether a long response is being relayed.
+        is_overdue: Whether the attempt was cancelled because it was incomplete at the deadline.
         is_abandoned: Whether its caller has disconnected.
         may_have_run: Whether an endpoint may have run it.
         is_body_consumed: Whether its body was read, so that it cannot be sent again.
@@ -34,7 +36,9 @@
         "endpoint",
         "endpoint_started_ms",
         "fingerprint",
+        "has_stream",
         "is_abandoned",
+        "is_overdue",
         "key",
         "may_have_run",
         "request_id",
@@ -62,6 +66,8 @@
         self.delivery_count = 0
         self.awaited_unit = None
         self.timer = None
+        self.has_stream = False
+        self.is_overdue = False
         self.is_abandoned = False
         self.may_have_run = False
         self.is_body_consumed = False
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -160,12 +160,18 @@
             self._finish(call, "bad-request", outcome)
         elif event.reason == REASON_CONNECT or not event.has_sent_bytes:
             self._on_unreachable(call, endpoint)
-        elif event.reason == REASON_TIMEOUT:
+        elif event.reason == REASON_TIMEOUT or call.is_overdue:
             self.health.note_failure(endpoint, now_s)
             self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
         else:
             self._on_connection_lost(call, event, endpoint)
 
+    def on_response_started(self, event):
+        """Process a ``ResponseStarted``: a long response is being relayed."""
+        call = self.calls.get(event.token)
+        if call is not None:
+            call.has_stream = True
+
     def on_ended(self, event):
         """Process a ``RequestEnded``."""
         call = self.calls.pop(event.token, None)
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
     Forward,
     RequestEnded,
     RespondWithError,
+    ResponseStarted,
 )
 from greengagerock.routing.observations import MIN_OWN_RESPONSES
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
@@ -272,3 +273,31 @@
     ] * 5
     assert not harness.dispatcher.health.is_avoided("till-1", harness.timers.now_s)
     assert harness.reports == []
+
+
+def test_attempt_without_a_complete_response_is_cancelled_after_the_deadline():
+    """The endpoint sends bytes without end, so the I/O layer's time-out never comes."""
+    harness = DispatcherHarness()
+    token = harness.call(budget_s=1.0)
+    harness.effects()
+    harness.timers.advance(harness.timers.now_s + 1.1)
+    assert harness.effects() == []
+    harness.timers.advance(harness.timers.now_s + 0.3)
+    assert CancelAttempt(token) in harness.effects()
+    harness.fail(token, "lost")
+    (response,) = harness.effects()
+    assert (response.code, response.outcome) == ("deadline-exceeded", "unknown")
+
+
+def test_long_response_that_is_relayed_is_cancelled_only_long_after_the_deadline():
+    harness = DispatcherHarness()
+    token = harness.call(budget_s=1.0)
+    harness.effects()
+    harness.timers.advance(harness.timers.now_s + 0.5)
+    harness.dispatcher.on_response_started(ResponseStarted(token))
+    for _ in range(20):
+        harness.timers.advance(harness.timers.now_s + 0.25)
+    assert harness.effects() == []
+    for _ in range(4):
+        harness.timers.advance(harness.timers.now_s + 0.25)
+    assert CancelAttempt(token) in harness.effects()
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -51,6 +51,7 @@
             connection is closed without a response; ``full``: the request is refused.
         retry_after: Value of the header with which refused requests are to come back, or empty.
         says_leaving: Whether its responses say that it leaves.
+        endless_responses: Number of responses without end that it sends at the moment.
         limit: Value of the header that names how many requests a second it takes, or empty.
         delay_s: Time that it takes to run a request.
         drain_acknowledged_s: Monotonic time of the first accepted report that announced draining,
@@ -79,6 +80,7 @@
         self.response_fault = "whole"
         self.retry_after = ""
         self.says_leaving = False
+        self.endless_responses = 0
         self.limit = ""
         self.delay_s = 0.0
         self.lock = threading.Lock()
@@ -181,6 +183,23 @@
     return unit * KEYS_PER_UNIT, unit * KEYS_PER_UNIT + KEYS_PER_UNIT - 1
 
 
+# First bytes and repeated bytes of responses without end, by name of the fault.
+ENDLESS_RESPONSES = {
+    "endless-line": (b"HTTP/1.1 200 O", b"K"),
+    "endless-headers": (b"HTTP/1.1 200 OK\r\n", b"Same: line\r\n"),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "endless-short-body": (b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", b"x"),
+    "endless-chunk-size": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0"),
+    "endless-chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n",
+    ),
+    "endless-garbage": (b"", b"\x00\xff garbage"),
+}
+REFUSED_LINE = f"{REFUSED_HEADER}: full\r\n".encode()
+ENDLESS_INTERVAL_S = 0.005
+
+
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
@@ -230,6 +249,9 @@
     def _run(self):
         endpoint = self.server.endpoint
         body = self._read_body()
+        if endpoint.response_fault == "endless-refusal":
+            self._send_without_end(b"HTTP/1.1 503 Busy\r\n" + REFUSED_LINE + b"\r\n", b"x" * 64)
+            return
         key = self.headers.get(KEY_HEADER)
         if key is not None and not endpoint.holds_key(int(key)):
             self._send_response(503, b"", {REFUSED_HEADER: REFUSED_NOT_OWNER})
@@ -250,6 +272,9 @@
         if self.delayed_request_id:
             self._send_response(200, b"stray\n", {}, request_id=self.delayed_request_id)
             self.delayed_request_id = ""
+        if endpoint.response_fault in ENDLESS_RESPONSES:
+            self._send_without_end(*ENDLESS_RESPONSES[endpoint.response_fault])
+            return
         if endpoint.response_fault == "close":
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
@@ -265,6 +290,22 @@
         elif endpoint.response_fault == "late-extra":
             self.delayed_request_id = request_id
 
+    def _send_without_end(self, first, repeated):
+        """Send bytes without end, in small pieces, until the peer closes the connection."""
+        self.close_connection = True
+        endpoint = self.server.endpoint
+        with endpoint.lock:
+            endpoint.endless_responses += 1
+        try:
+            self.connection.sendall(first)
+            while True:
+                self.connection.sendall(repeated)
+                time.sleep(ENDLESS_INTERVAL_S)
+        except OSError:
+            # The peer has closed the connection.
+            with endpoint.lock:
+                endpoint.endless_responses -= 1
+
     def _read_body(self):
         if self.headers.get("Transfer-Encoding", "").lower() == "chunked":
             parts = []
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -92,6 +92,7 @@
     __slots__ = (
         "app",
         "body",
+        "body_attempt",
         "endpoint",
         "environ",
         "headers",
@@ -111,6 +112,7 @@
         self.endpoint = ""
         self.sent_at_s = 0.0
         self.is_endpoint_limited = False
+        self.body_attempt = None
         self.target = app.dialect.target(environ)
         self.headers = read_headers(environ)
         self.body = make_body_reader(environ)
@@ -217,6 +219,8 @@
                 passed_bytes=0,
             )
             return None
+        finally:
+            self.end_body()
 
     def attempt(self, forward, extra_headers):
         """Send the request to an endpoint once.
@@ -233,7 +237,7 @@
         self.sent_at_s = time.monotonic()
         self.is_endpoint_limited = forward.is_limited
         try:
-            return self.app.upstream.send(
+            result = self.app.upstream.send(
                 forward,
                 self.environ["REQUEST_METHOD"],
                 self.target,
@@ -244,6 +248,23 @@
             )
         finally:
             self._end_attempt(attempt)
+        if not isinstance(result, AttemptFailed):
+            self._begin_body(attempt)
+        return result
+
+    def _begin_body(self, attempt):
+        """Keep the connection cancellable while the body is read."""
+        self.body_attempt = Attempt()
+        self.body_attempt.sock = attempt.sock
+        # A body in progress shows that the connection works.
+        self.body_attempt.is_new = True
+        self.app.bridge.register_attempt(self.token, self.body_attempt)
+
+    def end_body(self):
+        """Note that the body has been read, or its connection closed."""
+        if self.body_attempt is not None:
+            self.body_attempt = None
+            self.app.bridge.unregister_attempt(self.token)
 
     def _inspect_response(self, response):
         """Pass on what the endpoint says about itself; return why the response is unusable.
@@ -371,6 +392,7 @@
 
     def close(self):
         """Release or close the connection, and notify the loop that the request has ended."""
+        self.exchange.end_body()
         if self.is_complete:
             self.response.release_conn()
         else:
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -64,7 +64,8 @@
 
     Attributes:
         has_sent_bytes: Whether any byte may have left this host.
-        connection: The connection in use, or ``None``.
+        sock: The socket in use, or ``None``. The library's connection drops it when a response
+            is to end with the connection.
         is_cancelled: Whether the loop cancelled the attempt.
         is_new: Whether the connection was opened for this attempt.
         target: Path and query, still encoded.
@@ -76,7 +77,7 @@
         "_is_watched",
         "has_sent_bytes",
         "is_cancelled",
-        "connection",
+        "sock",
         "is_new",
         "target",
     )
@@ -86,7 +87,7 @@
         self._lock = threading.Lock()
         self._is_watched = False
         self.has_sent_bytes = False
-        self.connection = None
+        self.sock = None
         self.is_cancelled = False
         self.is_new = False
         self.target = ""
@@ -114,10 +115,9 @@
     def cancel(self):
         """Shut down the connection to the endpoint; called from the loop thread."""
         self.is_cancelled = True
-        sock = getattr(self.connection, "sock", None)
-        if sock is not None:
+        if self.sock is not None:
             try:
-                sock.shutdown(socket.SHUT_RDWR)
+                self.sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # The connection was closed already.
                 return
@@ -197,7 +197,7 @@
                     self.close()
                     raise NewConnectionError(self, "the attempt was cancelled")
         if attempt is not None:
-            attempt.connection = self
+            attempt.sock = self.sock
             attempt.has_sent_bytes = True
         super().send(data)
 
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -112,6 +112,47 @@
     site.wait_until(site.serves_all_keys)
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        "endless-line",
+        "endless-headers",
+        "endless-interim",
+        "endless-short-body",
+        "endless-chunk-size",
+        "endless-chunks",
+        "endless-garbage",
+        "endless-refusal",
+    ],
+)
+@pytest.mark.parametrize(("path", "key"), [("/prices/endless", None), ("/balance/endless", 77)])
+def test_response_without_end_neither_holds_its_caller_nor_goes_on(site, fault, path, key):
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = fault
+    head = f"GET {path} HTTP/1.1\r\nHost: shop.example\r\n"
+    if key is not None:
+        head += f"Greengage-Key: {key}\r\n"
+    headers = "Greengage-Timeout-Ms: 600\r\nConnection: close\r\n\r\n"
+    with socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S) as sock:
+        sock.sendall((head + headers).encode())
+        received = sock.recv(65_536)
+        status = received.split()[1]
+        if status == b"200":
+            # A stream; the caller gets no last chunk.
+            assert fault in ("endless-chunks", "endless-chunk-size")
+            while chunk := sock.recv(65_536):
+                received += chunk
+            assert b"0\r\n\r\n" not in received
+        else:
+            assert status in (b"502", b"503", b"504")
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "whole"
+    site.wait_until(
+        lambda: not any(e.endless_responses for e in site.reporting_endpoints.values())
+    )
+    site.wait_until(lambda: site.call(path, key).status == 200)
+
+
 def test_endpoint_that_names_a_limit_gets_no_more_through_both_routers(site):
     """The only endpoint that holds the key names a limit; its end is observed as well."""
     holder = find_endpoint_holding(site, 77)
