Let the soak name limits and send responses without end

Limits that rise, fall, end or cannot be read, and endless heads and bodies, beside the other faults.

--- a/greengagerock/testing/soak/faults.py
+++ b/greengagerock/testing/soak/faults.py
@@ -9,7 +9,21 @@
 # No fault is injected before this time, so that callers are served first.
 FIRST_FAULT_S = 1.0
 MAX_FAULT_S = 4.0
+# An endpoint that drains serves for some seconds before it ends.
+LONGEST_ENDPOINT_FAULT_S = MAX_FAULT_S + 4.0
 RESPONSE_FAULTS = ("torn", "extra", "late-extra", "close", "full", "slow")
+ENDLESS_FAULTS = (
+    "endless-line",
+    "endless-headers",
+    "endless-interim",
+    "endless-short-body",
+    "endless-chunk-size",
+    "endless-chunks",
+    "endless-garbage",
+    "endless-refusal",
+)
+# Limits that rise, fall and are unreadable.
+LIMITS = ("0", "0.5", "2", "5.6", "20", "1000000", "-1", "nan", "5,6")
 
 
 class Kill(msgspec.Struct, frozen=True):
@@ -97,6 +111,14 @@
     for_s: float
 
 
+class NameLimits(msgspec.Struct, frozen=True):
+    """An endpoint names limits on its requests, one after the other, each for ``for_s``."""
+
+    endpoint: str
+    limits: tuple[str, ...]
+    for_s: float
+
+
 class PlannedFault(msgspec.Struct, frozen=True):
     """A fault and its time of injection, in seconds from the start of the callers."""
 
@@ -134,9 +156,44 @@
             inject_s = min(at_s + number * interval_s, seconds)
             plan.append(PlannedFault(inject_s, draw_fault(random, processes, proxies, endpoints)))
         at_s += random.uniform(0.3, 3.0)
+    plan += plan_endpoint_faults(seed, seconds, endpoints, plan)
     return sorted(plan, key=lambda entry: entry.at_s)
 
 
+def plan_endpoint_faults(seed, seconds, endpoints, others):
+    """Return limits and responses without end, drawn apart so that the other faults stay.
+
+    Args:
+        seed: Seed of the plan.
+        seconds: Duration of the callers' traffic.
+        endpoints: Names of the endpoints.
+        others: The other ``PlannedFault`` objects; an endpoint has none of them meanwhile.
+    """
+    random = Random(f"endpoints-{seed}")
+    plan = []
+    at_s = FIRST_FAULT_S
+    while at_s < seconds:
+        endpoint = random.choice(endpoints)
+        for_s = round(random.uniform(0.2, MAX_FAULT_S), 2)
+        limits = tuple(random.choices(LIMITS, k=random.randint(1, 4)))
+        fault = random.choice(
+            (
+                NameLimits(endpoint, limits, for_s),
+                NameLimits(endpoint, limits, for_s),
+                Misbehave(endpoint, random.choice(ENDLESS_FAULTS), for_s),
+            )
+        )
+        until_s = at_s + for_s * len(limits)
+        if not any(
+            getattr(other.fault, "endpoint", "") == endpoint
+            and at_s - LONGEST_ENDPOINT_FAULT_S < other.at_s < until_s
+            for other in others
+        ):
+            plan.append(PlannedFault(at_s, fault))
+        at_s += random.uniform(0.5, 4.0)
+    return plan
+
+
 def draw_fault(random, processes, proxies, endpoints):
     """Return one random fault."""
     for_s = round(random.uniform(0.2, MAX_FAULT_S), 2)
--- a/greengagerock/testing/soak/site.py
+++ b/greengagerock/testing/soak/site.py
@@ -21,6 +21,7 @@
     FullDisk,
     Kill,
     Misbehave,
+    NameLimits,
     Refuse,
     Reload,
     Reset,
@@ -260,6 +261,12 @@
                 resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
             case Misbehave(name, response_fault, for_s):
                 self._misbehave(self.reporting_endpoints[name], response_fault, for_s)
+            case NameLimits(name, limits, for_s):
+                endpoint = self.reporting_endpoints[name]
+                for limit in limits:
+                    endpoint.limit = limit
+                    time.sleep(for_s)
+                endpoint.limit = ""
             case Crash(name, for_s):
                 self._stop_endpoint(name)
                 time.sleep(for_s)
