--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -6,9 +6,9 @@
     KeyAssignments,
     ReportResponse,
 )
-from greengagerock.assignment.instance_directory import FORGET_AFTER_S
 from greengagerock.assignment.key_assignments import lessor_hold_s
 from greengagerock.assignment.units import UNIT_COUNT
+from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
 from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
 from greengagerock.control.router_updater import RouterUpdater
 from greengagerock.core import GreengageError
@@ -48,10 +48,7 @@
         fence_count: Number of fences issued in this term.
         withdrawn_endpoints: Names of leaving endpoints that routers no longer get as holders
             of units.
-        unidentified_leaves: Time from which this leader waits for the start of an instance whose
-            leave was acknowledged without one, by endpoint name.
-        identified_leaves: Start of such instances once it is known, in milliseconds since 1970, by
-            endpoint name.
+        acknowledged_leaves: The ``AcknowledgedLeaves`` of endpoints that have not reported.
         units_without_holder: Number of units without a holder at the last tick, by service.
     """
 
@@ -64,6 +61,9 @@
         self.router_updater = RouterUpdater(
             config.address, voter, store, timers, outbox, self.is_active
         )
+        self.acknowledged_leaves = AcknowledgedLeaves(
+            store, voter, self.router_updater, timers, outbox
+        )
         self.crash_counter = CrashCounter()
         self.pending_replies = {}
         store.on_patch_result = self._on_patch_result
@@ -77,8 +77,7 @@
         self.earlier_grants_end_s = None
         self.fence_count = 0
         self.withdrawn_endpoints = set()
-        self.unidentified_leaves = {}
-        self.identified_leaves = {}
+        self.acknowledged_leaves.reset()
         self.units_without_holder = {}
 
     def start_term(self):
@@ -198,7 +197,7 @@
                 born_ms=report.started_ms,
             )
             return ReportResponse("stale-report")
-        if not instance.is_leaving and self._has_left(report):
+        if not instance.is_leaving and self.acknowledged_leaves.has_left(report):
             instance.leaving_since_s = now_s
         if admission.is_new or admission.is_changed:
             self.router_updater.note_endpoint(instance)
@@ -218,35 +217,6 @@
         grants = assignments.process_report(instance, instances, now_s, self.config.hold_s)
         return ReportResponse("", grants, self.config.hold_s)
 
-    def _has_left(self, report):
-        """Return whether a leave of the instance was acknowledged, by this or an earlier leader.
-
-        After a leave without a start time, the first instance that reports is taken for the one
-        that left: its report was late. An instance that reports much later is a new one.
-        """
-        name, started_ms = report.endpoint, report.started_ms
-        stored_ms = self.store.leaving_endpoints.get(name)
-        identified_ms = self.identified_leaves.get(name)
-        if started_ms in (stored_ms, identified_ms):
-            return True
-        if stored_ms != 0 or identified_ms is not None:
-            return False
-        since_s = self.unidentified_leaves.get(name, self.timers.now_s)
-        if self.timers.now_s - since_s > FORGET_AFTER_S:
-            return False
-        self._identify_leave(name, started_ms)
-        return True
-
-    def _identify_leave(self, endpoint, started_ms):
-        """Store which instance left, after a leave without a start time was acknowledged."""
-        self.unidentified_leaves.pop(endpoint, None)
-        self.identified_leaves[endpoint] = started_ms
-        self.outbox.log("leave-identified", endpoint=endpoint, born_ms=started_ms)
-        try:
-            self.voter.propose(encode_leave(LeaveRecord(endpoint, started_ms)))
-        except GreengageError as error:
-            self.outbox.log("not-proposed", code=error.code, detail=error.detail)
-
     def _on_leaving(self, token, leaving, reply):
         registered = self.directory.instances.get(leaving.endpoint)
         instance = self.directory.mark_leaving(leaving, self.timers.now_s)
@@ -255,32 +225,10 @@
             self.outbox.log("endpoint-leaving", endpoint=instance.name, born_ms=leaving.started_ms)
         started_ms = leaving.started_ms or (registered.report.started_ms if registered else 0)
         if registered is None:
-            started_ms = self._withdraw_unregistered(leaving.endpoint, started_ms)
+            started_ms = self.acknowledged_leaves.withdraw(leaving.endpoint, started_ms)
         leave = LeaveRecord(leaving.endpoint, started_ms)
         self._reply_to_leave(token, leave, ReportResponse(), reply)
 
-    def _withdraw_unregistered(self, endpoint, started_ms):
-        """Withdraw a leaving instance that has not reported in this term from routers' views.
-
-        Routers that have its record report its start.
-
-        Returns:
-            The start of the instance in milliseconds since 1970, or 0 if it is unknown.
-        """
-        if started_ms:
-            self._note_left(endpoint, started_ms)
-            return started_ms
-        if endpoint in self.identified_leaves:
-            return self.identified_leaves[endpoint]
-        if endpoint not in self.unidentified_leaves:
-            self.unidentified_leaves[endpoint] = self.timers.now_s
-            self._note_left(endpoint, 0)
-        return self.store.leaving_endpoints.get(endpoint, 0)
-
-    def _note_left(self, endpoint, started_ms):
-        self.router_updater.endpoints_history.note_left(endpoint, started_ms)
-        self.router_updater.schedule_push()
-
     def on_leaving_observed(self, observed):
         """Process a router's ``LeavingObserved``: routers send nothing new to the endpoint.
 
@@ -289,8 +237,7 @@
         """
         if not self.is_active():
             return
-        if observed.endpoint in self.unidentified_leaves:
-            self._identify_leave(observed.endpoint, observed.started_ms)
+        self.acknowledged_leaves.on_start_reported(observed.endpoint, observed.started_ms)
         leaving = EndpointLeaving(observed.endpoint, observed.started_ms)
         instance = self.directory.mark_leaving(leaving, self.timers.now_s)
         if instance is not None:
@@ -420,11 +367,7 @@
         is_first_leader = first_entry is not None and first_entry.term == self.voter.term
         wait_s = 0.0 if is_first_leader else lessor_hold_s(self.config.hold_s)
         self.earlier_grants_end_s = now_s + wait_s
-        for name, started_ms in self.store.leaving_endpoints.items():
-            if not started_ms:
-                self.unidentified_leaves.setdefault(name, now_s)
-            if name not in self.directory.instances:
-                self.router_updater.endpoints_history.note_left(name, started_ms)
+        self.acknowledged_leaves.take_over(self.directory.instances)
         self.outbox.log("leader-begins", term=self.voter.term, waits_s=round(wait_s, 3))
 
     def _assignments_of(self, service):
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -203,7 +203,7 @@
                 endpoints_delta.since == 0 and endpoints_delta.epoch != self.replica.epoch
             )
             if self.replica.accepts(endpoints_delta):
-                self.dispatcher.on_left(
+                self.dispatcher.notice_handler.on_left(
                     self.replica.left_instances(endpoints_delta), endpoints_delta.left
                 )
             endpoint_names, units = self.replica.apply_endpoints(endpoints_delta)
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -20,6 +20,7 @@
 )
 from greengagerock.routing.health import EndpointHealth
 from greengagerock.routing.link_schedule import LinkSchedule
+from greengagerock.routing.notice_handler import NoticeHandler
 from greengagerock.routing.observations import EndpointObservations
 from greengagerock.routing.priorities import rank_priorities
 from greengagerock.routing.route_index import RouteIndex
@@ -55,6 +56,7 @@
         health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
         limits: The ``EndpointLimits``.
+        notice_handler: The ``NoticeHandler``.
         endpoint_picker: The ``EndpointPicker``.
         recent_responses: The ``RecentResponses``.
         demand: The ``KeyDemand``.
@@ -90,6 +92,9 @@
         self.health = EndpointHealth()
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(random)
+        self.notice_handler = NoticeHandler(
+            self.notices, self.limits, replica, timers, outbox, report
+        )
         self.endpoint_picker = EndpointPicker(
             zone, self.observations, self.health, self.notices, random, zone_preference
         )
@@ -218,53 +223,7 @@
         call = self.calls.get(event.token)
         if call is None or not call.endpoint:
             return
-        now_s = self.timers.now_s
-        name, started_ms = call.endpoint, call.endpoint_started_ms
-        if event.is_leaving and self.notices.note_leaving(name, started_ms, now_s):
-            self.outbox.log("endpoint-says-leaving", endpoint=name, request_id=call.request_id)
-            self.report(LeavingObserved(name, started_ms))
-        if event.pause_s:
-            self.notices.note_pause(name, started_ms, event.pause_s, now_s)
-            self.outbox.log(
-                "endpoint-paused",
-                endpoint=name,
-                request_id=call.request_id,
-                pause_ms=round(1000 * event.pause_s),
-            )
-        if event.malformed_pause:
-            self.outbox.log(
-                "bad-pause",
-                code="bad-announcement",
-                endpoint=name,
-                request_id=call.request_id,
-                detail=event.malformed_pause,
-            )
-        self._on_limit(event, call)
-
-    def _on_limit(self, event, call):
-        """Process what a response says about the requests that an endpoint takes."""
-        name, started_ms = call.endpoint, call.endpoint_started_ms
-        if event.malformed_limit:
-            self.outbox.log(
-                "bad-limit",
-                code="bad-announcement",
-                endpoint=name,
-                request_id=call.request_id,
-                detail=event.malformed_limit,
-            )
-        if event.limit_per_s is not None:
-            is_new = self.limits.note_limit(name, started_ms, event.limit_per_s, self.timers.now_s)
-        else:
-            is_new = event.ends_limit and self.limits.note_end(name, started_ms, self.timers.now_s)
-        if is_new:
-            self.outbox.log(
-                "endpoint-limit",
-                endpoint=name,
-                request_id=call.request_id,
-                per_s="none" if event.limit_per_s is None else event.limit_per_s,
-            )
-            # The next periodic poll would let the other routers exceed the limit meanwhile.
-            self.report(self.replica.poll({}, {}, self.limits.collect_reports(self.timers.now_s)))
+        self.notice_handler.on_notice(event, call)
 
     def begin_closing(self):
         """Direct callers to other hosts with each response from now on."""
@@ -277,20 +236,6 @@
         self.route_index = RouteIndex(routes)
         self.sender.ranks, self.sender.least_urgent_ranks = rank_priorities(routes)
 
-    def on_left(self, records, started_ms_by_name):
-        """Record that endpoint instances have left, and report starts that the leader lacks.
-
-        A later leader may list such an instance again when a late report of it arrives.
-
-        Args:
-            records: The ``EndpointRecord`` objects of the instances.
-            started_ms_by_name: Start of each instance as far as the leader has it, or 0.
-        """
-        for record in records:
-            self.notices.note_leaving(record.name, record.started_ms, self.timers.now_s)
-            if not started_ms_by_name[record.name]:
-                self.report(LeavingObserved(record.name, record.started_ms))
-
     def on_endpoints(self, changed_endpoints, changed_units):
         """Drop observations of removed endpoints, and send calls that wait for changed units.
 
