--- a/greengagerock/routing/request_allowance.py
+++ b/greengagerock/routing/request_allowance.py
@@ -15,7 +15,7 @@
 RANDOM_USE_SHARE = 0.85
 # Share of the burst that routers collect while they do not know the demand.
 RANDOM_BURST_SHARE = 0.25
-# Longest time after which a refused caller is told to come back.
+# Longest time after which a refused caller is to come back.
 MAX_RETRY_AFTER_S = 5.0
 
 
@@ -43,7 +43,7 @@
         admitted_s: Times of the newest requests that were admitted at random.
         credit: Content of the bucket when it was last updated.
         updated_s: When it was last updated.
-        promised_s: Latest time at which a refused caller was told to come back.
+        promised_s: Latest time that was given to a refused caller.
 
     References:
         The leaky bucket as a meter, ITU-T I.371; randomized rounding, P. Raghavan and
--- a/greengagerock/routing/tests/test_endpoint_limits.py
+++ b/greengagerock/routing/tests/test_endpoint_limits.py
@@ -103,7 +103,7 @@
         assert sum(until_s - BURST_WINDOW_S < s <= until_s for s in sent_s) <= tolerated
 
 
-def test_callers_are_told_to_come_back_one_after_the_other():
+def test_refused_callers_are_sent_back_one_after_the_other():
     allowance = RequestAllowance(Random(1), 0.0)
     allowance.configure(2.0, 0.5, 2, None, 0.0)
     allowance.credit = 0.0
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -124,12 +124,12 @@
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
-    """What a router knows of an endpoint's limit on the requests of all routers.
+    """A router's report on an endpoint's limit on the requests of all routers.
 
     Attributes:
         started_ms: Start of the endpoint instance, in milliseconds since 1970.
         requests: Requests for the endpoint since the last poll, also refused ones.
-        age_s: Time since the newest response to this router, in seconds, or ``None`` if it knows
+        age_s: Time since the newest response to this router, in seconds, or ``None`` if it has
             the limit from the leader only.
         limit_per_s: Requests per second that this response named, ``None`` for no limit.
     """
@@ -148,10 +148,10 @@
         started_ms: Start of the endpoint instance, in milliseconds since 1970.
         age_s: Time since the newest response to any router, in seconds.
         limit_per_s: Requests per second that it named, ``None`` if the limit has ended.
-        share: Share of the router that gets this message, from 0 to 1, or ``None`` if the leader
-            does not know all routers yet.
+        share: Share of the router that gets this message, from 0 to 1, or ``None`` if not all
+            routers may have found the leader yet.
         demand_per_s: Requests per second that all routers have for the endpoint, or ``None`` if
-            the leader does not know all routers yet.
+            not all routers may have found the leader yet.
     """
 
     endpoint: str
@@ -173,7 +173,7 @@
             each endpoint that responded.
         demand: Number of requests since the last poll, by service and block of keys.
         response_times_number: Number of the newest ``EndpointResponseTimes`` that the router has.
-        limits: What the router knows of endpoints' limits, by endpoint name.
+        limits: Reports on endpoints' limits, by endpoint name.
     """
 
     items_revision: int
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -13,6 +13,7 @@
     READY_PORT,
     SiteProcesses,
 )
+from greengagerock.testing.soak.faults import ENDLESS_FAULTS
 
 SOCKET_TIMEOUT_S = 10.0
 
@@ -112,19 +113,7 @@
     site.wait_until(site.serves_all_keys)
 
 
-@pytest.mark.parametrize(
-    "fault",
-    [
-        "endless-line",
-        "endless-headers",
-        "endless-interim",
-        "endless-short-body",
-        "endless-chunk-size",
-        "endless-chunks",
-        "endless-garbage",
-        "endless-refusal",
-    ],
-)
+@pytest.mark.parametrize("fault", ENDLESS_FAULTS)
 @pytest.mark.parametrize(("path", "key"), [("/prices/endless", None), ("/balance/endless", 77)])
 def test_response_without_end_neither_holds_its_caller_nor_goes_on(site, fault, path, key):
     for endpoint in site.reporting_endpoints.values():
