Let a new leader wait for routers before it acknowledges changes

What callers saw: a route that was acknowledged is unknown to routers, for as long as they have not found the new leader. Cause: a leader acknowledges a change once the routers that it knows have it. In its first second it knows none, or some. Now: in the first 1.2 s of a term an acknowledgement waits for the time limit of its change, or for the end of these 1.2 s.

--- a/greengagerock/control/confirmations.py
+++ b/greengagerock/control/confirmations.py
@@ -12,15 +12,20 @@
     """Delays acknowledgements until routers have confirmed the newest items.
 
     Once a change is acknowledged, it is in effect at every reachable router. A router that
-    is unreachable or slow delays the acknowledgement, but does not prevent it.
+    is unreachable or slow delays the acknowledgement, but does not prevent it. A new leader
+    does not know all routers yet, so it waits in any case.
+
+    Args:
+        began_s: Start of the leader's term, in monotonic seconds.
 
     Attributes:
+        began_s: Start of the leader's term.
         revision: Revision of the newest change of items.
         deadline_s: When that change counts as confirmed, even without confirmations.
         callbacks: Pairs of a revision and the callable to call once it is confirmed.
 
     Examples:
-        >>> confirmations, acknowledged = Confirmations(), []
+        >>> confirmations, acknowledged = Confirmations(0.0), []
         >>> confirmations.note_change(7, 1, 10.0)
         >>> confirmations.call_when_confirmed(lambda: acknowledged.append("ok"))
         >>> confirmations.advance([(6, 9.9)], 10.1)
@@ -31,11 +36,12 @@
         ['ok']
     """
 
-    __slots__ = ("callbacks", "deadline_s", "revision")
+    __slots__ = ("began_s", "callbacks", "deadline_s", "revision")
 
-    def __init__(self):
+    def __init__(self, began_s):
+        self.began_s = began_s
         self.revision = 0
-        self.deadline_s = 0.0
+        self.deadline_s = began_s + REACHABLE_WINDOW_S
         self.callbacks = []
 
     def note_change(self, revision, items, now_s):
@@ -65,9 +71,12 @@
         revisions = [
             revision for revision, polled_s in routers if now_s - polled_s < REACHABLE_WINDOW_S
         ]
-        confirmed = (
-            self.revision if now_s >= self.deadline_s else min(revisions, default=self.revision)
-        )
+        if now_s >= self.deadline_s:
+            confirmed = self.revision
+        elif now_s - self.began_s < REACHABLE_WINDOW_S:
+            return
+        else:
+            confirmed = min(revisions, default=self.revision)
         ready = [callback for revision, callback in self.callbacks if revision <= confirmed]
         self.callbacks = [entry for entry in self.callbacks if entry[0] > confirmed]
         for callback in ready:
--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -72,7 +72,7 @@
         """Discard all state that belongs to one term."""
         self.endpoints_history = EndpointsHistory(self.voter.term)
         self.packed_endpoints = PackedDeltaCache(self.endpoints_history)
-        self.confirmations = Confirmations()
+        self.confirmations = Confirmations(self.timers.now_s)
         self.response_times = ResponseTimes(self.voter.term)
         self.limit_shares = LimitShares(self.timers.now_s)
         self.subscribers = {}
--- a/greengagerock/control/tests/test_confirmations.py
+++ b/greengagerock/control/tests/test_confirmations.py
@@ -10,7 +10,7 @@
 
 def build_confirmations(items=1):
     acknowledged = []
-    confirmations = Confirmations()
+    confirmations = Confirmations(0.0)
     confirmations.note_change(7, items, 10.0)
     confirmations.call_when_confirmed(lambda: acknowledged.append("ok"))
     return confirmations, acknowledged
