Divide the retry budget by the largest recent number of routers

What endpoints could see: more retries than the budget allows when the leader changes. Cause: routers divide the budget by the number of routers that the leader reports, and a new leader knows one, then some. Evidence: test_routers_do_not_raise_their_part_of_the_retry_budget_when_the_leader_changes failed before (1 instead of 6). Now: the largest number of the last 10 to 20 s counts, as for the limits of endpoints.

--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -25,6 +25,7 @@
 from greengagerock.discovery import LeaderFinder
 from greengagerock.routing.dispatcher import Dispatcher
 from greengagerock.routing.retry_budget import SharedRetryBudget
+from greengagerock.routing.router_count import RouterCount
 from greengagerock.view import (
     EndpointResponseTimes,
     EndpointsDelta,
@@ -81,6 +82,7 @@
             config.link_bytes_per_s,
         )
         self.stats = self.dispatcher.stats
+        self.router_count = RouterCount()
         self.had_leader = False
         self.is_stopping = False
         self.is_stopped = False
@@ -189,8 +191,11 @@
             # The sender is an earlier leader that has not detected yet that it was replaced.
             return
         self.finder.record_leader(address, delta.controllers, self.timers.now_s)
-        self.budget.router_count = delta.routers
-        self.dispatcher.limits.apply_shares(delta.limits, delta.routers, self.timers.now_s)
+        self.router_count.note(delta.routers, self.timers.now_s)
+        self.budget.router_count = self.router_count.largest
+        self.dispatcher.limits.apply_shares(
+            delta.limits, self.router_count.largest, self.timers.now_s
+        )
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
--- a/greengagerock/node/tests/test_leader_changes.py
+++ b/greengagerock/node/tests/test_leader_changes.py
@@ -25,3 +25,15 @@
     assert site.replies[token].code == ""
     edges = [site.hosts[f"edge-{number}"].node for number in range(1, ROUTERS + 1)]
     assert [edge.replica.routes.get("fresh") is not None for edge in edges] == [True] * ROUTERS
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_routers_do_not_raise_their_part_of_the_retry_budget_when_the_leader_changes(seed):
+    site = build_fake_site(seed=seed, routers=ROUTERS)
+    counts = []
+    edges = [site.hosts[f"edge-{number}"].node for number in range(1, ROUTERS + 1)]
+    site.run_for(1.0)
+    site.after_step = lambda: counts.append(min(edge.budget.router_count for edge in edges))
+    replace_leader(site)
+    site.run_for(3.0)
+    assert min(counts) == ROUTERS
--- a/greengagerock/routing/endpoint_limits.py
+++ b/greengagerock/routing/endpoint_limits.py
@@ -13,38 +13,7 @@
 # the limit are ignored.
 END_RETENTION_S = 5.0
 # Largest number of limits in a report, so that it stays below two kilobytes.
-MAX_REPORTED_LIMITS = 64
-# Time for which the largest number of routers counts: a new leader knows only some of them.
-ROUTER_COUNT_HOLD_S = 10.0
-
-
-class RouterCount:
-    """The largest number of routers that a leader has reported recently.
-
-    Attributes:
-        current: Largest number since ``started_s``.
-        previous: Largest number in the period before that.
-        started_s: Start of the current period.
-    """
-
-    __slots__ = ("current", "previous", "started_s")
-
-    def __init__(self):
-        self.current = 1
-        self.previous = 1
-        self.started_s = float("-inf")
-
-    def note(self, count, now_s):
-        """Record the number of routers that a leader reports."""
-        if now_s - self.started_s >= ROUTER_COUNT_HOLD_S:
-            self.previous, self.current = self.current, count
-            self.started_s = now_s
-        self.current = max(self.current, count)
-
-    @property
-    def largest(self):
-        """The number to divide a limit by."""
-        return max(self.current, self.previous, 1)
+MAX_REPORTED_LIMITS = 40
 
 
 class EndpointLimit:
@@ -106,7 +75,7 @@
         by_endpoint: ``EndpointLimit`` objects by endpoint name.
         ended: Start of the instance and time of the end, by name of an endpoint whose limit
             ended recently.
-        router_count: The ``RouterCount``.
+        router_count: Number of routers.
 
     Examples:
         >>> from random import Random
@@ -123,7 +92,7 @@
         self.random = random
         self.by_endpoint = {}
         self.ended = {}
-        self.router_count = RouterCount()
+        self.router_count = 1
 
     # --- Responses -----------------------------------------------------------------
 
@@ -198,10 +167,10 @@
 
         Args:
             shares: The limits that the leader knows, and their recent ends.
-            router_count: Number of routers that the leader knows.
+            router_count: Number of routers.
             now_s: Monotonic time in seconds.
         """
-        self.router_count.note(router_count, now_s)
+        self.router_count = router_count
         for share in shares:
             self._apply_share(share, now_s)
         for limit in self.by_endpoint.values():
@@ -231,7 +200,7 @@
     # --- Limits --------------------------------------------------------------------
 
     def _configure(self, limit, now_s):
-        count = self.router_count.largest
+        count = self.router_count
         share = 1.0 / count if limit.share is None else limit.share
         limit.allowance.configure(limit.limit_per_s, share, count, limit.demand_per_s, now_s)
 
--- a/greengagerock/routing/tests/test_endpoint_limits.py
+++ b/greengagerock/routing/tests/test_endpoint_limits.py
@@ -7,6 +7,7 @@
 from greengagerock.core.interface import EndpointNoticed, Forward, RespondWithError
 from greengagerock.routing.endpoint_limits import LIMIT_VALIDITY_S, EndpointLimits
 from greengagerock.routing.request_allowance import BURST_WINDOW_S, RequestAllowance
+from greengagerock.routing.router_count import RouterCount
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 from greengagerock.view import EndpointRecord, LimitShare
 
@@ -62,12 +63,16 @@
 
 
 def test_new_leader_that_knows_few_routers_does_not_raise_the_equal_shares():
-    limits = EndpointLimits(Random(1))
+    limits, count = EndpointLimits(Random(1)), RouterCount()
     limits.note_limit("e1", 1000, 5.0, 10.0)
-    limits.apply_shares([], 10, 10.5)
-    limits.apply_shares([], 1, 15.0)
+    for routers, now_s in ((10, 10.5), (1, 15.0)):
+        count.note(routers, now_s)
+        limits.apply_shares([], count.largest, now_s)
     rate_per_s = limits.by_endpoint["e1"].allowance.rate_per_s
     assert rate_per_s == pytest.approx(0.5)
+    for now_s in (21.0, 32.0):
+        count.note(1, now_s)
+    assert count.largest == 1
 
 
 @pytest.mark.parametrize(
