Let short bodies that arrive end up to a second after the deadline

Since an attempt was cancelled 0.25 s after its deadline also while its short body was arriving, and a response that was ready would have been lost. It has a second now once its head has arrived; one that still waits for the head is cancelled as before. test_short_body_that_arrives_after_the_deadline_is_delivered plays it against real processes.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -287,10 +287,12 @@
         token: The request.
         only_reused: Whether to close only a connection that was used before and on which no
             part of the response has arrived.
+        only_waiting: Whether to close it only if the head of the response has not arrived.
     """
 
     token: int
     only_reused: bool = False
+    only_waiting: bool = False
 
 
 class WatchCaller(msgspec.Struct, frozen=True):
--- a/greengagerock/daemon/bridge.py
+++ b/greengagerock/daemon/bridge.py
@@ -71,15 +71,19 @@
         """Return the current attempt of a request, or ``None``."""
         return self._attempts.get(token)
 
-    def cancel(self, token, only_reused):
+    def cancel(self, token, only_reused=False, only_waiting=False):
         """Cancel the current attempt of a request; called from the loop thread.
 
         Args:
             token: Token of the request.
             only_reused: Whether to cancel only an attempt on a reused connection.
+            only_waiting: Whether to cancel only an attempt that waits for the head of a response.
         """
         attempt = self._attempts.get(token)
-        if attempt is not None and not (only_reused and attempt.is_new):
+        if attempt is None:
+            return
+        is_excluded = (only_reused and attempt.is_new) or (only_waiting and attempt.has_head)
+        if not is_excluded:
             attempt.cancel()
 
     def _thread_queue(self):
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -207,8 +207,8 @@
                     self.bridge.deliver(token, code)
                 case LogEvent(event, fields):
                     self.log(event, **fields)
-                case CancelAttempt(token, only_reused):
-                    self.bridge.cancel(token, only_reused)
+                case CancelAttempt(token, only_reused, only_waiting):
+                    self.bridge.cancel(token, only_reused, only_waiting)
                 case WatchCaller(token):
                     self._watch_caller(token)
                 case CloseIdleConnections(address):
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -19,9 +19,10 @@
 MAX_TURN_WAIT_S = 4.0
 # Time after sending from which on the I/O layer watches whether the caller is still connected.
 WATCH_AFTER_S = 0.2
-# Time after the deadline at which an attempt without a complete response is cancelled, and the
-# same for a long response that is being relayed.
+# Time after the deadline at which an attempt is cancelled: while it waits for the head of the
+# response, while a short body arrives, and while a long response is being relayed.
 OVERDUE_S = 0.25
+BODY_GRACE_S = 1.0
 STREAM_GRACE_S = 5.0
 # Requests above the limit of an endpoint that are allowed for an urgent route.
 URGENT_EXTRA_REQUESTS = 1
@@ -320,5 +321,6 @@
             self._schedule_overdue(call, stream_end_s)
             return
         call.is_overdue = True
-        self.outbox.add(CancelAttempt(call.token))
+        is_body_awaited = self.timers.now_s < call.deadline_s + BODY_GRACE_S
+        self.outbox.add(CancelAttempt(call.token, only_waiting=is_body_awaited))
         self._schedule_overdue(call, self.timers.now_s)
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -283,6 +283,8 @@
     harness.timers.advance(harness.timers.now_s + 1.1)
     assert harness.effects() == []
     harness.timers.advance(harness.timers.now_s + 0.3)
+    assert harness.effects() == [CancelAttempt(token, only_waiting=True)]
+    harness.timers.advance(harness.timers.now_s + 0.7)
     assert CancelAttempt(token) in harness.effects()
     harness.fail(token, "lost")
     (response,) = harness.effects()
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -198,6 +198,7 @@
 }
 REFUSED_LINE = f"{REFUSED_HEADER}: full\r\n".encode()
 ENDLESS_INTERVAL_S = 0.005
+SLOW_BODY_S = 0.6
 
 
 class _Server(ThreadingHTTPServer):
@@ -280,6 +281,12 @@
             self.connection.shutdown(socket.SHUT_RDWR)
             return
         content = f"{endpoint.name} ran {self.command} {self.path}\n".encode() + body
+        if endpoint.response_fault == "slow-body":
+            self._send_response(200, b"", {}, len(content))
+            for byte in content:
+                self.wfile.write(bytes([byte]))
+                time.sleep(SLOW_BODY_S / len(content))
+            return
         if endpoint.response_fault == "torn":
             self._send_response(200, content, {}, len(content) + 10)
             self.close_connection = True
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -257,7 +257,7 @@
         self.body_attempt = Attempt()
         self.body_attempt.sock = attempt.sock
         # A body in progress shows that the connection works.
-        self.body_attempt.is_new = True
+        self.body_attempt.is_new = self.body_attempt.has_head = True
         self.app.bridge.register_attempt(self.token, self.body_attempt)
 
     def end_body(self):
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -63,6 +63,7 @@
         caller_descriptor: Descriptor of the caller's socket, or ``None`` if it is not watched.
 
     Attributes:
+        has_head: Whether the head of the response has arrived.
         has_sent_bytes: Whether any byte may have left this host.
         sock: The socket in use, or ``None``. The library's connection drops it when a response
             is to end with the connection.
@@ -75,6 +76,7 @@
         "_caller_descriptor",
         "_lock",
         "_is_watched",
+        "has_head",
         "has_sent_bytes",
         "is_cancelled",
         "sock",
@@ -86,6 +88,7 @@
         self._caller_descriptor = caller_descriptor
         self._lock = threading.Lock()
         self._is_watched = False
+        self.has_head = False
         self.has_sent_bytes = False
         self.sock = None
         self.is_cancelled = False
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -142,6 +142,14 @@
     site.wait_until(lambda: site.call(path, key).status == 200)
 
 
+def test_short_body_that_arrives_after_the_deadline_is_delivered(site):
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "slow-body"
+    response = site.call("/prices/late", headers={"Greengage-Timeout-Ms": "400"})
+    assert response.status == 200
+    assert response.data.endswith(b"ran GET /prices/late\n")
+
+
 def test_endpoint_that_names_a_limit_gets_no_more_through_both_routers(site):
     """The only endpoint that holds the key names a limit; its end is observed as well."""
     holder = find_endpoint_holding(site, 77)
