Bound the wait of a new leader for routers below the wait of operators

Since a new leader acknowledged a change up to 1.2 s after it began to lead. Operators try another controller after a second, and a relayed request times out after 0.9 s, so the answer was lost. It waits 0.6 s now, as any leader does for a slow router. test_new_leader_delays_acknowledgements_no_longer_than_operators_wait failed before.

--- a/greengagerock/control/confirmations.py
+++ b/greengagerock/control/confirmations.py
@@ -41,7 +41,7 @@
     def __init__(self, began_s):
         self.began_s = began_s
         self.revision = 0
-        self.deadline_s = began_s + REACHABLE_WINDOW_S
+        self.deadline_s = began_s + MAX_WAIT_S
         self.callbacks = []
 
     def note_change(self, revision, items, now_s):
--- a/greengagerock/control/tests/test_confirmations.py
+++ b/greengagerock/control/tests/test_confirmations.py
@@ -51,3 +51,19 @@
     confirmations, acknowledged = build_confirmations()
     confirmations.advance([], 10.0)
     assert acknowledged == ["ok"]
+
+
+def test_new_leader_delays_acknowledgements_no_longer_than_operators_wait():
+    """Operators try another controller after a second, and relayed requests time out before."""
+    for sent_s in (0.0, 0.3, 0.59, 1.0, 1.19):
+        confirmations, acknowledged = Confirmations(0.0), []
+        confirmations.note_change(7, 1, sent_s)
+        confirmations.call_when_confirmed(lambda a=acknowledged: a.append("ok"))
+        confirmations.advance([(7, sent_s)], sent_s + MAX_WAIT_S + 2 * MAX_WAIT_PER_ITEM_S)
+        assert acknowledged == ["ok"]
+    confirmations, acknowledged = Confirmations(0.0), []
+    confirmations.call_when_confirmed(lambda: acknowledged.append("resent"))
+    confirmations.advance([], MAX_WAIT_S - 0.01)
+    assert acknowledged == []
+    confirmations.advance([], MAX_WAIT_S)
+    assert acknowledged == ["resent"]
