--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -187,6 +187,7 @@
         outcome = "answered" if event.complete else "cut-off"
         if event.response_time_s:
             observation = self.observations.observation_of(endpoint)
+            self._log_reached(endpoint, observation)
             if observation.is_doubtful(self.timers.now_s):
                 self._cancel_silent_attempts(endpoint, call.sent_s)
             observation.note_response(
@@ -273,10 +274,21 @@
             self.observations.observation_of(endpoint).note_ended()
         return endpoint
 
+    def _log_reached(self, endpoint, observation):
+        """Log that an endpoint that could not be reached has responded."""
+        if observation.is_unreachable:
+            self.outbox.log(
+                "endpoint-reached",
+                endpoint=endpoint,
+                after_ms=round(1000 * (self.timers.now_s - observation.unreachable_since_s)),
+                unreachable=self.observations.unreachable_count() - 1,
+            )
+
     def _on_refused(self, call, endpoint):
         """Handle a refusal: the endpoint did not run the request."""
         now_s = self.timers.now_s
         observation = self.observations.observation_of(endpoint)
+        self._log_reached(endpoint, observation)
         observation.note_shed(call.route.objective_s, now_s)
         record = self.replica.endpoints.get(endpoint)
         may_be_accepted = (
@@ -310,8 +322,15 @@
         now_s = self.timers.now_s
         observation = self.observations.observation_of(endpoint)
         is_first_failure = not observation.is_unreachable
-        observation.is_unreachable = True
-        observation.last_probe_s = now_s
+        observation.note_unreachable(now_s)
+        if is_first_failure:
+            self.outbox.log(
+                "endpoint-unreachable",
+                endpoint=endpoint,
+                service=call.service,
+                request_id=call.request_id,
+                unreachable=self.observations.unreachable_count(),
+            )
         self.health.note_failure(endpoint, now_s)
         call.delivery_count -= 1
         record = self.replica.endpoints.get(endpoint)
--- a/greengagerock/routing/observations.py
+++ b/greengagerock/routing/observations.py
@@ -55,6 +55,7 @@
         silent_since_s: When the endpoint last responded, or when the first request after that
             was sent.
         is_unreachable: Whether the last attempt to connect failed.
+        unreachable_since_s: When the first attempt to connect after a response failed.
         last_probe_s: When a request was last sent to find out whether the endpoint responds.
         last_decrease_s: When the limit was last decreased.
         responses: Number of responses since the last collection.
@@ -83,6 +84,7 @@
         "response_time_sum_s",
         "responses",
         "silent_since_s",
+        "unreachable_since_s",
     )
 
     def __init__(self, shared_mean_s=lambda: None):
@@ -94,6 +96,7 @@
         self.limit = INITIAL_LIMIT
         self.silent_since_s = 0.0
         self.is_unreachable = False
+        self.unreachable_since_s = float("-inf")
         self.last_probe_s = float("-inf")
         self.last_sent_s = float("-inf")
         self.last_decrease_s = float("-inf")
@@ -180,6 +183,13 @@
         self.silent_since_s = now_s
         self.is_unreachable = False
 
+    def note_unreachable(self, now_s):
+        """Record that an attempt to connect failed."""
+        if not self.is_unreachable:
+            self.is_unreachable = True
+            self.unreachable_since_s = now_s
+        self.last_probe_s = now_s
+
     def has_room(self, extra_requests, now_s):
         """Return whether one more request may be sent to the endpoint.
 
@@ -250,6 +260,10 @@
             self.by_endpoint[endpoint] = observation
         return observation
 
+    def unreachable_count(self):
+        """Return the number of endpoints to which the last attempt to connect failed."""
+        return sum(o.is_unreachable for o in list(self.by_endpoint.values()))
+
     def reduce_own_weights(self):
         """Reduce the weight of own responses, since the leader has sent newer means."""
         for observation in self.by_endpoint.values():
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -7,6 +7,7 @@
     CancelAttempt,
     CloseIdleConnections,
     Forward,
+    LogEvent,
     RequestEnded,
     RespondWithError,
     ResponseStarted,
@@ -303,3 +304,20 @@
     for _ in range(4):
         harness.timers.advance(harness.timers.now_s + 0.25)
     assert CancelAttempt(token) in harness.effects()
+
+
+def test_loss_and_return_of_the_way_to_an_endpoint_are_logged_once():
+    harness = DispatcherHarness()
+    token = harness.call()
+    for _ in range(2):
+        harness.fail(token, "connect", has_sent_bytes=False)
+    harness.timers.advance(harness.timers.now_s + 0.5)
+    token = harness.call()
+    harness.dispatcher.on_ended(RequestEnded(token, True, 0.1))
+    logged = [e for e in harness.outbox.drain() if isinstance(e, LogEvent)]
+    events = [e for e in logged if e.event in ("endpoint-unreachable", "endpoint-reached")]
+    assert [(e.event, e.fields["unreachable"]) for e in events] == [
+        ("endpoint-unreachable", 1),
+        ("endpoint-reached", 0),
+    ]
+    assert events[1].fields["after_ms"] == 500
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -163,6 +163,7 @@
         )
         yield from self._link_turns()
         yield from self._limits()
+        yield from self._unreachable_endpoints()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
@@ -188,6 +189,16 @@
                 value=len(dispatcher.limits.by_endpoint),
             )
 
+    def _unreachable_endpoints(self):
+        """Yield how many endpoints a router cannot connect to."""
+        dispatcher = getattr(self.node, "dispatcher", None)
+        if dispatcher is not None:
+            yield GaugeMetricFamily(
+                "greengage_unreachable_endpoints",
+                "Endpoints to which the last attempt to connect failed.",
+                value=dispatcher.observations.unreachable_count(),
+            )
+
 
 def collect_link_metrics(stats):
     """Yield metric families of the ``LinkStats`` of a host."""
