--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -9,6 +9,8 @@
 from greengagerock.core.interface import (
     AttemptFailed,
     CallArrived,
+    CancelAttempt,
+    CloseIdleConnections,
     EndpointNoticed,
     EndpointReportArrived,
     Forward,
@@ -22,6 +24,13 @@
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site_config import SiteConfig
 from greengagerock.testing.fake_hosts import FakeDisk, FakeHost
+from greengagerock.testing.fake_paths import (
+    CONNECT_TIMEOUT_S,
+    HANGS,
+    ONE_WAY,
+    REFUSES_NEW,
+    FakePaths,
+)
 from greengagerock.testing.fake_system import MESSAGE_DELAY_RANGE_S, FakeSystem
 from greengagerock.testing.item_builders import build_first_patch
 from greengagerock.testing.model_builders import build_host
@@ -194,6 +203,7 @@
         reporting_endpoints: ``FakeReportingEndpoint`` objects by name.
         replies: Values of ``Respond`` effects by token.
         double_holds: Tuples of time, two endpoint names and up to three units that both held.
+        paths: The ``FakePaths`` between routers and endpoints.
     """
 
     def __init__(self, seed=1, hold_s=6.0, **options):
@@ -203,6 +213,7 @@
         self.replies = {}
         self.double_holds = []
         self.calls = {}
+        self.paths = FakePaths()
         self._octets = itertools.count(1)
         self._open_reports = {}
 
@@ -379,6 +390,10 @@
                     self._forward_call(host, effect)
                 case RespondWithError(token):
                     self._record_response(token, effect)
+                case CancelAttempt(token):
+                    self._cancel_attempt(host, token)
+                case CloseIdleConnections(address):
+                    self._close_idle_connections(host, address)
                 case _:
                     other_effects.append(effect)
         super()._carry_out(host, other_effects)
@@ -391,22 +406,69 @@
             self.replies[token] = value
 
     def _forward_call(self, host, effect):
-        run_number = host.run_number
         endpoint = self.reporting_endpoints.get(effect.endpoint)
-        call = self.calls[effect.token]
+        path = (host.config.host.name, effect.endpoint)
+        fault = self.paths.fault_of(path)
+        is_reused = self.paths.take_connection(path)
+        if endpoint is None or not endpoint.is_up:
+            self._fail_attempt(host, effect.token, "connect", False, CALL_DELAY_S)
+        elif fault is not None and not is_reused:
+            is_silent = fault in (HANGS, ONE_WAY)
+            delay_s = CONNECT_TIMEOUT_S if is_silent else CALL_DELAY_S
+            self._fail_attempt(host, effect.token, "connect", False, delay_s)
+        else:
+            self._send_to_endpoint(host, endpoint, effect, path, fault)
+
+    def _fail_attempt(self, host, token, reason, has_sent_bytes, delay_s):
+        failure = AttemptFailed(token, reason, has_sent_bytes, False)
+        run_number = host.run_number
+        self.at(delay_s, lambda: self._end_request(host, run_number, token, failure))
+
+    def _send_to_endpoint(self, host, endpoint, effect, path, fault):
+        """Send a request on an open connection."""
+        token = effect.token
+        call = self.calls[token]
+
+        def lose():
+            if self.paths.end(path, token, False):
+                self._fail_attempt(host, token, "lost", True, 0.0)
 
         def arrive():
-            if endpoint is None or not endpoint.is_up:
-                failure = AttemptFailed(effect.token, "connect", False, False)
-                self._end_request(host, run_number, effect.token, failure)
+            if not endpoint.is_up:
+                self.paths.end(path, token, False)
+                self._fail_attempt(host, token, "connect", False, 0.0)
             elif call.key is not None and not endpoint.holds_key(call.key, self.now_s):
-                failure = AttemptFailed(effect.token, "not-owner", False, False)
-                self._end_request(host, run_number, effect.token, failure)
+                if self.paths.end(path, token, True):
+                    self._fail_attempt(host, token, "not-owner", False, 0.0)
             else:
-                endpoint.arrivals.append((self.now_s, host.config.host.name))
-                self._execute_call(host, run_number, endpoint, call, effect.is_limited)
+                endpoint.arrivals.append((self.now_s, path[0]))
+                self._execute_call(host, path, endpoint, call, effect)
+
+        self.paths.begin(path, token, lose)
+        if fault == HANGS:
+            self._time_out_later(host, path, token, effect.timeout_s)
+        else:
+            self.at(CALL_DELAY_S, arrive)
+
+    def _time_out_later(self, host, path, token, delay_s):
+        """Fail an attempt whose response does not come."""
+
+        def time_out():
+            if self.paths.end(path, token, False):
+                self._fail_attempt(host, token, "timeout", True, 0.0)
+
+        self.at(delay_s, time_out)
+
+    def _cancel_attempt(self, host, token):
+        for path, requests in self.paths.in_flight.items():
+            if path[0] == host.config.host.name and token in requests:
+                requests[token]()
+                return
 
-        self.at(CALL_DELAY_S, arrive)
+    def _close_idle_connections(self, host, address):
+        for name, endpoint in self.reporting_endpoints.items():
+            if endpoint.address == address:
+                self.paths.close_idle(host.config.host.name, name)
 
     def _respond_with_limit(self, host, endpoint, token, was_limited):
         """Pass on what the head of a response says about the endpoint's limit."""
@@ -416,20 +478,25 @@
         elif was_limited:
             self._feed(host, EndpointNoticed(token, ends_limit=True))
 
-    def _execute_call(self, host, run_number, endpoint, call, was_limited):
+    def _execute_call(self, host, path, endpoint, call, effect):
+        token, run_number = effect.token, host.run_number
         duration_s = endpoint.enqueue_request(self.now_s)
         if duration_s is None:
-            failure = AttemptFailed(call.token, "refused", True, False)
-            self._end_request(host, run_number, call.token, failure)
+            if self.paths.end(path, token, True):
+                self._fail_attempt(host, token, "refused", True, 0.0)
             return
         unit = None if call.key is None else call.key // KEYS_PER_UNIT
         endpoint.runs.append((call.request_id, unit, self.now_s))
-        completion = RequestEnded(call.token, True, duration_s)
 
         def complete():
+            if self.paths.fault_of(path) not in (None, REFUSES_NEW):
+                self._time_out_later(host, path, token, max(0.0, effect.timeout_s - duration_s))
+                return
+            if not self.paths.end(path, token, True):
+                return
             if host.run_number == run_number:
-                self._respond_with_limit(host, endpoint, call.token, was_limited)
-            self._end_request(host, run_number, call.token, completion)
+                self._respond_with_limit(host, endpoint, token, effect.is_limited)
+            self._end_request(host, run_number, token, RequestEnded(token, True, duration_s))
 
         self.at(duration_s, complete)
 
