Connect again to unreachable endpoints while others take their requests

The picker tried an unreachable endpoint only while no other was usable, and only a response clears the mark.

Class: a state that nothing clears. Now an unreachable endpoint gets a request over a new connection after 0.25 s, then after twice the time up to 2 s, and all at once as soon as one is reached again; the request goes elsewhere if that fails, since nothing of it was sent.

--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -225,6 +225,8 @@
             code = "no-room" if call.tried_endpoints else "no-endpoint"
             detail = f"service {call.service} has {len(records)} endpoints"
             self.refuse(call, code, detail, self._shortest_pause_s(records))
+        elif self.observations.observation_of(record.name).is_unreachable:
+            self._probe(call, record)
         else:
             self.forward(call, record)
 
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -187,7 +187,7 @@
         outcome = "answered" if event.complete else "cut-off"
         if event.response_time_s:
             observation = self.observations.observation_of(endpoint)
-            self._log_reached(endpoint, observation)
+            self._note_reached(endpoint, observation)
             if observation.is_doubtful(self.timers.now_s):
                 self._cancel_silent_attempts(endpoint, call.sent_s)
             observation.note_response(
@@ -274,9 +274,10 @@
             self.observations.observation_of(endpoint).note_ended()
         return endpoint
 
-    def _log_reached(self, endpoint, observation):
-        """Log that an endpoint that could not be reached has responded."""
+    def _note_reached(self, endpoint, observation):
+        """Record and log that an endpoint that could not be reached has responded."""
         if observation.is_unreachable:
+            self.observations.expect_reachable()
             self.outbox.log(
                 "endpoint-reached",
                 endpoint=endpoint,
@@ -288,7 +289,7 @@
         """Handle a refusal: the endpoint did not run the request."""
         now_s = self.timers.now_s
         observation = self.observations.observation_of(endpoint)
-        self._log_reached(endpoint, observation)
+        self._note_reached(endpoint, observation)
         observation.note_shed(call.route.objective_s, now_s)
         record = self.replica.endpoints.get(endpoint)
         may_be_accepted = (
--- a/greengagerock/routing/endpoint_picker.py
+++ b/greengagerock/routing/endpoint_picker.py
@@ -69,6 +69,9 @@
         ]
         if not untried:
             return None
+        due = self._find_due(untried, now_s)
+        if due is not None:
+            return due
         usable = [r for r in untried if self._is_healthy(r, extra_requests, now_s)]
         if not usable:
             usable = [
@@ -83,6 +86,19 @@
         )
         return min(candidates, key=lambda record: self._cost_s(record, penalty_s))
 
+    def _find_due(self, records, now_s):
+        """Return an unreachable endpoint to which it is time to connect again, or ``None``.
+
+        Nothing else shows that an endpoint can be reached again while others get its requests.
+        """
+        for record in records:
+            observation = self.observations.observation_of(record.name)
+            if observation.is_unreachable and observation.may_probe(
+                now_s, observation.probe_interval_s
+            ):
+                return record
+        return None
+
     def _is_healthy(self, record, extra_requests, now_s):
         observation = self.observations.observation_of(record.name)
         if self.health.is_avoided(record.name, now_s) or observation.is_doubtful(now_s):
--- a/greengagerock/routing/observations.py
+++ b/greengagerock/routing/observations.py
@@ -38,6 +38,9 @@
 SILENCE_MEAN_TIMES = 5
 # Time between two requests to a silent endpoint, which show whether it responds again.
 PROBE_INTERVAL_S = 0.25
+# Longest time between attempts to connect to an endpoint whose requests go elsewhere meanwhile.
+# The time doubles with each attempt, since each one may delay a request by a time-out.
+MAX_PROBE_INTERVAL_S = 2.0
 
 
 class EndpointObservation:
@@ -57,6 +60,8 @@
         is_unreachable: Whether the last attempt to connect failed.
         unreachable_since_s: When the first attempt to connect after a response failed.
         last_probe_s: When a request was last sent to find out whether the endpoint responds.
+        probe_interval_s: Time until the next attempt to connect if the endpoint is unreachable and
+            requests can go elsewhere.
         last_decrease_s: When the limit was last decreased.
         responses: Number of responses since the last collection.
         response_time_sum_s: Sum of their response times in seconds.
@@ -81,6 +86,7 @@
         "limit",
         "own_mean_s",
         "own_response_weight",
+        "probe_interval_s",
         "response_time_sum_s",
         "responses",
         "silent_since_s",
@@ -98,6 +104,7 @@
         self.is_unreachable = False
         self.unreachable_since_s = float("-inf")
         self.last_probe_s = float("-inf")
+        self.probe_interval_s = PROBE_INTERVAL_S
         self.last_sent_s = float("-inf")
         self.last_decrease_s = float("-inf")
         self.responses = 0
@@ -185,9 +192,12 @@
 
     def note_unreachable(self, now_s):
         """Record that an attempt to connect failed."""
-        if not self.is_unreachable:
+        if self.is_unreachable:
+            self.probe_interval_s = min(MAX_PROBE_INTERVAL_S, 2 * self.probe_interval_s)
+        else:
             self.is_unreachable = True
             self.unreachable_since_s = now_s
+            self.probe_interval_s = PROBE_INTERVAL_S
         self.last_probe_s = now_s
 
     def has_room(self, extra_requests, now_s):
@@ -213,9 +223,9 @@
         """Time without a response after which the endpoint counts as silent, in seconds."""
         return max(SILENCE_S, SILENCE_MEAN_TIMES * self.mean_response_s)
 
-    def may_probe(self, now_s):
+    def may_probe(self, now_s, interval_s=PROBE_INTERVAL_S):
         """Return whether a doubtful endpoint may get a request, and record it as sent if so."""
-        if now_s - self.last_probe_s < PROBE_INTERVAL_S:
+        if now_s - self.last_probe_s < interval_s:
             return False
         self.last_probe_s = now_s
         return True
@@ -264,6 +274,13 @@
         """Return the number of endpoints to which the last attempt to connect failed."""
         return sum(o.is_unreachable for o in list(self.by_endpoint.values()))
 
+    def expect_reachable(self):
+        """Let all unreachable endpoints be tried at once, since one of them was reached again."""
+        for observation in self.by_endpoint.values():
+            if observation.is_unreachable:
+                observation.last_probe_s = float("-inf")
+                observation.probe_interval_s = PROBE_INTERVAL_S
+
     def reduce_own_weights(self):
         """Reduce the weight of own responses, since the leader has sent newer means."""
         for observation in self.by_endpoint.values():
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -321,3 +321,33 @@
         ("endpoint-reached", 0),
     ]
     assert events[1].fields["after_ms"] == 500
+
+
+def test_unreachable_endpoint_is_used_again_although_others_take_its_requests():
+    harness = DispatcherHarness(endpoints=4)
+    for name in harness.replica.by_service["docs"]:
+        if name != "docs-0":
+            harness.dispatcher.observations.observation_of(name).note_unreachable(10.0)
+    used = set()
+    for _ in range(60):
+        harness.timers.advance(harness.timers.now_s + 0.1)
+        token = harness.call("prices", None)
+        used |= {e.endpoint for e in harness.effects() if isinstance(e, Forward)}
+        harness.dispatcher.on_ended(RequestEnded(token, True, 0.05))
+    assert used == set(harness.replica.by_service["docs"])
+
+
+def test_endpoint_that_stays_unreachable_delays_few_requests():
+    harness = DispatcherHarness(endpoints=4)
+    harness.dispatcher.observations.observation_of("docs-3").note_unreachable(10.0)
+    attempts = 0
+    for _ in range(200):
+        harness.timers.advance(harness.timers.now_s + 0.1)
+        token = harness.call("prices", None)
+        (forward,) = [e for e in harness.effects() if isinstance(e, Forward)]
+        if forward.endpoint == "docs-3":
+            attempts += 1
+            harness.fail(token, "connect", has_sent_bytes=False)
+            assert isinstance(harness.effects()[0], Forward)
+        harness.dispatcher.on_ended(RequestEnded(token, True, 0.05))
+    assert 10 <= attempts <= 20
