--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -41,6 +41,8 @@
         "leader-lost",
         "leader-settled",
         "leader-stepped-down",
+        "partition-begins",
+        "partition-ends",
         "reloaded",
         "request-banned",
         "started",
--- /dev/null
+++ b/greengagerock/control/relay_directory.py
@@ -0,0 +1,83 @@
+"""Choice of the routers through which each router may send requests to endpoints."""
+
+import bisect
+
+# Number of relays that each router gets.
+RELAYS_PER_ROUTER = 6
+# Endpoints that a relay may fail to reach beyond those that no router reaches, as a share of all.
+MAX_UNREACHABLE_SHARE = 0.25
+
+
+class RelayDirectory:
+    """The routers that forward requests for others, and what they have reported.
+
+    A router that cannot reach many endpoints is not given to others as a relay, unless all
+    routers are like that.
+
+    Args:
+        endpoint_count: Callable that returns the number of endpoints.
+
+    Attributes:
+        reports: Relay address and number of unreachable endpoints, by router.
+
+    Examples:
+        >>> directory = RelayDirectory(lambda: 8)
+        >>> for name in "abc":
+        ...     changed = directory.note(name, f"{name}:1", 0)
+        >>> directory.relays_for("a")
+        ('b:1', 'c:1')
+        >>> directory.note("b", "b:1", 8), directory.relays_for("a"), directory.relays_for("b")
+        (True, ('c:1',), ('c:1', 'a:1'))
+    """
+
+    def __init__(self, endpoint_count):
+        self.endpoint_count = endpoint_count
+        self.reports = {}
+        self._ring = []
+
+    def note(self, router, relay_address, unreachable):
+        """Record a router's report.
+
+        Args:
+            router: Link address of the router.
+            relay_address: Where it takes requests of other routers, or empty if it does not.
+            unreachable: Number of endpoints that it cannot reach.
+
+        Returns:
+            Whether this changes the relays of any router.
+        """
+        if self.reports.get(router) == (relay_address, unreachable):
+            return False
+        self.reports[router] = (relay_address, unreachable)
+        return self._rebuild()
+
+    def remove(self, router):
+        """Remove a router that no longer reports; return whether this changes any relays."""
+        return self.reports.pop(router, None) is not None and self._rebuild()
+
+    def relays_for(self, router):
+        """Return the relay addresses for a router.
+
+        They are evenly spaced in the order of the routers' addresses, which is mostly that of the
+        availability zones, and begin behind the router itself, so that each relay serves about as
+        many routers as any other.
+        """
+        ring = self._ring
+        start = bisect.bisect_right(ring, (router,))
+        candidates = len(ring)
+        if start < len(ring) and ring[start][0] == router:
+            start, candidates = start + 1, candidates - 1
+        count = min(RELAYS_PER_ROUTER, candidates)
+        return tuple(ring[(start + k * candidates // count) % len(ring)][1] for k in range(count))
+
+    def _rebuild(self):
+        counts = [unreachable for address, unreachable in self.reports.values() if address]
+        limit = min(counts, default=0) + max(1, MAX_UNREACHABLE_SHARE * self.endpoint_count())
+        ring = sorted(
+            (router, address)
+            for router, (address, unreachable) in self.reports.items()
+            if address and unreachable <= limit
+        )
+        has_changed = ring != self._ring
+        self._ring = ring
+        return has_changed
--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -2,6 +2,7 @@
 
 from greengagerock.control.confirmations import Confirmations
 from greengagerock.control.limit_shares import LimitShares
+from greengagerock.control.relay_directory import RelayDirectory
 from greengagerock.control.response_times import ResponseTimes
 from greengagerock.view import (
     EndpointRecord,
@@ -9,6 +10,7 @@
     ItemsHistory,
     PackedDeltaCache,
     ViewDelta,
+    digest_relays,
 )
 
 # Changes within this time are sent to routers in one message. It arrives after the response to
@@ -51,6 +53,7 @@
         response_times: The ``ResponseTimes`` over all routers.
         confirmations: The ``Confirmations`` of item changes.
         limit_shares: The ``LimitShares`` of this term.
+        relay_directory: The ``RelayDirectory`` of this term.
         subscribers: A ``Subscriber`` by link address.
     """
 
@@ -75,6 +78,7 @@
         self.confirmations = Confirmations(self.timers.now_s)
         self.response_times = ResponseTimes(self.voter.term)
         self.limit_shares = LimitShares(self.timers.now_s)
+        self.relay_directory = RelayDirectory(lambda: len(self.endpoints_history.endpoints))
         self.subscribers = {}
         self.push_timer = None
 
@@ -85,7 +89,9 @@
         if address not in self.subscribers:
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
-        if self.limit_shares.on_reports(address, poll.limits, self.timers.now_s):
+        has_new_limits = self.limit_shares.on_reports(address, poll.limits, self.timers.now_s)
+        has_new_relays = self.relay_directory.note(address, poll.relay_address, poll.unreachable)
+        if has_new_limits or has_new_relays:
             self.schedule_push()
         self._send_view(address, poll)
         self._confirm()
@@ -147,10 +153,12 @@
         for address, subscriber in list(self.subscribers.items()):
             if now_s - subscriber.last_poll_s > SUBSCRIBER_TIMEOUT_S:
                 del self.subscribers[address]
+                self.relay_directory.remove(address)
             elif self._is_nearly_current(subscriber.poll):
                 self._send_view(address, subscriber.poll)
 
     def _send_view(self, address, poll):
+        relays = self.relay_directory.relays_for(address)
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
             self.packed_endpoints.since(poll.epoch, poll.endpoints_revision),
@@ -161,6 +169,7 @@
             if poll.response_times_number != self.response_times.number
             else None,
             self.limit_shares.shares_for(address, len(self.subscribers), self.timers.now_s),
+            relays if digest_relays(relays) != poll.relays_digest else None,
         )
         self.outbox.send(address, delta)
 
--- a/greengagerock/core/errors.py
+++ b/greengagerock/core/errors.py
@@ -50,6 +50,7 @@
     ErrorKind("request-banned", 403, "This request crashed several endpoints."),
     ErrorKind("stopping", 503, "This daemon is stopping.", 1),
     ErrorKind("connect-failed", 503, "The endpoint could not be reached.", 1),
+    ErrorKind("relay-unavailable", 503, "The other router cannot forward the request.", 1),
     ErrorKind("endpoint-refused", 503, "The endpoint refused the request without running it.", 1),
     ErrorKind("endpoint-limited", 503, "The endpoint takes only so many requests a second.", 1),
     ErrorKind("answer-lost", 502, "The connection broke before the endpoint responded.", 1),
--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -90,6 +90,24 @@
     body_digest: str = ""
 
 
+class RelayArrived(msgspec.Struct, frozen=True):
+    """Another router's request arrived, to be forwarded to the endpoint that it names.
+
+    Attributes:
+        token: Identifies the request on this node.
+        request_id: The caller's identifier of this attempt of the request.
+        endpoint: Name of the endpoint.
+        timeout_s: Remaining time for the request, in seconds.
+        is_limited: Whether the other router has a limit of the endpoint.
+    """
+
+    token: int
+    request_id: str
+    endpoint: str
+    timeout_s: float
+    is_limited: bool = False
+
+
 class EndpointReportArrived(msgspec.Struct, frozen=True):
     """An endpoint's report, or its notice that it leaves, arrived over HTTP."""
 
@@ -125,7 +143,8 @@
 
     Attributes:
         token: The request.
-        reason: ``connect``, ``refused``, ``not-owner``, ``lost``, ``timeout`` or ``caller``.
+        reason: ``connect``, ``refused``, ``not-owner``, ``lost``, ``timeout``, ``caller`` or
+            ``relay``.
         has_sent_bytes: Whether any byte of the request may have been sent to the endpoint.
         is_body_consumed: Whether any byte of the caller's body was consumed.
     """
@@ -248,6 +267,8 @@
         timeout_s: Remaining time for the whole request, in seconds.
         close: Whether to close the caller's connection after the response.
         is_limited: Whether the endpoint has named a limit on the requests that it takes.
+        relay: Address of the router through which the request is sent, or empty if it is sent on
+            an own connection.
     """
 
     token: int
@@ -257,6 +278,7 @@
     timeout_s: float
     close: bool = False
     is_limited: bool = False
+    relay: str = ""
 
 
 class RespondWithError(msgspec.Struct, frozen=True):
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+import msgspec
 from loguru import logger
 
 from greengagerock.core import GreengageError, StorageError
@@ -24,6 +25,7 @@
 from greengagerock.transport import Links
 from greengagerock.web.caller_application import CallerApplication
 from greengagerock.web.metrics import Metrics, SiteCollector
+from greengagerock.web.relay_dialect import RelayDialect
 from greengagerock.web.route_dialect import NativeRouteDialect
 from greengagerock.web.server import HttpServer
 from greengagerock.web.upstream import Upstream
@@ -32,6 +34,12 @@
 EXIT_FAILED = 1
 CONTROL_THREADS = 12
 AUXILIARY_THREADS = 2
+# More than the requests of other routers that are forwarded at once, so that each further one is
+# refused immediately.
+RELAY_THREADS = 64
+MIN_RELAY_THREADS = 1
+# Time after which a connection of another router is closed; that router closes it earlier.
+RELAY_IDLE_S = 60.0
 # Interval at which the settings file is checked for changes without a signal.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 # Interval between attempts to write to a disk that has failed.
@@ -114,14 +122,9 @@
         self.bridge.post_deferred = self.loop.post_deferred
         self.bridge.unwatch_caller = self.loop.unwatch_caller
         self.metrics.registry.register(SiteCollector(self.node, self.links))
-        self.caller_application = CallerApplication(
-            settings.host,
-            self.bridge,
-            self.upstream,
-            self.metrics,
-            log,
-            dialect or NativeRouteDialect(),
-        )
+        dialect = dialect or NativeRouteDialect()
+        self.caller_application = self._make_application(dialect)
+        self.relay_application = self._make_application(RelayDialect(dialect))
         self.control_dialect = control_dialect
         self.caller_server = None
         self.servers = self._make_servers()
@@ -181,6 +184,7 @@
             settings.stop_grace_s,
             slow_link_bytes_per_s(settings.link_mbit_s),
             settings.zone_preference,
+            settings.relay,
         )
         now_s = time.monotonic()
         if settings.role == "router":
@@ -191,6 +195,11 @@
         self.folder = DataFolder(settings.data_folder, settings.host)
         return ControllerNode(config, self.folder.durable_state, now_s, wall_clock_us)
 
+    def _make_application(self, dialect):
+        return CallerApplication(
+            self.settings.host, self.bridge, self.upstream, self.metrics, self.log, dialect
+        )
+
     def _make_servers(self):
         settings = self.settings
         servers = []
@@ -203,6 +212,20 @@
             servers.append(
                 self._make_server(settings.readiness, self.caller_application, AUXILIARY_THREADS)
             )
+        if settings.relay:
+            limits = msgspec.structs.replace(settings.limits, idle_connection_s=RELAY_IDLE_S)
+            ip, port = split_address(settings.relay)
+            servers.append(
+                HttpServer(
+                    ip,
+                    port,
+                    self.relay_application,
+                    limits,
+                    RELAY_THREADS,
+                    self.log,
+                    MIN_RELAY_THREADS,
+                )
+            )
         if settings.control:
             # As for the controller's node, routers do without it.
             from greengagerock.web.control_application import ControlApplication
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -12,6 +12,7 @@
     MessageReceived,
     Outbox,
     ReadinessRequested,
+    RelayArrived,
     RequestEnded,
     RespondToReadiness,
     RespondWithError,
@@ -24,6 +25,7 @@
 )
 from greengagerock.discovery import LeaderFinder
 from greengagerock.routing.dispatcher import Dispatcher
+from greengagerock.routing.relayed_calls import RelayedCalls
 from greengagerock.routing.retry_budget import SharedRetryBudget
 from greengagerock.routing.router_count import RouterCount
 from greengagerock.view import (
@@ -66,6 +68,7 @@
         self.outbox = Outbox()
         self.timeline = Timeline(config.host, config.zone, wall_clock_us)
         self.replica = ViewReplica()
+        self.replica.relay_address = config.relay_address
         self.finder = LeaderFinder(config.seeds)
         self.budget = SharedRetryBudget(
             config.retry_ratio, config.retry_slack, config.retry_window_s
@@ -82,6 +85,16 @@
             config.link_bytes_per_s,
         )
         self.stats = self.dispatcher.stats
+        self.relayed_calls = RelayedCalls(
+            self.replica,
+            self.dispatcher.paths,
+            self.dispatcher.observations,
+            self.dispatcher.notices,
+            self.dispatcher.notice_handler,
+            self.stats,
+            self.timers,
+            self.outbox,
+        )
         self.router_count = RouterCount()
         self.had_leader = False
         self.is_stopping = False
@@ -107,6 +120,15 @@
         match event:
             case CallArrived():
                 dispatcher.on_call(event)
+            case RelayArrived():
+                self.relayed_calls.on_arrival(event)
+            case (
+                RequestEnded(token)
+                | AttemptFailed(token)
+                | EndpointNoticed(token)
+                | CallerDisconnected(token)
+            ) if token in self.relayed_calls.by_token:
+                self._handle_relayed(event)
             case RequestEnded():
                 dispatcher.on_ended(event)
                 self._stop_if_idle()
@@ -136,6 +158,20 @@
                 self._begin_stop()
         return self.outbox.drain()
 
+    def _handle_relayed(self, event):
+        """Handle an event of a request that is forwarded for another router."""
+        match event:
+            case RequestEnded():
+                self.relayed_calls.on_ended(event)
+                self._stop_if_idle()
+            case AttemptFailed():
+                self.relayed_calls.on_attempt_failed(event)
+                self._stop_if_idle()
+            case EndpointNoticed():
+                self.relayed_calls.on_notice(event)
+            case CallerDisconnected(token):
+                self.relayed_calls.on_caller_disconnected(token)
+
     def readiness(self):
         """Return an empty string if this host accepts callers, else an error code."""
         if self.is_stopping:
@@ -154,6 +190,7 @@
         interval_s = POLL_INTERVAL_S if has_leader else SEARCH_INTERVAL_S
         self.timers.subscribe(interval_s, self._poll)
         dispatcher = self.dispatcher
+        dispatcher.paths.update_report()
         poll = self.replica.poll(
             dispatcher.observations.collect_responses(),
             dispatcher.demand.collect(),
@@ -199,6 +236,8 @@
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
+        if delta.relays is not None:
+            self.dispatcher.paths.on_relays(delta.relays)
         self.dispatcher.banned_fingerprints = frozenset(delta.bans)
         if items is not None and self._apply_items(items):
             # The leader acknowledges a change only after routers have confirmed its items.
@@ -264,6 +303,8 @@
             return
         self.is_stopping = True
         self.dispatcher.begin_closing()
+        self.relayed_calls.is_closing = True
+        self.replica.relay_address = ""
         self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
         self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new_requests)
         self.timers.subscribe(self.config.stop_grace_s - STOP_MARGIN_S, self._stop)
@@ -271,10 +312,12 @@
     def _refuse_new_requests(self):
         # A request accepted from now on may not finish before the process is killed.
         self.dispatcher.is_stopping = True
+        self.relayed_calls.is_stopping = True
         self._stop_if_idle()
 
     def _stop_if_idle(self):
-        if self.dispatcher.is_stopping and not self.dispatcher.calls:
+        is_idle = not (self.dispatcher.calls or self.relayed_calls.by_token)
+        if self.dispatcher.is_stopping and is_idle:
             self._stop()
 
     def _stop(self):
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -25,6 +25,7 @@
         link_bytes_per_s: Speed of the host's network link if it is slow, else ``None``.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone.
+        relay_address: Where a router takes requests of other routers, or empty.
     """
 
     host: str
@@ -41,3 +42,4 @@
     stop_grace_s: float = 6.0
     link_bytes_per_s: float | None = None
     zone_preference: float = DEFAULT_ZONE_PREFERENCE
+    relay_address: str = ""
--- a/greengagerock/node/tests/test_partitioned_routers.py
+++ b/greengagerock/node/tests/test_partitioned_routers.py
@@ -3,7 +3,14 @@
 import pytest
 
 from greengagerock.testing.fake_paths import HANGS, ONE_WAY, REFUSES_NEW, RESETS
-from greengagerock.testing.fake_site import build_fake_site
+from greengagerock.testing.fake_site import (
+    FakeReportingEndpoint,
+    build_fake_site,
+    find_leader_name,
+)
+from greengagerock.testing.limited_load import ADJUST_S as LIMIT_ADJUST_S
+from greengagerock.testing.limited_load import NOTICE_S as LIMIT_NOTICE_S
+from greengagerock.testing.limited_load import WINDOW_S as LIMIT_WINDOW_S
 from greengagerock.testing.partition_load import CONTACT_S, PartitionLoad
 
 ROUTERS = 10
@@ -70,3 +77,121 @@
     load.offer(5 * RATE_PER_S, PARTITION_S)
     site.paths.heal()
     check_service(load, GROUPS[group], begun_s)
+
+
+def cut_all(load, routers, fault=HANGS):
+    """Partition routers from all endpoints; return the time."""
+    load.site.paths.cut(routers, list(load.site.reporting_endpoints), fault)
+    return load.site.now_s
+
+
+@pytest.mark.parametrize("fault", [HANGS, RESETS])
+def test_callers_of_partitioned_routers_are_served_while_the_leader_is_replaced(fault):
+    load = build_load(seed=4)
+    begun_s = cut_all(load, GROUPS["some"], fault)
+    load.offer(RATE_PER_S, 2.0)
+    load.site.crash_host(find_leader_name(load.site))
+    load.offer(RATE_PER_S, 8.0)
+    check_service(load, GROUPS["some"], begun_s)
+
+
+def test_callers_of_partitioned_routers_are_served_without_any_controller():
+    load = build_load(seed=5, hold_s=60.0)
+    begun_s = cut_all(load, GROUPS["zone"])
+    load.offer(RATE_PER_S, 2.0)
+    for name in ("core-1", "core-2", "core-3"):
+        load.site.crash_host(name)
+    load.offer(RATE_PER_S, 8.0)
+    check_service(load, GROUPS["zone"], begun_s)
+
+
+def test_callers_of_partitioned_routers_are_served_while_endpoints_are_replaced():
+    load = build_load(seed=6)
+    site = load.site
+    begun_s = cut_all(load, GROUPS["some"])
+    for number in range(1, 7):
+        new = site.add_reporting_endpoint(FakeReportingEndpoint(f"new-{number}", 20 + number))
+        site.paths.cut(GROUPS["some"], [new.name], HANGS)
+        load.offer(RATE_PER_S, 1.0)
+        site.reporting_endpoints[f"till-{number}"].draining = True
+        load.offer(RATE_PER_S, 1.0)
+    check_service(load, GROUPS["some"], begun_s)
+
+
+def test_callers_of_partitioned_routers_are_served_while_relays_freeze():
+    load = build_load(seed=7)
+    begun_s = cut_all(load, GROUPS["some"])
+    load.offer(RATE_PER_S, 4.0)
+    for name in ("edge-3", "edge-5"):
+        load.site.pause_host(name)
+    load.offer(RATE_PER_S, 3.0)
+    for name in ("edge-3", "edge-5"):
+        load.site.resume_host(name)
+    load.offer(RATE_PER_S, 5.0)
+    check_service(load, GROUPS["some"], begun_s)
+
+
+def test_callers_of_partitioned_routers_are_served_in_a_burst():
+    load = build_load(seed=8)
+    begun_s = cut_all(load, GROUPS["zone"])
+    load.offer(5 * RATE_PER_S, 10.0)
+    check_service(load, GROUPS["zone"], begun_s)
+
+
+def test_callers_of_routers_that_start_during_the_partition_are_served():
+    load = build_load(seed=9)
+    begun_s = cut_all(load, GROUPS["some"])
+    load.offer(RATE_PER_S, 2.0)
+    load.site.crash_host("edge-2")
+    load.site.start_host("edge-2")
+    load.offer(RATE_PER_S, 8.0)
+    check_service(load, GROUPS["some"], begun_s)
+
+
+def test_relayed_requests_keep_the_limit_that_an_endpoint_names():
+    load = build_load(seed=10)
+    site = load.site
+    endpoint = site.reporting_endpoints["docs-1"]
+    cut_all(load, GROUPS["zone"])
+    load.offer(RATE_PER_S, 3.0)
+    endpoint.limit_per_s = 2.0
+    limited_s = site.now_s + LIMIT_ADJUST_S
+    load.offer(RATE_PER_S, 14.0)
+    assert endpoint.count_over_limit(LIMIT_WINDOW_S, LIMIT_NOTICE_S, limited_s) <= 0
+    assert load.broken_invariants() == []
+
+
+def test_endpoint_that_no_router_reaches_is_not_sought_through_relays_for_each_request():
+    load = build_load(seed=11)
+    site = load.site
+    site.paths.cut(load.routers, ["till-1"], HANGS)
+    relayed_before = site.relayed_count
+    load.offer(RATE_PER_S, 10.0)
+    sent = sum(t.sent_s >= site.now_s - 10.0 for t in load.tries)
+    assert site.relayed_count - relayed_before <= 0.2 * sent
+    site.run_for(2.0)
+    assert load.broken_invariants() == []
+
+
+def test_routers_return_to_own_connections_after_the_partition():
+    load = build_load(seed=12)
+    cut_all(load, GROUPS["most"])
+    load.offer(RATE_PER_S, 8.0)
+    load.site.paths.heal()
+    load.offer(2 * RATE_PER_S, 6.0)
+    relayed_before = load.site.relayed_count
+    load.offer(2 * RATE_PER_S, 3.0)
+    assert load.site.relayed_count == relayed_before > 0
+
+
+def test_leaving_endpoint_gets_no_new_work_through_relays():
+    load = build_load(seed=13)
+    site = load.site
+    cut_all(load, GROUPS["some"])
+    load.offer(RATE_PER_S, 4.0)
+    endpoint = site.reporting_endpoints["docs-1"]
+    endpoint.draining = True
+    load.offer(RATE_PER_S, 4.0)
+    arrivals = len(endpoint.arrivals)
+    load.offer(RATE_PER_S, 4.0)
+    assert len(endpoint.arrivals) == arrivals
--- a/greengagerock/platform/wire_settings.py
+++ b/greengagerock/platform/wire_settings.py
@@ -96,18 +96,21 @@
 
 def _convert(wire, metrics_port):
     bounds = read_bounds(wire.bounds)
-    link_port = wire.internal_ports[0]
+    link_port, last_port = wire.internal_ports
+    role = "controller" if wire.listen.control else "router"
+    takes_relayed = role == "router" and last_port > link_port
     hold_s = min(DEFAULT_HOLD_S, _read_bound_s(bounds, "hold-max", DEFAULT_HOLD_S))
     return SiteSettings(
         wire.node_name,
         wire.zone,
-        "controller" if wire.listen.control else "router",
+        role,
         f"{wire.ip}:{link_port}",
         # A controller's link address differs from its control address by the port only.
         tuple(f"{split_address(seed)[0]}:{link_port}" for seed in wire.seeds),
         callers=wire.listen.front,
         readiness=wire.listen.ready,
         control=wire.listen.control,
+        relay=f"{wire.ip}:{link_port + 1}" if takes_relayed else "",
         metrics=f"{wire.ip}:{metrics_port}",
         data_folder=wire.data_dir or "",
         may_found=wire.bootstrap,
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -7,6 +7,7 @@
     Forward,
     WatchCaller,
 )
+from greengagerock.routing.endpoint_paths import Direct, NoPath, Probe, Relayed
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
@@ -26,6 +27,8 @@
 STREAM_GRACE_S = 5.0
 # Requests above the limit of an endpoint that are allowed for an urgent route.
 URGENT_EXTRA_REQUESTS = 1
+# Number of failures to connect after which a call is sent through relays only.
+MAX_CONNECT_FAILURES = 2
 # Calls with less time left than this are not sent.
 MIN_TIME_LEFT_S = 0.005
 
@@ -36,9 +39,9 @@
     Args:
         replica: The ``ViewReplica``.
         observations: The ``EndpointObservations``.
-        health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
         limits: The ``EndpointLimits``.
+        paths: The ``EndpointPaths``.
         endpoint_picker: The ``EndpointPicker``.
         link_schedule: The ``LinkSchedule``.
         timers: The timer service.
@@ -58,9 +61,9 @@
         self,
         replica,
         observations,
-        health,
         notices,
         limits,
+        paths,
         endpoint_picker,
         link_schedule,
         timers,
@@ -69,9 +72,9 @@
     ):
         self.replica = replica
         self.observations = observations
-        self.health = health
         self.notices = notices
         self.limits = limits
+        self.paths = paths
         self.endpoint_picker = endpoint_picker
         self.link_schedule = link_schedule
         self.timers = timers
@@ -164,19 +167,29 @@
             )
             return
         observation = self.observations.observation_of(name)
-        is_doubtful = observation.is_doubtful(now_s) or self.health.is_avoided(name, now_s)
-        if is_doubtful and not observation.may_probe(now_s):
+        path = self.paths.choose(call, record)
+        if isinstance(path, NoPath):
             self.refuse(call, "connect-failed", f"endpoint {name} does not respond")
-        elif not is_doubtful and not observation.has_room(self._extra_requests(call), now_s):
+        elif not isinstance(path, Probe) and not observation.has_room(
+            self._extra_requests(call), now_s
+        ):
             detail = f"{observation.in_flight} requests in flight at endpoint {name}"
             self.refuse(call, "no-room", detail)
         elif not self.limits.try_take(record, now_s):
             retry_after_s = self.limits.retry_after_s(record, now_s)
             self.refuse(call, "endpoint-limited", f"limit of endpoint {name}", retry_after_s)
-        elif is_doubtful:
-            self._probe(call, record)
         else:
-            self.forward(call, record)
+            self._send_on(path, call, record)
+
+    def _send_on(self, path, call, record):
+        """Send a call on a path to an endpoint."""
+        match path:
+            case Direct():
+                self.forward(call, record)
+            case Probe():
+                self._probe(call, record)
+            case Relayed(relay):
+                self.forward(call, record, relay)
 
     def _probe(self, call, record):
         """Send a call over a new connection to an endpoint that may be unreachable.
@@ -218,25 +231,44 @@
     def _send_to_any(self, call):
         names = self.replica.by_service.get(call.service, ())
         records = [self.replica.endpoints[name] for name in names]
-        record, limited = self._pick_within_limits(call, records)
+        path, record, limited = self._pick_endpoint(call, records)
         if record is None and limited:
             self._refuse_limited(call, records, limited)
         elif record is None:
             code = "no-room" if call.tried_endpoints else "no-endpoint"
+            if call.unreached_endpoints:
+                code = "connect-failed"
             detail = f"service {call.service} has {len(records)} endpoints"
             self.refuse(call, code, detail, self._shortest_pause_s(records))
-        elif self.observations.observation_of(record.name).is_unreachable:
-            self._probe(call, record)
         else:
-            self.forward(call, record)
+            self._send_on(path, call, record)
 
-    def _pick_within_limits(self, call, records):
+    def _pick_endpoint(self, call, records):
+        """Return a path, the endpoint that it leads to, and endpoints whose limits are used up.
+
+        The endpoint is ``None`` if no endpoint can be tried.
+        """
+        limited = []
+        if len(call.unreached_endpoints) < MAX_CONNECT_FAILURES:
+            excluded = (*call.tried_endpoints, *call.unreached_endpoints)
+            pick = self.endpoint_picker.pick
+            record, limited = self._pick_within_limits(call, records, pick, excluded)
+            if record is not None:
+                return Probe() if self.paths.is_lost(record) else Direct(), record, limited
+        relayed = [r for r in records if self.paths.pick_relay(call, r)]
+        pick = self.endpoint_picker.pick_lost
+        record, also_limited = self._pick_within_limits(call, relayed, pick, call.tried_endpoints)
+        if record is None:
+            return NoPath(), None, limited + also_limited
+        return Relayed(self.paths.pick_relay(call, record)), record, limited
+
+    def _pick_within_limits(self, call, records, pick, excluded):
         """Return an endpoint whose limit admits a call, or ``None``, and those that do not."""
         now_s = self.timers.now_s
-        excluded = list(call.tried_endpoints)
+        excluded = list(excluded)
         limited = []
         while True:
-            record = self.endpoint_picker.pick(
+            record = pick(
                 records, excluded, self._extra_requests(call), call.route.objective_s, now_s
             )
             if record is None or self.limits.try_take(record, now_s):
@@ -275,17 +307,21 @@
         is_urgent = rank is not None and rank < self.least_urgent_ranks[call.service]
         return URGENT_EXTRA_REQUESTS if is_urgent else 0
 
-    def forward(self, call, record):
-        """Send a call to an endpoint."""
+    def forward(self, call, record, relay=""):
+        """Send a call to an endpoint, through another router if ``relay`` is its address."""
         now_s = self.timers.now_s
         call.endpoint = record.name
+        call.relay = relay
         call.endpoint_started_ms = record.started_ms
         call.sent_s = now_s
         call.has_stream = call.is_overdue = False
         call.delivery_count += 1
-        if record.name not in call.tried_endpoints:
+        call.is_first_there = record.name not in call.tried_endpoints
+        if call.is_first_there:
             call.tried_endpoints.append(record.name)
         self.observations.observation_of(record.name).note_sent(now_s)
+        if relay:
+            self.paths.relays.note_sent(relay)
         call.cancel_timer()
         call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch_caller(call))
         self.outbox.add(
@@ -297,6 +333,7 @@
                 call.deadline_s - now_s,
                 self.is_closing,
                 self.limits.is_limited(record, now_s),
+                relay,
             )
         )
 
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -20,9 +20,13 @@
         delivery_count: Number of times that it may have reached an endpoint.
         awaited_unit: The (service, unit) whose holder it waits for, or ``None``.
         timer: Pending timer of the call, such as the end of a wait, or ``None``.
+        relay: Address of the relay of the current attempt, empty for an own connection.
+        tried_relays: Addresses of relays that could not forward it.
+        unreached_endpoints: Names of endpoints to which connecting failed.
         has_stream: Whether a long response is being relayed.
         is_overdue: Whether the attempt was cancelled because it was incomplete at the deadline.
         is_abandoned: Whether its caller has disconnected.
+        is_first_there: Whether the current attempt is the first at its endpoint.
         may_have_run: Whether an endpoint may have run it.
         is_body_consumed: Whether its body was read, so that it cannot be sent again.
     """
@@ -39,8 +43,10 @@
         "has_stream",
         "is_abandoned",
         "is_overdue",
+        "is_first_there",
         "key",
         "may_have_run",
+        "relay",
         "request_id",
         "route",
         "sent_s",
@@ -48,6 +54,8 @@
         "timer",
         "token",
         "tried_endpoints",
+        "tried_relays",
+        "unreached_endpoints",
     )
 
     def __init__(self, event, route, service, now_s, deadline_s):
@@ -63,12 +71,16 @@
         self.endpoint_started_ms = 0
         self.sent_s = 0.0
         self.tried_endpoints = []
+        self.relay = ""
+        self.tried_relays = []
+        self.unreached_endpoints = []
         self.delivery_count = 0
         self.awaited_unit = None
         self.timer = None
         self.has_stream = False
         self.is_overdue = False
         self.is_abandoned = False
+        self.is_first_there = False
         self.may_have_run = False
         self.is_body_consumed = False
 
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -8,6 +8,7 @@
 from greengagerock.routing.demand import KeyDemand
 from greengagerock.routing.endpoint_limits import EndpointLimits
 from greengagerock.routing.endpoint_notices import EndpointNotices
+from greengagerock.routing.endpoint_paths import EndpointPaths
 from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE, EndpointPicker
 from greengagerock.routing.error_responses import ErrorResponder
 from greengagerock.routing.failures import (
@@ -16,6 +17,7 @@
     REASON_CONNECTION_LOST,
     REASON_NOT_OWNER,
     REASON_REFUSED,
+    REASON_RELAY,
     REASON_TIMEOUT,
 )
 from greengagerock.routing.health import EndpointHealth
@@ -32,6 +34,8 @@
 # largest number of times that it is sent.
 RESEND_PAUSE_S = 0.02
 MAX_DELIVERIES = 3
+# Number of relays that fail to reach an endpoint from which on relays are not tried for a while.
+MIN_RELAYS_OF_LOST_ENDPOINT = 2
 
 
 class Dispatcher:
@@ -57,6 +61,7 @@
         notices: The ``EndpointNotices``.
         limits: The ``EndpointLimits``.
         notice_handler: The ``NoticeHandler``.
+        paths: The ``EndpointPaths``.
         endpoint_picker: The ``EndpointPicker``.
         recent_responses: The ``RecentResponses``.
         demand: The ``KeyDemand``.
@@ -95,8 +100,11 @@
         self.notice_handler = NoticeHandler(
             self.notices, self.limits, replica, timers, outbox, report
         )
+        self.paths = EndpointPaths(
+            replica, self.observations, self.health, timers, outbox, random, report
+        )
         self.endpoint_picker = EndpointPicker(
-            zone, self.observations, self.health, self.notices, random, zone_preference
+            zone, self.observations, self.health, self.notices, self.paths, random, zone_preference
         )
         self.recent_responses = RecentResponses()
         self.demand = KeyDemand()
@@ -105,9 +113,9 @@
         self.sender = CallSender(
             replica,
             self.observations,
-            self.health,
             self.notices,
             self.limits,
+            self.paths,
             self.endpoint_picker,
             LinkSchedule(link_bytes_per_s, random),
             timers,
@@ -149,24 +157,32 @@
         call = self.calls.get(event.token)
         if call is None:
             return
+        relay = call.relay
         endpoint = self._end_attempt(call)
         now_s = self.timers.now_s
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
-        self.error_responder.log_failed_attempt(call, event, endpoint)
+        self.error_responder.log_failed_attempt(call, event, endpoint, relay)
         if call.is_abandoned:
             self._finish(call, "caller-gone", OUTCOME_UNKNOWN)
             return
         if event.reason == REASON_REFUSED:
-            self._on_refused(call, endpoint)
+            self._on_refused(call, endpoint, relay)
         elif event.reason == REASON_NOT_OWNER:
             self._on_not_owner(call, endpoint)
         elif event.reason == REASON_CALLER:
             outcome = OUTCOME_UNKNOWN if event.has_sent_bytes else OUTCOME_NOT_RUN
             self._finish(call, "bad-request", outcome)
         elif event.reason == REASON_CONNECT or not event.has_sent_bytes:
-            self._on_unreachable(call, endpoint)
+            if relay:
+                self._on_not_relayed(call, event, endpoint, relay)
+            else:
+                self._on_unreachable(call, endpoint)
+        elif event.reason == REASON_RELAY:
+            self._on_relay_lost(call, relay)
         elif event.reason == REASON_TIMEOUT or call.is_overdue:
             self.health.note_failure(endpoint, now_s)
+            if relay:
+                self.paths.relays.note_failure(relay)
             self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
         else:
             self._on_connection_lost(call, event, endpoint)
@@ -183,15 +199,16 @@
         if call is None:
             return
         call.cancel_timer()
+        relay = call.relay
         endpoint = self._end_attempt(call)
         outcome = "answered" if event.complete else "cut-off"
         if event.response_time_s:
             observation = self.observations.observation_of(endpoint)
-            self._note_reached(endpoint, observation)
-            if observation.is_doubtful(self.timers.now_s):
+            self._note_reached(endpoint, observation, relay, event.response_time_s)
+            if observation.is_silent(self.timers.now_s):
                 self._cancel_silent_attempts(endpoint, call.sent_s)
             observation.note_response(
-                event.response_time_s, call.route.objective_s, self.timers.now_s
+                event.response_time_s, call.route.objective_s, self.timers.now_s, bool(relay)
             )
         if event.complete:
             self.sender.link_schedule.note_size(call.route.name, event.body_bytes)
@@ -248,6 +265,7 @@
             if record is None:
                 self.observations.forget(name)
                 self.notices.forget(name)
+                self.paths.forget(name)
                 self.limits.forget(name)
             elif record.leaving:
                 self.notices.note_leaving(name, record.started_ms, self.timers.now_s)
@@ -262,35 +280,45 @@
         silence_s = self.observations.observation_of(endpoint).silence_s
         for call in self.calls.values():
             is_older = call.sent_s < min(sent_s, now_s - silence_s)
-            if call.endpoint == endpoint and is_older and call.route.is_idempotent:
+            is_direct = call.endpoint == endpoint and not call.relay
+            if is_direct and is_older and call.route.is_idempotent:
                 self.outbox.add(CancelAttempt(call.token, only_reused=True))
 
     # --- Failures ------------------------------------------------------------------
 
     def _end_attempt(self, call):
         endpoint, call.endpoint = call.endpoint, ""
+        relay, call.relay = call.relay, ""
         call.cancel_timer()
         if endpoint:
             self.observations.observation_of(endpoint).note_ended()
+        if relay:
+            self.paths.relays.note_ended(relay)
         return endpoint
 
-    def _note_reached(self, endpoint, observation):
-        """Record and log that an endpoint that could not be reached has responded."""
+    def _note_reached(self, endpoint, observation, relay, response_s):
+        """Record a response of an endpoint, and log it if the endpoint could not be reached."""
+        record = self.replica.endpoints.get(endpoint)
+        if record is None:
+            return
+        if relay:
+            self.paths.note_relayed(record, relay, response_s)
+            return
         if observation.is_unreachable:
-            self.observations.expect_reachable()
             self.outbox.log(
                 "endpoint-reached",
                 endpoint=endpoint,
                 after_ms=round(1000 * (self.timers.now_s - observation.unreachable_since_s)),
                 unreachable=self.observations.unreachable_count() - 1,
             )
+        self.paths.note_reached(record)
 
-    def _on_refused(self, call, endpoint):
+    def _on_refused(self, call, endpoint, relay):
         """Handle a refusal: the endpoint did not run the request."""
         now_s = self.timers.now_s
         observation = self.observations.observation_of(endpoint)
-        self._note_reached(endpoint, observation)
-        observation.note_shed(call.route.objective_s, now_s)
+        self._note_reached(endpoint, observation, relay, now_s - call.sent_s)
+        observation.note_shed(call.route.objective_s, now_s, bool(relay))
         record = self.replica.endpoints.get(endpoint)
         may_be_accepted = (
             record is not None
@@ -323,7 +351,11 @@
         now_s = self.timers.now_s
         observation = self.observations.observation_of(endpoint)
         is_first_failure = not observation.is_unreachable
-        observation.note_unreachable(now_s)
+        record = self.replica.endpoints.get(endpoint)
+        if record is None:
+            observation.note_unreachable(now_s)
+        else:
+            self.paths.note_lost(record)
         if is_first_failure:
             self.outbox.log(
                 "endpoint-unreachable",
@@ -332,9 +364,8 @@
                 request_id=call.request_id,
                 unreachable=self.observations.unreachable_count(),
             )
-        self.health.note_failure(endpoint, now_s)
-        call.delivery_count -= 1
-        record = self.replica.endpoints.get(endpoint)
+        self._cancel_silent_attempts(endpoint, call.sent_s)
+        self._note_not_delivered(call, endpoint)
         if call.deadline_s - now_s < MIN_TIME_LEFT_S:
             self._refuse(call, "no-room", "no time left before the deadline")
         elif (
@@ -344,11 +375,51 @@
             and self.notices.accepts_held_keys(record, now_s)
             and not self.notices.pause_left_s(record, now_s)
             and not call.is_body_consumed
+            and not self.paths.pick_relay(call, record)
         ):
             # One lost packet has the same effect; two failures show an unreachable endpoint.
             self.sender.forward(call, record)
         else:
-            self._resend_or_finish(call, "connect-failed", OUTCOME_NOT_RUN)
+            self._send_elsewhere(call)
+
+    def _on_not_relayed(self, call, event, endpoint, relay):
+        """Handle a request that a relay did not deliver: it was certainly not run."""
+        call.tried_relays.append(relay)
+        if event.reason == REASON_RELAY:
+            self.paths.relays.note_failure(relay)
+        else:
+            self.paths.relays.note_miss(relay)
+            if len(call.tried_relays) >= MIN_RELAYS_OF_LOST_ENDPOINT:
+                self.paths.note_unrelayed(endpoint)
+        self._note_not_delivered(call, endpoint)
+        if call.deadline_s - self.timers.now_s < MIN_TIME_LEFT_S:
+            self._refuse(call, "no-room", "no time left before the deadline")
+        else:
+            self._send_elsewhere(call)
+
+    def _on_relay_lost(self, call, relay):
+        """Handle the loss of the connection to a relay that may have delivered the request."""
+        call.may_have_run = True
+        self.paths.relays.note_failure(relay)
+        if call.route.is_idempotent:
+            self._resend_or_finish(call, "answer-lost", OUTCOME_UNKNOWN)
+        else:
+            self._finish(call, "answer-lost", OUTCOME_UNKNOWN)
+
+    def _note_not_delivered(self, call, endpoint):
+        """Record that the request of the attempt that has ended did not reach its endpoint."""
+        call.delivery_count -= 1
+        if endpoint not in call.unreached_endpoints:
+            call.unreached_endpoints.append(endpoint)
+        if call.is_first_there:
+            call.tried_endpoints.remove(endpoint)
+
+    def _send_elsewhere(self, call):
+        """Send a call that no endpoint has got on another path or to another endpoint."""
+        if call.is_body_consumed:
+            self._finish(call, "connect-failed", OUTCOME_NOT_RUN)
+        else:
+            self.sender.send(call)
 
     def _on_not_owner(self, call, endpoint):
         """Handle a refusal by an endpoint that lacks the key or has another endpoint's address."""
--- a/greengagerock/routing/endpoint_picker.py
+++ b/greengagerock/routing/endpoint_picker.py
@@ -24,6 +24,7 @@
         observations: The ``EndpointObservations``.
         health: The ``EndpointHealth``.
         notices: The ``EndpointNotices``.
+        paths: The ``EndpointPaths``.
         random: Random number generator.
         zone_preference: Share of a route's latency objective that an endpoint of a remote zone
             has to save; 0 treats all zones alike.
@@ -32,7 +33,15 @@
         M. Mitzenmacher: The Power of Two Choices in Randomized Load Balancing, 2001.
     """
 
-    __slots__ = ("health", "notices", "observations", "random", "zone", "zone_preference")
+    __slots__ = (
+        "health",
+        "notices",
+        "observations",
+        "paths",
+        "random",
+        "zone",
+        "zone_preference",
+    )
 
     def __init__(
         self,
@@ -40,6 +49,7 @@
         observations,
         health,
         notices,
+        paths,
         random,
         zone_preference=DEFAULT_ZONE_PREFERENCE,
     ):
@@ -47,36 +57,65 @@
         self.observations = observations
         self.health = health
         self.notices = notices
+        self.paths = paths
         self.random = random
         self.zone_preference = zone_preference
 
-    def pick(self, records, tried_endpoints, extra_requests, objective_s, now_s):
-        """Return an ``EndpointRecord``, or ``None`` if no endpoint can be tried.
+    def pick(self, records, excluded, extra_requests, objective_s, now_s):
+        """Return an ``EndpointRecord``, or ``None`` if no endpoint can be tried directly.
 
         Args:
             records: Endpoints of the service.
-            tried_endpoints: Names of endpoints to exclude.
+            excluded: Names of endpoints to exclude.
             extra_requests: Requests beyond an endpoint's limit that the priority allows.
             objective_s: Latency objective of the route, or ``None``.
             now_s: Monotonic time in seconds.
         """
-        untried = [
+        untried = self._accepting(records, excluded, now_s)
+        lost = [r for r in untried if self.paths.is_lost(r)]
+        direct = [r for r in untried if r not in lost] if lost else untried
+        usable = [r for r in direct if self._is_healthy(r, extra_requests, now_s)]
+        for record in lost:
+            # Nothing else shows that it can be reached again while others get its requests.
+            if self.paths.may_probe(record, bool(usable)):
+                return record
+        if not usable:
+            usable = [
+                r for r in direct if self.observations.observation_of(r.name).may_probe(now_s)
+            ]
+        return self._cheapest(usable, objective_s)
+
+    def pick_lost(self, records, excluded, extra_requests, objective_s, now_s):
+        """Return an endpoint that only other routers can reach, or ``None``.
+
+        Args:
+            records: Endpoints of the service.
+            excluded: Names of endpoints to exclude.
+            extra_requests: Requests beyond an endpoint's limit that the priority allows.
+            objective_s: Latency objective of the route, or ``None``.
+            now_s: Monotonic time in seconds.
+        """
+        usable = [
+            r
+            for r in self._accepting(records, excluded, now_s)
+            if self.paths.is_lost(r)
+            and not self.health.is_avoided(r.name, now_s)
+            and not self.observations.observation_of(r.name).is_silent(now_s)
+            and self._has_room(r, extra_requests, now_s)
+        ]
+        return self._cheapest(usable, objective_s)
+
+    def _accepting(self, records, excluded, now_s):
+        """Return the endpoints that accept requests of this router."""
+        return [
             r
             for r in records
-            if r.name not in tried_endpoints
+            if r.name not in excluded
             and self.notices.accepts_any(r)
             and not self.notices.pause_left_s(r, now_s)
         ]
-        if not untried:
-            return None
-        due = self._find_due(untried, now_s)
-        if due is not None:
-            return due
-        usable = [r for r in untried if self._is_healthy(r, extra_requests, now_s)]
-        if not usable:
-            usable = [
-                r for r in untried if self.observations.observation_of(r.name).may_probe(now_s)
-            ]
+
+    def _cheapest(self, usable, objective_s):
         if not usable:
             return None
         local = [r for r in usable if r.zone == self.zone]
@@ -86,23 +125,14 @@
         )
         return min(candidates, key=lambda record: self._cost_s(record, penalty_s))
 
-    def _find_due(self, records, now_s):
-        """Return an unreachable endpoint to which it is time to connect again, or ``None``.
-
-        Nothing else shows that an endpoint can be reached again while others get its requests.
-        """
-        for record in records:
-            observation = self.observations.observation_of(record.name)
-            if observation.is_unreachable and observation.may_probe(
-                now_s, observation.probe_interval_s
-            ):
-                return record
-        return None
-
     def _is_healthy(self, record, extra_requests, now_s):
         observation = self.observations.observation_of(record.name)
         if self.health.is_avoided(record.name, now_s) or observation.is_doubtful(now_s):
             return False
+        return self._has_room(record, extra_requests, now_s)
+
+    def _has_room(self, record, extra_requests, now_s):
+        observation = self.observations.observation_of(record.name)
         return (
             observation.has_room(extra_requests, now_s)
             and now_s - observation.last_shed_s > SHED_PAUSE_S
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -76,12 +76,13 @@
             RespondWithError(call.token, code, outcome, detail, self.is_closing, retry_s)
         )
 
-    def log_failed_attempt(self, call, event, endpoint):
+    def log_failed_attempt(self, call, event, endpoint, relay):
         """Log a failed attempt, whether or not its call is sent again."""
         self.outbox.log(
             "attempt-failed",
             request_id=call.request_id,
             endpoint=endpoint,
+            relay=relay,
             reason=event.reason,
             bytes_left=event.has_sent_bytes,
             after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
@@ -98,6 +99,7 @@
             service=call.service,
             key=call.key,
             tried=",".join(call.tried_endpoints),
+            unreached=",".join(call.unreached_endpoints),
             waited_ms=round(1000 * (now_s - call.arrived_s)),
             left_ms=round(1000 * (call.deadline_s - now_s)),
             retry_after_ms="" if retry_s is None else round(1000 * retry_s),
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -8,12 +8,16 @@
 # The caller's request body was cut off or is malformed.
 REASON_CALLER = "caller"
 
+# The relay took no request, or its connection broke; the endpoint is not to blame.
+REASON_RELAY = "relay"
+
 CODE_BY_REASON = {
     REASON_CONNECT: "connect-failed",
     REASON_REFUSED: "endpoint-refused",
     REASON_CONNECTION_LOST: "answer-lost",
     REASON_TIMEOUT: "deadline-exceeded",
     REASON_CALLER: "bad-request",
+    REASON_RELAY: "relay-unavailable",
 }
 
 
--- a/greengagerock/routing/observations.py
+++ b/greengagerock/routing/observations.py
@@ -137,15 +137,16 @@
         """Record that a request is no longer at the endpoint."""
         self.in_flight = max(0, self.in_flight - 1)
 
-    def note_response(self, response_s, objective_s, now_s):
+    def note_response(self, response_s, objective_s, now_s, is_relayed=False):
         """Record a response, and adjust the limit.
 
         Args:
             response_s: Response time in seconds.
             objective_s: Latency objective of the route, or ``None``.
             now_s: Monotonic time in seconds.
+            is_relayed: Whether it came through another router.
         """
-        self.note_alive(now_s)
+        self.note_alive(now_s, is_relayed)
         self.own_mean_s = self.mean_response_s + NEWEST_RESPONSE_WEIGHT * (
             response_s - self.mean_response_s
         )
@@ -159,7 +160,7 @@
         elif response_s <= EARLY_SHARE * objective_s:
             self._increase_limit()
 
-    def note_shed(self, objective_s, now_s):
+    def note_shed(self, objective_s, now_s, is_relayed=False):
         """Record that the endpoint refused a request, and adjust the limit.
 
         An endpoint that is full also responds late. One that responds in time refuses requests
@@ -168,8 +169,9 @@
         Args:
             objective_s: Latency objective of the request's route, or ``None``.
             now_s: Monotonic time in seconds.
+            is_relayed: Whether the refusal came through another router.
         """
-        self.note_alive(now_s)
+        self.note_alive(now_s, is_relayed)
         self.last_shed_s = now_s
         if self.is_busy(objective_s):
             self._decrease_limit(SHED_DECREASE_FACTOR, now_s)
@@ -185,10 +187,17 @@
         slowest_s = max(self.mean_response_s, self.shared_mean_s() or 0.0)
         return slowest_s > BUSY_SHARE * objective_s
 
-    def note_alive(self, now_s):
-        """Record that the endpoint has responded in some way."""
+    def note_alive(self, now_s, is_relayed=False):
+        """Record that the endpoint has responded in some way.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            is_relayed: Whether the response came through another router, so that it does not show
+                that this one can connect.
+        """
         self.silent_since_s = now_s
-        self.is_unreachable = False
+        if not is_relayed:
+            self.is_unreachable = False
 
     def note_unreachable(self, now_s):
         """Record that an attempt to connect failed."""
@@ -214,8 +223,10 @@
 
     def is_doubtful(self, now_s):
         """Return whether the endpoint is unreachable or has been silent for too long."""
-        if self.is_unreachable:
-            return True
+        return self.is_unreachable or self.is_silent(now_s)
+
+    def is_silent(self, now_s):
+        """Return whether requests have been at the endpoint for too long without a response."""
         return self.in_flight > 0 and now_s - self.silent_since_s > self.silence_s
 
     @property
--- /dev/null
+++ b/greengagerock/routing/relay_pool.py
@@ -0,0 +1,147 @@
+"""The routers through which a router can send requests to endpoints that it cannot reach."""
+
+from greengagerock.core.interface import CloseIdleConnections
+from greengagerock.routing.observations import EndpointObservation
+
+# Time for which a relay that has failed is not used; it doubles with each further failure.
+FIRST_AVOIDANCE_S = 0.5
+MAX_AVOIDANCE_S = 4.0
+# A relay that has reached no endpoint lately, and failed to reach this many, is avoided too.
+MAX_MISSES = 3
+RECENT_S = 1.0
+# Time without requests after which the connections to relays are closed.
+IDLE_S = 10.0
+
+
+class Relay:
+    """One relay as observed by this router.
+
+    Attributes:
+        address: ``IP:PORT`` where it takes requests of other routers.
+        observation: The ``EndpointObservation`` of the requests sent through it.
+        avoided_until_s: Until when it is not used.
+        avoidance_s: Length of the next avoidance.
+        reached_s: When a request sent through it last got a response of an endpoint.
+        misses: Number of endpoints in a row that it could not reach.
+    """
+
+    __slots__ = (
+        "address",
+        "avoidance_s",
+        "avoided_until_s",
+        "misses",
+        "observation",
+        "reached_s",
+    )
+
+    def __init__(self, address):
+        self.address = address
+        self.observation = EndpointObservation()
+        self.avoided_until_s = float("-inf")
+        self.avoidance_s = FIRST_AVOIDANCE_S
+        self.reached_s = float("-inf")
+        self.misses = 0
+
+    def avoid(self, now_s):
+        """Do not use the relay for a while."""
+        self.avoided_until_s = now_s + self.avoidance_s
+        self.avoidance_s = min(MAX_AVOIDANCE_S, 2 * self.avoidance_s)
+
+
+class RelayPool:
+    """Relays and their health.
+
+    Args:
+        timers: The timer service.
+        outbox: Receives effects.
+        random: Random number generator.
+
+    Attributes:
+        by_address: ``Relay`` objects by address.
+        sent_count: Number of requests sent through relays.
+    """
+
+    def __init__(self, timers, outbox, random):
+        self.timers = timers
+        self.outbox = outbox
+        self.random = random
+        self.by_address = {}
+        self.sent_count = 0
+        self._idle_timer = None
+
+    @property
+    def addresses(self):
+        """Addresses of the relays."""
+        return tuple(self.by_address)
+
+    def set_addresses(self, addresses):
+        """Replace the relays; what was observed of those that stay is kept."""
+        self.by_address = {a: self.by_address.get(a) or Relay(a) for a in addresses}
+
+    def pick(self, excluded):
+        """Return the address of the usable relay with the fewest requests, or an empty string.
+
+        Args:
+            excluded: Addresses of relays that are not to be used.
+        """
+        now_s = self.timers.now_s
+        usable = [
+            relay
+            for relay in self.by_address.values()
+            if relay.address not in excluded
+            and now_s >= relay.avoided_until_s
+            and not relay.observation.is_doubtful(now_s)
+        ]
+        if not usable:
+            return ""
+        return min(usable, key=lambda r: (r.observation.in_flight, self.random.random())).address
+
+    def note_sent(self, address):
+        """Record that a request is sent through a relay."""
+        self.sent_count += 1
+        relay = self.by_address.get(address)
+        if relay is not None:
+            relay.observation.note_sent(self.timers.now_s)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        self._idle_timer = self.timers.subscribe(IDLE_S, self._close_idle_connections)
+
+    def note_ended(self, address):
+        """Record that a request is no longer at a relay."""
+        relay = self.by_address.get(address)
+        if relay is not None:
+            relay.observation.note_ended()
+
+    def note_reached(self, address, response_s):
+        """Record that an endpoint has responded through a relay."""
+        relay = self.by_address.get(address)
+        if relay is not None:
+            relay.observation.note_response(response_s, None, self.timers.now_s)
+            relay.reached_s = self.timers.now_s
+            relay.avoidance_s = FIRST_AVOIDANCE_S
+            relay.misses = 0
+
+    def note_miss(self, address):
+        """Record that a relay could not reach an endpoint."""
+        relay = self.by_address.get(address)
+        if relay is None:
+            return
+        now_s = self.timers.now_s
+        relay.observation.note_alive(now_s)
+        if now_s - relay.reached_s > RECENT_S:
+            relay.misses += 1
+            if relay.misses >= MAX_MISSES:
+                relay.misses = 0
+                relay.avoid(now_s)
+
+    def note_failure(self, address):
+        """Record that a relay could not be reached, took no request, or did not respond."""
+        relay = self.by_address.get(address)
+        if relay is not None:
+            relay.avoid(self.timers.now_s)
+
+    def _close_idle_connections(self):
+        """Close connections before the relays do, so that no request is sent on a closed one."""
+        self._idle_timer = None
+        for address in self.by_address:
+            self.outbox.add(CloseIdleConnections(address))
--- /dev/null
+++ b/greengagerock/routing/relayed_calls.py
@@ -0,0 +1,169 @@
+"""Requests that a router forwards to endpoints for other routers."""
+
+from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from greengagerock.core.interface import CancelAttempt, Forward, RespondWithError, WatchCaller
+from greengagerock.routing.call_sender import MIN_TIME_LEFT_S, WATCH_AFTER_S
+from greengagerock.routing.failures import (
+    REASON_CONNECT,
+    REASON_CONNECTION_LOST,
+    REASON_TIMEOUT,
+)
+
+# Largest number of such requests at once; it leaves the host's capacity to its own callers.
+MAX_RELAYED_CALLS = 48
+
+_CODE_BY_REASON = {
+    REASON_TIMEOUT: "deadline-exceeded",
+    REASON_CONNECTION_LOST: "answer-lost",
+}
+
+
+class RelayedCall:
+    """One request of another router.
+
+    Attributes:
+        token: Identifies it on this host.
+        request_id: The caller's id of the request.
+        service: Service of its endpoint.
+        endpoint: Name of the endpoint.
+        endpoint_started_ms: Start of that endpoint instance, in milliseconds since 1970.
+        timer: Pending timer, or ``None``.
+    """
+
+    __slots__ = ("endpoint", "endpoint_started_ms", "request_id", "service", "timer", "token")
+
+    def __init__(self, event, record):
+        self.token = event.token
+        self.request_id = event.request_id
+        self.service = record.service
+        self.endpoint = record.name
+        self.endpoint_started_ms = record.started_ms
+        self.timer = None
+
+
+class RelayedCalls:
+    """Forwards requests of routers that cannot reach an endpoint themselves.
+
+    The other router has chosen the endpoint, within the limits and the retry budget, and decides
+    what a failure means. This one sends each request at most once, to that endpoint only.
+
+    Args:
+        replica: The ``ViewReplica``.
+        paths: The ``EndpointPaths``.
+        observations: The ``EndpointObservations``.
+        notices: The ``EndpointNotices``.
+        notice_handler: The ``NoticeHandler``.
+        stats: The ``RouterStats``.
+        timers: The timer service.
+        outbox: Receives effects.
+
+    Attributes:
+        by_token: Requests in progress by token.
+        is_closing: Whether responses close the connections of other routers.
+        is_stopping: Whether new requests are refused.
+    """
+
+    def __init__(
+        self, replica, paths, observations, notices, notice_handler, stats, timers, outbox
+    ):
+        self.replica = replica
+        self.paths = paths
+        self.observations = observations
+        self.notices = notices
+        self.notice_handler = notice_handler
+        self.stats = stats
+        self.timers = timers
+        self.outbox = outbox
+        self.by_token = {}
+        self.is_closing = False
+        self.is_stopping = False
+
+    def on_arrival(self, event):
+        """Process a ``RelayArrived``."""
+        record = self.replica.endpoints.get(event.endpoint)
+        if self.is_stopping or len(self.by_token) >= MAX_RELAYED_CALLS:
+            self._refuse(event, "relay-unavailable", "stopping" if self.is_stopping else "full")
+        elif record is None or not self._accepts(record):
+            self._refuse(event, "relay-unavailable", f"endpoint {event.endpoint} gets no requests")
+        elif event.timeout_s < MIN_TIME_LEFT_S:
+            self._refuse(event, "relay-unavailable", "no time left before the deadline")
+        elif self.paths.is_lost(record) and not self.paths.may_probe(record, True):
+            self._refuse(event, "connect-failed", f"endpoint {event.endpoint} is out of reach")
+        else:
+            self._forward(event, record)
+
+    def on_attempt_failed(self, event):
+        """Process an ``AttemptFailed``."""
+        call = self._end(event.token)
+        record = self.replica.endpoints.get(call.endpoint)
+        if event.reason == REASON_CONNECT or not event.has_sent_bytes:
+            if record is not None and event.reason == REASON_CONNECT:
+                self.paths.note_lost(record)
+            code, outcome = "connect-failed", OUTCOME_NOT_RUN
+        else:
+            code = _CODE_BY_REASON.get(event.reason, "answer-lost")
+            outcome = OUTCOME_UNKNOWN
+        self.outbox.log(
+            "relay-failed", request_id=call.request_id, endpoint=call.endpoint, code=code
+        )
+        self.stats.count(call.service, "relay-failed")
+        self.outbox.add(RespondWithError(event.token, code, outcome, "", self.is_closing))
+
+    def on_ended(self, event):
+        """Process a ``RequestEnded``."""
+        call = self._end(event.token)
+        record = self.replica.endpoints.get(call.endpoint)
+        if event.response_time_s and record is not None:
+            self.paths.note_reached(record)
+            observation = self.observations.observation_of(call.endpoint)
+            observation.note_alive(self.timers.now_s)
+        self.stats.count(call.service, "relayed" if event.complete else "relay-failed")
+
+    def on_caller_disconnected(self, token):
+        """Cancel a request whose router has closed the connection."""
+        if token in self.by_token:
+            self.outbox.add(CancelAttempt(token))
+
+    def on_notice(self, event):
+        """Process an ``EndpointNoticed``."""
+        self.notice_handler.on_notice(event, self.by_token[event.token])
+
+    def _accepts(self, record):
+        service = self.replica.services.get(record.service)
+        if service is not None and service.keyed is not None:
+            return self.notices.accepts_held_keys(record, self.timers.now_s)
+        return self.notices.accepts_any(record)
+
+    def _forward(self, event, record):
+        call = self.by_token[event.token] = RelayedCall(event, record)
+        call.timer = self.timers.subscribe(
+            WATCH_AFTER_S, lambda: self.outbox.add(WatchCaller(event.token))
+        )
+        self.outbox.add(
+            Forward(
+                event.token,
+                record.name,
+                record.address,
+                {},
+                event.timeout_s,
+                self.is_closing,
+                event.is_limited,
+            )
+        )
+
+    def _refuse(self, event, code, detail):
+        self.outbox.log(
+            "relay-refused",
+            request_id=event.request_id,
+            endpoint=event.endpoint,
+            code=code,
+            detail=detail,
+        )
+        self.outbox.add(
+            RespondWithError(event.token, code, OUTCOME_NOT_RUN, detail, self.is_closing)
+        )
+
+    def _end(self, token):
+        call = self.by_token.pop(token)
+        call.timer.cancel()
+        return call
--- a/greengagerock/routing/tests/test_endpoint_picker.py
+++ b/greengagerock/routing/tests/test_endpoint_picker.py
@@ -3,18 +3,25 @@
 from collections import Counter
 from random import Random
 
+from greengagerock.core import TimerService
+from greengagerock.core.interface import Outbox
 from greengagerock.routing.endpoint_notices import EndpointNotices
+from greengagerock.routing.endpoint_paths import EndpointPaths
 from greengagerock.routing.endpoint_picker import EndpointPicker
 from greengagerock.routing.health import EndpointHealth
 from greengagerock.routing.observations import MIN_OWN_RESPONSES, EndpointObservations
-from greengagerock.view import EndpointRecord
+from greengagerock.view import EndpointRecord, ViewReplica
 
 
 def build_picker(zones):
     """Return a picker in zone ``a`` and one endpoint in each of ``zones``."""
     records = [EndpointRecord(f"e{n}", "x:1", "docs", zone, 3) for n, zone in enumerate(zones)]
     observations = EndpointObservations()
-    picker = EndpointPicker("a", observations, EndpointHealth(), EndpointNotices(), Random(1))
+    health, timers, random = EndpointHealth(), TimerService(0.0), Random(1)
+    paths = EndpointPaths(
+        ViewReplica(), observations, health, timers, Outbox(), random, lambda message: None
+    )
+    picker = EndpointPicker("a", observations, health, EndpointNotices(), paths, random)
     return picker, records, observations
 
 
@@ -71,5 +78,7 @@
     observations.observation_of("e0").is_unreachable = True
     observations.observation_of("e0").last_probe_s = 10.0
     assert picker.pick(records, ("e1",), 0, 0.1, 10.1).name == "e2"
+    picker.paths.timers.advance(10.1)
     assert picker.pick(records[:1], (), 0, 0.1, 10.1) is None
+    picker.paths.timers.advance(10.5)
     assert picker.pick(records[:1], (), 0, 0.1, 10.5).name == "e0"
--- a/greengagerock/settings/checker.py
+++ b/greengagerock/settings/checker.py
@@ -198,6 +198,8 @@
         faults.append(checker.make_fault(("data_folder",), "a controller needs a data folder"))
     if settings.role == "router" and not settings.callers:
         faults.append(checker.make_fault(("callers",), "a router needs an address for callers"))
+    if settings.relay and settings.role != "router":
+        faults.append(checker.make_fault(("relay",), "only a router takes such requests"))
     return faults
 
 
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -39,6 +39,8 @@
         callers: Address on which a router listens for callers, or empty.
         readiness: Address on which a router listens for the load balancer, or empty.
         control: Address on which a controller listens for endpoints and operators, or empty.
+        relay: Address on which a router takes requests of other routers that cannot reach an
+            endpoint, or empty.
         metrics: Address on which metrics are served, or empty.
         data_folder: Folder of a controller's state.
         may_found: Whether this host may bootstrap the voter group, because the site starts
@@ -63,6 +65,7 @@
     callers: str = ""
     readiness: str = ""
     control: str = ""
+    relay: str = ""
     metrics: str = ""
     data_folder: str = ""
     may_found: bool = False
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -9,6 +9,7 @@
 from greengagerock.core.interface import (
     AttemptFailed,
     CallArrived,
+    CallerDisconnected,
     CancelAttempt,
     CloseIdleConnections,
     EndpointNoticed,
@@ -16,6 +17,7 @@
     Forward,
     ItemsRequested,
     PatchArrived,
+    RelayArrived,
     RequestEnded,
     Respond,
     RespondWithError,
@@ -39,6 +41,12 @@
 REPORT_TIMEOUT_S = 1.0
 RELEASE_REPORT_S = 0.1
 CALL_DELAY_S = 0.001
+# How a router reads the error code of one that was to forward its request.
+RELAY_REASONS = {
+    "connect-failed": "connect",
+    "answer-lost": "lost",
+    "deadline-exceeded": "timeout",
+}
 # Requests that an endpoint runs at once.
 SLOTS_PER_ENDPOINT = 3
 # Factor by which a hold lasts longer on an endpoint whose clock runs 2% slow.
@@ -204,6 +212,10 @@
         replies: Values of ``Respond`` effects by token.
         double_holds: Tuples of time, two endpoint names and up to three units that both held.
         paths: The ``FakePaths`` between routers and endpoints.
+        by_relay_address: Hosts by the address at which they take requests of other routers.
+        calls_of_relays: Tokens of requests that routers forward for others.
+        relayed: Host, number of its run and token there, by the token of the relayed request.
+        relayed_count: Number of requests that were sent through relays.
     """
 
     def __init__(self, seed=1, hold_s=6.0, **options):
@@ -214,6 +226,10 @@
         self.double_holds = []
         self.calls = {}
         self.paths = FakePaths()
+        self.by_relay_address = {}
+        self.calls_of_relays = set()
+        self.relayed = {}
+        self.relayed_count = 0
         self._octets = itertools.count(1)
         self._open_reports = {}
 
@@ -227,11 +243,13 @@
             tuple(seeds),
             may_bootstrap,
             hold_s=self.hold_s,
+            relay_address=f"{name}:7001" if role == "router" else "",
         )
         disk = FakeDisk(f"{name}#1") if role == "controller" else None
         host = FakeHost(SiteHostConfig(record, site), disk)
         self.hosts[name] = host
         self.by_address[record.address] = host
+        self.by_relay_address[f"{name}:7001"] = host
         self.start_host(name)
         return host
 
@@ -388,6 +406,8 @@
                     self._on_reply(token, value)
                 case Forward():
                     self._forward_call(host, effect)
+                case RespondWithError(token) if token in self.calls_of_relays:
+                    self._on_relay_error(effect)
                 case RespondWithError(token):
                     self._record_response(token, effect)
                 case CancelAttempt(token):
@@ -406,6 +426,9 @@
             self.replies[token] = value
 
     def _forward_call(self, host, effect):
+        if effect.relay:
+            self._send_to_relay(host, effect)
+            return
         endpoint = self.reporting_endpoints.get(effect.endpoint)
         path = (host.config.host.name, effect.endpoint)
         fault = self.paths.fault_of(path)
@@ -459,7 +482,67 @@
 
         self.at(delay_s, time_out)
 
+    def _send_to_relay(self, host, effect):
+        """Send a request to another router, which forwards it to the endpoint."""
+        self.relayed_count += 1
+        relay = self.by_relay_address[effect.relay]
+        origin, relay_name = host.config.host.name, relay.config.host.name
+        if relay.node is None or self.is_link_cut(origin, relay_name):
+            is_silent = relay.node is not None
+            delay_s = CONNECT_TIMEOUT_S if is_silent else CALL_DELAY_S
+            self._fail_attempt(host, effect.token, "relay", False, delay_s)
+            return
+        call = self.calls[effect.token]
+        token = next(self._tokens)
+        self.calls[token] = call
+        self.calls_of_relays.add(token)
+        self.relayed[token] = (host, host.run_number, effect.token)
+        arrival = RelayArrived(
+            token, call.request_id, effect.endpoint, effect.timeout_s, effect.is_limited
+        )
+        self.at(CALL_DELAY_S, lambda: self._feed(relay, arrival))
+        self.at(effect.timeout_s, lambda: self._fail_relayed(token, "timeout", True))
+
+    def _fail_relayed(self, token, reason, has_sent_bytes):
+        """Fail the attempt at the router that sent a request to a relay, if it still waits."""
+        host, run_number, origin_token = self.relayed.pop(token, (None, 0, 0))
+        if host is not None:
+            failure = AttemptFailed(origin_token, reason, has_sent_bytes, False)
+            self._end_request(host, run_number, origin_token, failure)
+
+    def _on_relay_error(self, error):
+        reason = RELAY_REASONS.get(error.code, "relay")
+        self._fail_relayed(error.token, reason, error.outcome != "not-run")
+
+    def _end_request(self, host, run_number, token, event):
+        """End a request; what a relay gets from an endpoint goes on to the other router."""
+        if token not in self.calls_of_relays:
+            super()._end_request(host, run_number, token, event)
+            return
+        if isinstance(event, AttemptFailed) and event.reason not in ("refused", "not-owner"):
+            self._feed_if_same_run(host, run_number, event)
+            return
+        response_time_s = getattr(event, "response_time_s", CALL_DELAY_S)
+        relayed = self.relayed.pop(token, None)
+        self._feed_if_same_run(host, run_number, RequestEnded(token, True, response_time_s))
+        if relayed is not None:
+            origin, origin_run, origin_token = relayed
+            event = msgspec.structs.replace(event, token=origin_token)
+            self.at(
+                CALL_DELAY_S, lambda: self._end_request(origin, origin_run, origin_token, event)
+            )
+
+    def _cancel_relayed(self, host, origin_token):
+        """Close the connection to a relay, which then cancels the request at the endpoint."""
+        for token, (origin, _, other_token) in list(self.relayed.items()):
+            if origin is host and other_token == origin_token:
+                self._fail_relayed(token, "relay", True)
+                for relay in self.by_relay_address.values():
+                    if relay.node is not None:
+                        self._feed(relay, CallerDisconnected(token))
+
     def _cancel_attempt(self, host, token):
+        self._cancel_relayed(host, token)
         for path, requests in self.paths.in_flight.items():
             if path[0] == host.config.host.name and token in requests:
                 requests[token]()
@@ -470,8 +553,13 @@
             if endpoint.address == address:
                 self.paths.close_idle(host.config.host.name, name)
 
-    def _respond_with_limit(self, host, endpoint, token, was_limited):
+    def _respond_with_limit(self, host, run_number, endpoint, token, was_limited):
         """Pass on what the head of a response says about the endpoint's limit."""
+        if token in self.relayed:
+            origin = self.relayed[token]
+            self._respond_with_limit(origin[0], origin[1], endpoint, origin[2], was_limited)
+        if host.run_number != run_number:
+            return
         if endpoint.limit_per_s is not None:
             endpoint.notified_routers.setdefault(host.config.host.name, self.now_s)
             self._feed(host, EndpointNoticed(token, limit_per_s=endpoint.limit_per_s))
@@ -494,8 +582,7 @@
                 return
             if not self.paths.end(path, token, True):
                 return
-            if host.run_number == run_number:
-                self._respond_with_limit(host, endpoint, token, effect.is_limited)
+            self._respond_with_limit(host, run_number, endpoint, token, effect.is_limited)
             self._end_request(host, run_number, token, RequestEnded(token, True, duration_s))
 
         self.at(duration_s, complete)
--- a/greengagerock/testing/launch_site.py
+++ b/greengagerock/testing/launch_site.py
@@ -24,6 +24,7 @@
 READY_PORT = 8481
 CONTROL_PORT = 8482
 LINK_PORT = 8483
+RELAY_PORT = 8484
 ENDPOINT_PORT = 8490
 ZONES = ("zone-1", "zone-2", "zone-3")
 
@@ -101,6 +102,7 @@
         if role == "router":
             settings["callers"] = f"{ip}:{CALLER_PORT}"
             settings["readiness"] = f"{ip}:{READY_PORT}"
+            settings["relay"] = f"{ip}:{RELAY_PORT}"
         else:
             settings["control"] = f"{ip}:{CONTROL_PORT}"
             settings["data_folder"] = str(self.folder / name)
--- a/greengagerock/view/__init__.py
+++ b/greengagerock/view/__init__.py
@@ -13,6 +13,7 @@
     OwnedUnitRanges,
     ViewDelta,
     ViewPoll,
+    digest_relays,
 )
 from greengagerock.view.packing import PackedDeltaCache, decode_delta, encode_delta
 from greengagerock.view.replica import ViewReplica
@@ -35,4 +36,5 @@
     "ViewReplica",
     "encode_delta",
     "decode_delta",
+    "digest_relays",
 ]
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -1,6 +1,7 @@
 """Messages between routers and controllers; each may be lost or delivered twice."""
 
 import msgspec
+import xxhash
 
 from greengagerock.items import CallerLimits, Removal, RouteItem, ServiceItem
 
@@ -174,6 +175,9 @@
         demand: Number of requests since the last poll, by service and block of keys.
         response_times_number: Number of the newest ``EndpointResponseTimes`` that the router has.
         limits: Reports on endpoints' limits, by endpoint name.
+        relay_address: ``IP:PORT`` where the router takes requests of other routers, or empty.
+        unreachable: Number of endpoints that the router cannot reach itself.
+        relays_digest: Digest of the addresses of the relays that the router has.
     """
 
     items_revision: int
@@ -183,6 +187,9 @@
     demand: dict[str, dict[int, int]] = {}
     response_times_number: int = msgspec.field(default=0, name="times_number")
     limits: dict[str, LimitReport] = {}
+    relay_address: str = ""
+    unreachable: int = 0
+    relays_digest: int = 0
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
@@ -198,6 +205,8 @@
         response_times: Packed ``EndpointResponseTimes``, or ``None`` if the router has the
             newest ones.
         limits: Limits of endpoints, with the router's shares.
+        relays: Addresses of other routers that forward requests of this one, or ``None`` if the
+            router has the newest ones.
     """
 
     items: bytes | None
@@ -207,6 +216,7 @@
     bans: tuple[str, ...] = ()
     response_times: bytes | None = msgspec.field(default=None, name="times")
     limits: tuple[LimitShare, ...] = ()
+    relays: tuple[str, ...] | None = None
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
@@ -221,6 +231,16 @@
     started_ms: int
 
 
+def digest_relays(relays):
+    """Return the digest of relay addresses that is compared with a ``ViewPoll``.
+
+    Examples:
+        >>> digest_relays(())
+        0
+    """
+    return xxhash.xxh32_intdigest(",".join(relays).encode()) if relays else 0
+
+
 class NotLeading(msgspec.Struct, frozen=True, tag="not-leading"):
     """The reply to a ``ViewPoll`` of a controller that is not the leader.
 
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -1,7 +1,7 @@
 """A router's copy of the items, endpoints and unit owners."""
 
 from greengagerock.assignment.units import KEYS_PER_UNIT
-from greengagerock.view.messages import EndpointResponseTimes, ViewPoll
+from greengagerock.view.messages import EndpointResponseTimes, ViewPoll, digest_relays
 
 
 class ViewReplica:
@@ -19,6 +19,9 @@
         endpoints_revision: Last revision of that leader that was applied.
         removed_versions: Version at removal by kind and name of removed items.
         response_times: The newest ``EndpointResponseTimes``.
+        relays: Addresses of other routers that forward requests of this one.
+        relay_address: ``IP:PORT`` where this router takes requests of others, or empty.
+        unreachable_count: Number of endpoints that this router cannot reach itself.
     """
 
     def __init__(self):
@@ -33,6 +36,9 @@
         self.endpoints_revision = 0
         self.removed_versions = {}
         self.response_times = EndpointResponseTimes(0, {}, {})
+        self.relays = ()
+        self.relay_address = ""
+        self.unreachable_count = 0
 
     @property
     def has_configuration(self):
@@ -56,6 +62,9 @@
             demand,
             self.response_times.number,
             limits or {},
+            self.relay_address,
+            self.unreachable_count,
+            digest_relays(self.relays),
         )
 
     def shared_mean_s(self, endpoint):
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -20,6 +20,7 @@
 from greengagerock.routing.failures import REASON_CONNECTION_LOST
 from greengagerock.web.native_dialect import NativeDialect
 from greengagerock.web.range_requests import read_byte_range
+from greengagerock.web.relay_dialect import RESULT_HEADER, add_relay_headers
 from greengagerock.web.upstream import (
     BODY_CHUNK_BYTES,
     Attempt,
@@ -282,6 +283,8 @@
 
     def _headers_for(self, forward):
         headers = self.app.dialect.outgoing_headers(self.headers, forward, self.request_id)
+        if forward.relay:
+            headers = add_relay_headers(headers, forward)
         if self.body is not None and "content-length" not in headers:
             headers["transfer-encoding"] = "chunked"
         return headers
@@ -301,6 +304,8 @@
             self.app.bridge.post_deferred(ResponseStarted(self.token))
         response_headers = response.headers
         dropped_names = self.app.dialect.dropped_response_headers
+        if forward.relay:
+            dropped_names = dropped_names | {RESULT_HEADER.lower()}
         if "Connection" in response_headers:
             dropped_names = dropped_names | connection_options(response_headers["Connection"])
         headers = [
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -163,7 +163,7 @@
         )
         yield from self._link_turns()
         yield from self._limits()
-        yield from self._unreachable_endpoints()
+        yield from self._paths()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
@@ -189,8 +189,8 @@
                 value=len(dispatcher.limits.by_endpoint),
             )
 
-    def _unreachable_endpoints(self):
-        """Yield how many endpoints a router cannot connect to."""
+    def _paths(self):
+        """Yield how many endpoints a router cannot reach, and what it sends through others."""
         dispatcher = getattr(self.node, "dispatcher", None)
         if dispatcher is not None:
             yield GaugeMetricFamily(
@@ -198,6 +198,11 @@
                 "Endpoints to which the last attempt to connect failed.",
                 value=dispatcher.observations.unreachable_count(),
             )
+            yield CounterMetricFamily(
+                "greengage_relayed",
+                "Requests sent to endpoints through other routers.",
+                value=dispatcher.paths.relays.sent_count,
+            )
 
 
 def collect_link_metrics(stats):
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -182,11 +182,12 @@
         limits: The ``LimitSettings``.
         threads: Largest number of worker threads.
         log: Callable that writes one log line.
+        min_threads: Number of worker threads that it keeps while it has no requests.
     """
 
-    def __init__(self, ip, port, application, limits, threads, log):
+    def __init__(self, ip, port, application, limits, threads, log, min_threads=MIN_THREADS):
         self.log = log
-        min_threads = min(MIN_THREADS, threads)
+        min_threads = min(min_threads, threads)
         adapter = Server()
         adapter.socket_host = ip
         adapter.socket_port = port
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -17,6 +17,7 @@
     REASON_CONNECTION_LOST,
     REASON_TIMEOUT,
 )
+from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
 
 CONNECTIONS_PER_ENDPOINT = 32
 # Largest head of a response, interim responses included.
@@ -344,7 +345,7 @@
         attempt.target = uri
         _thread_state.attempt = attempt
         try:
-            response = self.pool(forward.address).urlopen(
+            response = self.pool(forward.relay or forward.address).urlopen(
                 method,
                 uri,
                 body=body,
@@ -359,9 +360,15 @@
         except CallerBodyError:
             return AttemptFailed(forward.token, REASON_CALLER, attempt.has_sent_bytes, True)
         except (HTTPError, OSError, ValueError) as error:
-            return self._failure(forward, error, attempt, body)
+            failure = self._failure(forward, error, attempt, body)
+            return attribute_to_relay(failure) if forward.relay else failure
         finally:
             _thread_state.attempt = None
+        if forward.relay:
+            failure = read_relay_failure(forward.token, response, bool(body and body.is_consumed))
+            if failure is not None:
+                discard_body(response)
+                return failure
         reason = failure_reason(response)
         if reason is None:
             return response
