--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -146,7 +146,7 @@
             may_found=settings.may_found,
         )
         self.loop.run()
-        self.log("ended", code=self.loop.stop_code)
+        self.log("ended", code=self.loop.stop_code, in_progress=self._count_in_progress())
         self.links.close()
         return self.loop.stop_code
 
@@ -160,6 +160,10 @@
             self.loop.post(SeedsChanged(settings.seeds))
         self.settings = settings
 
+    def _count_in_progress(self):
+        """Return the number of callers' requests that the HTTP server is processing."""
+        return self.caller_server.count_in_progress() if self.caller_server else 0
+
     def _post(self, event):
         self.loop.post(event)
 
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -223,6 +223,10 @@
         self.server.stop()
         self.thread.join(timeout=self.server.shutdown_timeout)
 
+    def count_in_progress(self):
+        """Return the number of connections whose requests are being read or answered."""
+        return self.server.requests.pending
+
     def apply_limits(self, limits):
         """Apply the operator's ``CallerLimits`` to later requests."""
         self.server.max_request_header_size = limits.header_bytes
