--- /dev/null
+++ b/greengagerock/testing/raw_callers.py
@@ -0,0 +1,135 @@
+"""Callers on raw connections, which count the requests that end without a whole response."""
+
+import random
+import socket
+import threading
+import time
+
+SOCKET_TIMEOUT_S = 10.0
+LONGEST_PAUSE_S = 0.02
+LONGEST_SPLIT_S = 0.3
+RECONNECT_PAUSE_S = 0.02
+SPLIT_AT_BYTES = 40
+
+# Callers that keep connections, that open one for each request, and that send a request in two
+# pieces.
+KEPT = "kept"
+NEW = "new"
+SPLIT = "split"
+KINDS = (KEPT, NEW, SPLIT)
+
+PATHS = ("/balance/", "/charge/", "/prices/")
+
+
+class RawCallers:
+    """Callers of one address, each on a thread and with one request at a time.
+
+    Args:
+        address: IP address and port.
+        count: Number of callers.
+        seed: Seed of what they send, and when.
+
+    Attributes:
+        statuses: Number of whole responses by status.
+        cut: Kind and path of each request that ended without a whole response although its
+            connection was not reset before the first byte of one.
+        unread: Number of requests whose connection was reset before the first byte, so that they
+            were not read.
+    """
+
+    def __init__(self, address, count, seed=1):
+        self.address = address
+        self.statuses = {}
+        self.cut = []
+        self.unread = 0
+        self.ends = threading.Event()
+        self.lock = threading.Lock()
+        self.threads = [
+            threading.Thread(
+                target=self._call_repeatedly,
+                args=(KINDS[number % len(KINDS)], random.Random(seed * 1000 + number)),
+                daemon=True,
+            )
+            for number in range(count)
+        ]
+
+    def start(self):
+        """Start all callers."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self):
+        """End all callers after their current requests."""
+        self.ends.set()
+        for thread in self.threads:
+            thread.join(SOCKET_TIMEOUT_S)
+
+    def _call_repeatedly(self, kind, draw):
+        sock = None
+        while not self.ends.is_set():
+            if sock is None:
+                try:
+                    sock = socket.create_connection(self.address, SOCKET_TIMEOUT_S)
+                except OSError:
+                    # Nobody listens while the process starts again.
+                    time.sleep(RECONNECT_PAUSE_S)
+                    continue
+            keeps_open = self._call(sock, kind, draw)
+            if kind == NEW or not keeps_open:
+                sock.close()
+                sock = None
+            time.sleep(draw.random() * LONGEST_PAUSE_S)
+        if sock is not None:
+            sock.close()
+
+    def _call(self, sock, kind, draw):
+        """Send one request; return whether its connection stays open."""
+        path = draw.choice(PATHS)
+        body = b"x" * 300 if path == "/charge/" else b""
+        request = (
+            f"{'POST' if body else 'GET'} {path}{draw.randrange(10_000)} HTTP/1.1\r\n"
+            f"Host: shop.example\r\nGreengage-Key: {draw.randrange(65_536)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+        received = b""
+        try:
+            if kind == SPLIT:
+                sock.sendall(request[:SPLIT_AT_BYTES])
+                time.sleep(draw.random() * LONGEST_SPLIT_S)
+                request = request[SPLIT_AT_BYTES:]
+            sock.sendall(request)
+            while not is_whole(received):
+                piece = sock.recv(65_536)
+                if not piece:
+                    break
+                received += piece
+        except (BrokenPipeError, ConnectionResetError):
+            if not received:
+                with self.lock:
+                    self.unread += 1
+                return False
+        if not is_whole(received):
+            with self.lock:
+                self.cut.append((kind, path, len(received)))
+            return False
+        status = received.split()[1].decode()
+        with self.lock:
+            self.statuses[status] = self.statuses.get(status, 0) + 1
+        return b"connection: close" not in received.lower()
+
+
+def is_whole(received):
+    r"""Return whether bytes are a whole response with a length.
+
+    Examples:
+        >>> is_whole(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab")
+        True
+        >>> is_whole(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
+        False
+    """
+    head, separator, body = received.partition(b"\r\n\r\n")
+    if not separator:
+        return False
+    lines = head.lower().split(b"\r\n")
+    lengths = [int(line[15:]) for line in lines if line.startswith(b"content-length:")]
+    return bool(lengths) and len(body) >= lengths[0]
