End a process only after its HTTP servers have answered what they have read

Cause: the process ended when the decision core had no call in progress. Requests that worker threads were reading, that waited for a worker, and refusals not yet written are no calls; in_progress=4 and 9 at the exit, cut_off=0. Now ending the process closes the ports and waits for the workers, for readable connections and for those used within 0.25 s, until 0.3 s before the kill.

The same for controllers and the daemon of the zones.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -391,15 +391,17 @@
 
 
 class StopProcess(msgspec.Struct, frozen=True):
-    """End the process.
+    """End the process once the HTTP servers have answered what they have read.
 
     Attributes:
         code: An error code, or empty after a requested stop.
         detail: Details of the error.
+        wait_s: Longest time that the servers get for that, in seconds.
     """
 
     code: str = ""
     detail: str = ""
+    wait_s: float = 0.5
 
 
 class Outbox:
--- a/greengagerock/daemon/daemon.py
+++ b/greengagerock/daemon/daemon.py
@@ -9,6 +9,7 @@
 from greengagerock.daemon.bridge import Bridge
 from greengagerock.daemon.loop import EventLoop
 from greengagerock.daemon.record_writer import RecordWriter
+from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.daemon.status import describe_host
 from greengagerock.node.node import Node
 from greengagerock.node.node_config import NodeConfig
@@ -60,6 +61,7 @@
         self.bridge.unwatch_caller = self.loop.unwatch_caller
         self.metrics.register_node(self.node, self.links)
         self.servers = self._make_servers()
+        self.loop.drain = ServerDrain(self.servers)
 
     def run(self):
         """Serve until stopped.
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -26,6 +26,7 @@
     TimeAdvanced,
     WatchCaller,
 )
+from greengagerock.daemon.server_drain import CHECK_INTERVAL_S
 
 MAX_EVENTS_PER_ITERATION = 256
 
@@ -45,6 +46,8 @@
         log: Callable that writes one log line.
 
     Attributes:
+        drain: The ``ServerDrain``, or ``None`` if the process may end at once.
+        end_s: When the loop ends at the latest, ``None`` before a ``StopProcess``.
         apply_limits: Callable that receives the limits of an ``ApplyCallerLimits`` effect.
         stop_code: Error code with which the loop ended; empty after a planned stop.
     """
@@ -59,6 +62,8 @@
         self.log = log
         self.stop_code = ""
         self.is_running = True
+        self.drain = None
+        self.end_s = None
         self.apply_limits = lambda limits: None
         self._event_queue = deque()
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
@@ -114,13 +119,15 @@
             return
 
     def run(self):
-        """Run until the node returns a ``StopProcess`` effect."""
+        """Run until the node returns a ``StopProcess`` effect and the servers are drained."""
         self._execute(self.node.start())
         while self.is_running:
             if self._wait():
                 self._handle_messages()
             self._handle_events()
             self._handle_due_timers()
+            if self.end_s is not None:
+                self._end_if_drained()
         self._poll.close()
         os.close(self._wake_fd)
 
@@ -142,7 +149,14 @@
                 self._unregister(descriptor)
                 self._event_queue.append(CallerDisconnected(token))
 
+    def _end_if_drained(self):
+        is_drained = self.drain is None or self.drain.is_drained()
+        if is_drained or time.monotonic() >= self.end_s:
+            self.is_running = False
+
     def _poll_timeout_s(self):
+        if self.end_s is not None:
+            return CHECK_INTERVAL_S
         due_s = self.node.next_due_s()
         return None if due_s is None else max(0.0, due_s - time.monotonic())
 
@@ -213,6 +227,6 @@
                     self._watch_caller(token)
                 case CloseIdleConnections(address):
                     self.upstream.close_pool(address)
-                case StopProcess(code):
+                case StopProcess(code, _, wait_s) if self.end_s is None:
                     self.stop_code = code
-                    self.is_running = False
+                    self.end_s = time.monotonic() + (0.0 if code else wait_s)
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -17,6 +17,7 @@
 from greengagerock.daemon.logs import format_pairs
 from greengagerock.daemon.loop import EventLoop
 from greengagerock.daemon.record_writer import RecordWriter
+from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site_config import SiteConfig
 from greengagerock.settings.link_speed import slow_link_bytes_per_s
@@ -128,6 +129,7 @@
         self.control_dialect = control_dialect
         self.caller_server = None
         self.servers = self._make_servers()
+        self.loop.drain = ServerDrain(self.servers)
 
     def run(self):
         """Serve until stopped.
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -48,6 +48,8 @@
 MAX_LOGGED_NAMES = 16
 # The process ends at least this long before the end of the grace period.
 STOP_MARGIN_S = 0.6
+# Time that the HTTP servers get at least to answer what they have read.
+MIN_DRAIN_S = 0.3
 
 
 class RouterNode:
@@ -99,6 +101,7 @@
         self.had_leader = False
         self.is_stopping = False
         self.is_stopped = False
+        self.stop_due_s = float("inf")
         self._poll()
 
     def next_due_s(self):
@@ -307,7 +310,9 @@
         self.replica.relay_address = ""
         self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
         self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new_requests)
-        self.timers.subscribe(self.config.stop_grace_s - STOP_MARGIN_S, self._stop)
+        stop_s = self.config.stop_grace_s - STOP_MARGIN_S
+        self.stop_due_s = self.timers.now_s + stop_s
+        self.timers.subscribe(stop_s, self._stop)
 
     def _refuse_new_requests(self):
         # A request accepted from now on may not finish before the process is killed.
@@ -324,4 +329,5 @@
         if not self.is_stopped:
             self.is_stopped = True
             self.outbox.log("stopped", cut_off=len(self.dispatcher.calls))
-            self.outbox.add(StopProcess())
+            wait_s = max(MIN_DRAIN_S, self.stop_due_s - self.timers.now_s)
+            self.outbox.add(StopProcess(wait_s=wait_s))
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -1,7 +1,9 @@
 """HTTP servers on CherryPy's WSGI server, with error codes in JSON bodies."""
 
 import json
+import select
 import threading
+import time
 
 from cheroot.connections import ConnectionManager
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
@@ -15,6 +17,10 @@
 # Number of worker threads that a server keeps while it has no requests.
 MIN_THREADS = 4
 
+# Time after its last request, or after it was opened, until which a connection is kept during the
+# stop of a server; a request may be on its way.
+STOP_LINGER_S = 0.25
+
 # Error statuses that can occur after a request has been forwarded.
 _STATUSES_OF_UNKNOWN_OUTCOME = frozenset({"408", "500"})
 
@@ -143,6 +149,41 @@
             self.put(connection)
         return None
 
+    def stop_accepting(self):
+        """Accept the connections that wait to be accepted, then close the port."""
+        listener = self.server.socket
+        self._selector.unregister(listener.fileno())
+        # The thread that accepted connections until now may still be about to do so.
+        listener.setblocking(False)
+        while _readable([listener.fileno()]):
+            self._from_server_socket(listener)
+        listener.close()
+
+    def is_quiet(self):
+        """Return whether no connection has sent or may be about to send a request."""
+        connections = self._idle_connections()
+        oldest_s = time.time() - STOP_LINGER_S
+        if any(connection.last_used > oldest_s for _, connection in connections):
+            return False
+        return not _readable([descriptor for descriptor, _ in connections])
+
+    def close_idle(self):
+        """Close all connections without a request."""
+        for descriptor, connection in self._idle_connections():
+            self._selector.unregister(descriptor)
+            connection.close()
+
+    def _idle_connections(self):
+        return [pair for pair in self._selector.connections if pair[1] is not self.server]
+
+
+def _readable(descriptors):
+    """Return which descriptors have unread bytes, the end of the connection, or an error."""
+    poll = select.poll()
+    for descriptor in descriptors:
+        poll.register(descriptor, select.POLLIN)
+    return poll.poll(0)
+
 
 class JsonErrorConnection(HTTPConnection):
     """A connection whose requests are ``JsonErrorRequest`` objects."""
@@ -227,6 +268,18 @@
         """Return the number of connections whose requests are being read or answered."""
         return self.server.requests.pending
 
+    def stop_accepting(self):
+        """Close the port; requests on open connections are still served."""
+        self.server._connections.stop_accepting()
+
+    def is_idle(self):
+        """Return whether no request is in progress or may be on its way."""
+        return self.count_in_progress() == 0 and self.server._connections.is_quiet()
+
+    def close_idle_connections(self):
+        """Close the connections that have no request in progress."""
+        self.server._connections.close_idle()
+
     def apply_limits(self, limits):
         """Apply the operator's ``CallerLimits`` to later requests."""
         self.server.max_request_header_size = limits.header_bytes
