Set TCP_USER_TIMEOUT on connections to endpoints only during requests

The client set 2 s beside probes after 5 s idle, 1 s apart, three of them, so one lost probe closed an idle connection.

Now the option is set when a request is sent and cleared when the connection becomes idle. test_lost_keep_alive_probe_does_not_close_an_idle_connection failed before (2000 on the idle connection).

--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -58,6 +58,27 @@
     server.close()
 
 
+def test_lost_keep_alive_probe_does_not_close_an_idle_connection():
+    """Linux lets TCP_USER_TIMEOUT, where it is set, decide instead of TCP_KEEPCNT."""
+    address = serve_once(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    upstream, attempt = Upstream(LimitSettings()), Attempt()
+    timeouts_ms = []
+
+    def inspect(response):
+        timeouts_ms.append(read_user_timeout_ms(attempt.sock))
+
+    forward = Forward(1, "e", address, {}, 5.0)
+    response = upstream.send(forward, "GET", "/", {}, None, attempt, inspect)
+    assert response.read() == b"ok"
+    timeouts_ms.append(read_user_timeout_ms(attempt.sock))
+    assert timeouts_ms == [2000, 0]
+
+
+def read_user_timeout_ms(sock):
+    """Return the option ``TCP_USER_TIMEOUT`` of a socket."""
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+
 def serve_once(data):
     """Start an endpoint that answers one connection with bytes and closes it.
 
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -39,13 +39,14 @@
 # not been executed.
 RESET_WAIT_S = 0.006
 
-# A connection is closed when sent data stays unacknowledged for this time.
+# A connection is closed when a request stays unacknowledged for this time. The option is set only
+# while a request is in progress: on an idle connection it would replace ``TCP_KEEPCNT``, so that
+# one lost keep-alive probe closes the connection.
 UNACKNOWLEDGED_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_S = 5
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
@@ -200,11 +201,20 @@
                     # The attempt was cancelled while the connection was being opened.
                     self.close()
                     raise NewConnectionError(self, "the attempt was cancelled")
-        if attempt is not None:
+        if attempt is not None and attempt.sock is None:
             attempt.sock = self.sock
             attempt.has_sent_bytes = True
+            self._limit_unacknowledged(UNACKNOWLEDGED_TIMEOUT_MS)
         super().send(data)
 
+    def become_idle(self):
+        """Let keep-alive probes alone decide when the connection is lost."""
+        if self.sock is not None:
+            self._limit_unacknowledged(0)
+
+    def _limit_unacknowledged(self, timeout_ms):
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def _wait_for_reset(self):
         """Wait for a possible reset of a new connection, before the request is sent.
 
@@ -224,6 +234,11 @@
 
     ConnectionCls = TrackedConnection
 
+    def _put_conn(self, conn):
+        if conn is not None:
+            conn.become_idle()
+        super()._put_conn(conn)
+
 
 class CallerBodyError(Exception):
     """The caller's body is truncated or malformed; the endpoint has not failed."""
