Split what follows a failed path off from the dispatcher

An overdue attempt through a relay ends as deadline-exceeded, like one on an own connection; before, it counted as a failure of the relay and ended as answer-lost. Otherwise only moved.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -2,7 +2,7 @@
 
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.core.interface import CancelAttempt
-from greengagerock.routing.call_sender import MIN_TIME_LEFT_S, CallSender
+from greengagerock.routing.call_sender import CallSender
 from greengagerock.routing.calls import Call
 from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
@@ -24,6 +24,7 @@
 from greengagerock.routing.link_schedule import LinkSchedule
 from greengagerock.routing.notice_handler import NoticeHandler
 from greengagerock.routing.observations import EndpointObservations
+from greengagerock.routing.path_failures import PathFailures
 from greengagerock.routing.priorities import rank_priorities
 from greengagerock.routing.route_index import RouteIndex
 from greengagerock.routing.service_picker import ServicePicker
@@ -34,8 +35,6 @@
 # largest number of times that it is sent.
 RESEND_PAUSE_S = 0.02
 MAX_DELIVERIES = 3
-# Number of relays that fail to reach an endpoint from which on relays are not tried for a while.
-MIN_RELAYS_OF_LOST_ENDPOINT = 2
 
 
 class Dispatcher:
@@ -68,6 +67,7 @@
         stats: The ``RouterStats``.
         error_responder: The ``ErrorResponder``.
         sender: The ``CallSender``.
+        path_failures: The ``PathFailures``.
         calls: Calls in progress by token.
         banned_fingerprints: Fingerprints of requests that crashed several endpoints.
         is_stopping: Whether new requests are refused.
@@ -122,6 +122,16 @@
             outbox,
             self._refuse,
         )
+        self.path_failures = PathFailures(
+            replica,
+            self.observations,
+            self.notices,
+            self.paths,
+            self.sender,
+            timers,
+            outbox,
+            self._finish,
+        )
         self.calls = {}
         self.banned_fingerprints = frozenset()
         self.is_stopping = False
@@ -174,16 +184,18 @@
             self._finish(call, "bad-request", outcome)
         elif event.reason == REASON_CONNECT or not event.has_sent_bytes:
             if relay:
-                self._on_not_relayed(call, event, endpoint, relay)
+                self.path_failures.on_not_relayed(call, event, endpoint, relay)
             else:
-                self._on_unreachable(call, endpoint)
-        elif event.reason == REASON_RELAY:
-            self._on_relay_lost(call, relay)
+                # Requests on older connections do not get a response either.
+                self._cancel_silent_attempts(endpoint, call.sent_s)
+                self.path_failures.on_unreachable(call, endpoint)
         elif event.reason == REASON_TIMEOUT or call.is_overdue:
             self.health.note_failure(endpoint, now_s)
             if relay:
                 self.paths.relays.note_failure(relay)
             self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
+        elif event.reason == REASON_RELAY:
+            self._on_relay_lost(call, relay)
         else:
             self._on_connection_lost(call, event, endpoint)
 
@@ -346,57 +358,6 @@
         if call.token in self.calls:
             self.sender.send(call)
 
-    def _on_unreachable(self, call, endpoint):
-        """Handle a failure to connect: the request was certainly not run."""
-        now_s = self.timers.now_s
-        observation = self.observations.observation_of(endpoint)
-        is_first_failure = not observation.is_unreachable
-        record = self.replica.endpoints.get(endpoint)
-        if record is None:
-            observation.note_unreachable(now_s)
-        else:
-            self.paths.note_lost(record)
-        if is_first_failure:
-            self.outbox.log(
-                "endpoint-unreachable",
-                endpoint=endpoint,
-                service=call.service,
-                request_id=call.request_id,
-                unreachable=self.observations.unreachable_count(),
-            )
-        self._cancel_silent_attempts(endpoint, call.sent_s)
-        self._note_not_delivered(call, endpoint)
-        if call.deadline_s - now_s < MIN_TIME_LEFT_S:
-            self._refuse(call, "no-room", "no time left before the deadline")
-        elif (
-            self.sender.is_keyed(call)
-            and is_first_failure
-            and record is not None
-            and self.notices.accepts_held_keys(record, now_s)
-            and not self.notices.pause_left_s(record, now_s)
-            and not call.is_body_consumed
-            and not self.paths.pick_relay(call, record)
-        ):
-            # One lost packet has the same effect; two failures show an unreachable endpoint.
-            self.sender.forward(call, record)
-        else:
-            self._send_elsewhere(call)
-
-    def _on_not_relayed(self, call, event, endpoint, relay):
-        """Handle a request that a relay did not deliver: it was certainly not run."""
-        call.tried_relays.append(relay)
-        if event.reason == REASON_RELAY:
-            self.paths.relays.note_failure(relay)
-        else:
-            self.paths.relays.note_miss(relay)
-            if len(call.tried_relays) >= MIN_RELAYS_OF_LOST_ENDPOINT:
-                self.paths.note_unrelayed(endpoint)
-        self._note_not_delivered(call, endpoint)
-        if call.deadline_s - self.timers.now_s < MIN_TIME_LEFT_S:
-            self._refuse(call, "no-room", "no time left before the deadline")
-        else:
-            self._send_elsewhere(call)
-
     def _on_relay_lost(self, call, relay):
         """Handle the loss of the connection to a relay that may have delivered the request."""
         call.may_have_run = True
@@ -406,21 +367,6 @@
         else:
             self._finish(call, "answer-lost", OUTCOME_UNKNOWN)
 
-    def _note_not_delivered(self, call, endpoint):
-        """Record that the request of the attempt that has ended did not reach its endpoint."""
-        call.delivery_count -= 1
-        if endpoint not in call.unreached_endpoints:
-            call.unreached_endpoints.append(endpoint)
-        if call.is_first_there:
-            call.tried_endpoints.remove(endpoint)
-
-    def _send_elsewhere(self, call):
-        """Send a call that no endpoint has got on another path or to another endpoint."""
-        if call.is_body_consumed:
-            self._finish(call, "connect-failed", OUTCOME_NOT_RUN)
-        else:
-            self.sender.send(call)
-
     def _on_not_owner(self, call, endpoint):
         """Handle a refusal by an endpoint that lacks the key or has another endpoint's address."""
         if not self._may_resend(call):
