Bound the time for which a request of another router is forwarded

Found by looking for the fuzz target that a new reader gets: a remaining time of 1e308 ms reached the HTTP client as a time-out, which cannot hold it. The fuzzer gets targets for the headers of such requests and for what a relay reports; check_relay_request failed without the bound.

--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -1,6 +1,7 @@
 """Fuzz targets for decoders of bytes from outside: invalid input must raise a typed error."""
 
 import msgspec
+import urllib3
 
 from greengagerock.assignment import EndpointReport, HeldRange
 from greengagerock.core import GreengageError, Timestamp
@@ -26,6 +27,16 @@
 )
 from greengagerock.web.control_application import NativeControlDialect
 from greengagerock.web.notice_headers import MAX_READ_LIMIT_PER_S, MAX_READ_PAUSE_S, make_notice
+from greengagerock.web.relay_dialect import (
+    ENDPOINT_HEADER,
+    MAX_TIMEOUT_S,
+    RESULT_ENDPOINT,
+    RESULT_HEADER,
+    TIMEOUT_HEADER,
+    RelayDialect,
+    read_relay_failure,
+)
+from greengagerock.web.route_dialect import NativeRouteDialect
 
 NATIVE_SETTINGS = """
 host: edge-1
@@ -108,6 +119,34 @@
         raise GreengageError("bad-announcement", notice.malformed_pause)
 
 
+def check_relay_request(data):
+    """Read bytes as the endpoint and as the remaining time of another router's request.
+
+    Raises:
+        AssertionError: If the time is not positive and bounded.
+    """
+    text = data.decode("latin-1")
+    headers = {ENDPOINT_HEADER: text, TIMEOUT_HEADER: text}
+    event = RelayDialect(NativeRouteDialect()).make_arrival_event(1, "r", {}, headers, None)
+    assert 0 < event.timeout_s <= MAX_TIMEOUT_S
+
+
+def check_relay_result(data):
+    """Read bytes as what another router says of a request that it was to forward.
+
+    Raises:
+        AssertionError: If the request counts as not run although the result does not say so.
+    """
+    text = data.decode("latin-1")
+    response = urllib3.HTTPResponse(headers={RESULT_HEADER: text})
+    failure = read_relay_failure(1, response, False)
+    if failure is None:
+        assert text == RESULT_ENDPOINT
+    else:
+        assert failure.has_sent_bytes or text.endswith(" not-run")
+        raise GreengageError("relay-unavailable", text)
+
+
 _JSON_TOKENS = (b"[", b"{", b"null", b"-1", b'"', b"1e999", b"\xff", b"true", b"[[[[")
 _MSGPACK_TOKENS = (b"\xc0", b"\x93", b"\xdf\xff\xff\xff\xff", b"\xc6\x7f\xff\xff\xff", b"\xcf")
 _TEXT_TOKENS = (b";", b"\n", b"'", b'"', b": ", b"- ", b"&a", b"*a", b"{", b"!!", b"\x00", b"\xc3")
@@ -152,6 +191,16 @@
         [b"2", b"0.5", b"Fri, 04 Dec 2026 08:00:00 GMT"],
         (b"-1", b"1e999", b"nan", b"inf", b"\xff", b"_", b"0x1", b" "),
     ),
+    "relay-request": DecoderTarget(
+        check_relay_request,
+        [b"1200", b"0.5"],
+        (b"-1", b"1e308", b"nan", b"inf", b"\xff", b"_", b"e", b" "),
+    ),
+    "relay-result": DecoderTarget(
+        check_relay_result,
+        [b"endpoint", b"connect-failed not-run", b"answer-lost unknown"],
+        (b"endpoint", b" ", b"not-run", b"unknown", b"connect-failed", b"\xff", b","),
+    ),
     "log": DecoderTarget(
         scan_frames, [encode_frame(b"one") + encode_frame(b"two" * 30)], _MSGPACK_TOKENS
     ),
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -21,6 +21,9 @@
 RESULT_HEADER = "Greengage-Relay-Result"
 RESULT_ENDPOINT = "endpoint"
 
+# Longest time for which a request of another router is forwarded.
+MAX_TIMEOUT_S = 600.0
+
 _REQUEST_HEADERS = frozenset({ENDPOINT_HEADER, TIMEOUT_HEADER, LIMITED_HEADER})
 _REASON_BY_CODE = {
     "connect-failed": REASON_CONNECT,
@@ -62,9 +65,8 @@
         endpoint, timeout = headers.get(ENDPOINT_HEADER), headers.get(TIMEOUT_HEADER)
         if not endpoint or timeout is None:
             raise GreengageError("bad-request", "endpoint or remaining time is missing")
-        return RelayArrived(
-            token, request_id, endpoint, parse_timeout_s(timeout), LIMITED_HEADER in headers
-        )
+        timeout_s = min(MAX_TIMEOUT_S, parse_timeout_s(timeout))
+        return RelayArrived(token, request_id, endpoint, timeout_s, LIMITED_HEADER in headers)
 
     def service_label(self, event):
         """Return the ``service`` label of the request in the latency metric."""
