--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -14,15 +14,15 @@
 )
 from greengagerock.assignment.endpoint_weights import EndpointWeights
 from greengagerock.assignment.free_units import FreeUnits
+from greengagerock.assignment.grant_rows import build_rows
 from greengagerock.assignment.hot_units import HotUnitPlanner
-from greengagerock.assignment.reports import GrantRow
 from greengagerock.assignment.units import (
-    KEYS_PER_UNIT,
     UNIT_COUNT,
     fences_by_unit,
     stripe_width,
     tokens_by_unit,
 )
+from greengagerock.assignment.zone_handover import ZoneHandover
 from greengagerock.model.timing import PAUSE_ALLOWANCE_S
 
 # Largest clock drift of an endpoint: the infrastructure's protocol allows its clock to run
@@ -64,6 +64,8 @@
         on_owner_changed: Called with a unit and the name of its new owner, empty if it has none.
         earlier_holds_end_s: When all holds granted by earlier leaders have expired.
         report_interval_s: Usual time between two reports of an endpoint.
+        is_evacuated: Callable that returns whether an instance is in an evacuated zone, from which
+            all keys move away.
 
     Attributes:
         owners: The ``EndpointInstance`` that holds each unit, or ``None``.
@@ -79,6 +81,7 @@
         planned_moves: List of (target, units) pairs by source.
         weights: The ``EndpointWeights``.
         hot_units: The ``HotUnitPlanner``.
+        zone_handover: The ``ZoneHandover``.
         next_plan_s: Earliest time of the next plan while planned moves remain.
         waiting_since_s: Since when each target of planned moves has waited for units.
         first_report_s: When the first report arrived, or ``None``.
@@ -89,13 +92,20 @@
     """
 
     def __init__(
-        self, service, next_fence, on_owner_changed, earlier_holds_end_s, report_interval_s
+        self,
+        service,
+        next_fence,
+        on_owner_changed,
+        earlier_holds_end_s,
+        report_interval_s,
+        is_evacuated=lambda instance: False,
     ):
         self.service = service
         self.next_fence = next_fence
         self.on_owner_changed = on_owner_changed
         self.earlier_holds_end_s = earlier_holds_end_s
         self.report_interval_s = report_interval_s
+        self.is_evacuated = is_evacuated
         self.owners = [None] * UNIT_COUNT
         self.fences = [0] * UNIT_COUNT
         self.highest_fence = 0
@@ -107,6 +117,7 @@
         self.planned_moves = {}
         self.weights = EndpointWeights()
         self.hot_units = HotUnitPlanner()
+        self.zone_handover = ZoneHandover(self, (HANDOVER_MIN_S, HANDOVER_WINDOW_S), MAX_ROWS)
         self.next_plan_s = 0.0
         self.waiting_since_s = {}
         self.first_report_s = None
@@ -137,7 +148,10 @@
         self._collect_released(instance, reported)
         if instance.is_leaving:
             self._release(instance, list(self.held.get(instance, ())), now_s)
+        elif self.is_evacuated(instance):
+            self._release_evacuated(instance, instances, now_s)
         else:
+            self.zone_handover.forget(instance)
             self._release_moves(instance, now_s)
             self._grant_free(instance, instances, now_s)
         instance.hold_until_s = now_s + lessor_hold_s(hold_s)
@@ -153,6 +167,7 @@
         self.planned_moves.pop(instance, None)
         self.weights.forget(instance.name)
         self.hot_units.forget(instance)
+        self.zone_handover.forget(instance)
 
     def clear_owners(self, instance):
         """Report the units of a leaving instance as having no owner, before its hold expires."""
@@ -177,7 +192,7 @@
         releasing = [pair for units in self.releasing.values() for pair in units.items()]
         for unit in [unit for unit, until_s in releasing if until_s <= now_s]:
             self._free_unit(unit)
-        self.free_units.expire(now_s, lambda target: target.is_leaving)
+        self.free_units.expire(now_s, lambda target: not self._accepts_units(target))
         self._assign_all(instances, now_s)
 
     def plan_balance_moves(self, instances, now_s):
@@ -226,6 +241,9 @@
         """Return the number of rows of a response to an instance."""
         return len(self._rows(instance))
 
+    def _accepts_units(self, instance):
+        return not (instance.is_leaving or self.is_evacuated(instance))
+
     def _weight_of(self, instance):
         return self.weights.weight(instance.name)
 
@@ -330,11 +348,18 @@
                 self.free_units.reserve(unit, target, now_s + RESERVATION_S)
         self.moved_unit_count += len(units)
 
+    def _release_evacuated(self, instance, instances, now_s):
+        """Release a batch of the keys of an endpoint in an evacuated zone."""
+        self.hot_units.pop_due_chunks(instance)
+        self.planned_moves.pop(instance, None)
+        available = self._available(instances, now_s)
+        for target, units in self.zone_handover.next_batch(instance, available, now_s):
+            self._release(instance, units, now_s, target)
+
     def _release_moves(self, instance, now_s):
-        held = self.held.get(instance, set())
         for chunk in self.hot_units.pop_due_chunks(instance):
-            if not chunk.target.is_leaving:
-                units = [unit for unit in chunk.units if unit in held]
+            if self._accepts_units(chunk.target):
+                units = self._movable_units(instance, chunk.units, now_s)
                 self._release(instance, units, now_s, chunk.target)
         planned = self.planned_moves.get(instance)
         if not planned:
@@ -342,16 +367,21 @@
         remaining = []
         for target, units in planned:
             due_in_s = target.next_report_s(self.report_interval_s) - now_s
-            if target.is_leaving:
+            if not self._accepts_units(target):
                 continue
             is_soon = HANDOVER_MIN_S < due_in_s < HANDOVER_WINDOW_S
             if is_soon or self._has_waited(target, now_s):
-                held = self.held.get(instance, ())
-                self._release(instance, [u for u in units if u in held], now_s, target)
+                units = self._movable_units(instance, units, now_s)
+                self._release(instance, units, now_s, target)
             else:
                 remaining.append((target, units))
         self.planned_moves[instance] = remaining
 
+    def _movable_units(self, instance, units, now_s):
+        """Return those of the units that an instance holds and that have not just moved."""
+        held = self.held.get(instance, ())
+        return [u for u in units if u in held and self.zone_handover.may_move(u, now_s)]
+
     def _grant_free(self, instance, instances, now_s):
         """Grant free units to an instance that has just reported."""
         granted = self.free_units.reserved_for(instance)
@@ -419,25 +449,13 @@
             self.free_units.reserve(unit, instance, now_s + RESERVATION_S)
 
     def _available(self, instances, now_s):
-        """Return the instances that are not leaving and whose reports are not overdue."""
+        """Return the instances that accept units and whose reports are not overdue."""
         overdue_s = 2 * self.report_interval_s
         return [
             instance
             for instance in instances
-            if not instance.is_leaving and now_s - instance.last_report_s < overdue_s
+            if self._accepts_units(instance) and now_s - instance.last_report_s < overdue_s
         ]
 
     def _rows(self, instance):
-        rows = []
-        for unit in sorted(self.held.get(instance, ())):
-            fence = self.fences[unit]
-            handover_token = self.handover_tokens.get(unit, "")
-            first = unit * KEYS_PER_UNIT
-            last = first + KEYS_PER_UNIT - 1
-            if rows:
-                previous = rows[-1]
-                if (previous[1] + 1, previous[2], previous[3]) == (first, fence, handover_token):
-                    previous[1] = last
-                    continue
-            rows.append([first, last, fence, handover_token])
-        return tuple(GrantRow(*row) for row in rows)
+        return build_rows(self.held.get(instance, ()), self.fences, self.handover_tokens)
--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -30,6 +30,11 @@
         "endpoint-says-leaving",
         "endpoint-unreachable",
         "endpoints-withdrawn",
+        "evacuation-acknowledged",
+        "evacuation-keys-left",
+        "evacuation-keys-moving",
+        "evacuation-refused",
+        "evacuations-changed",
         "items-changed",
         "keys-all-held",
         "keys-without-holder",
@@ -118,7 +123,7 @@
         and (
             line.fields.get("host") in hosts
             or line.fields.get("endpoint") in endpoints
-            or line.event.startswith(("keys", "leader", "voters"))
+            or line.event.startswith(("evacuation", "keys", "leader", "voters"))
         )
     ]
     return request_lines, context_lines[-MAX_CONTEXT_LINES:]
--- a/greengagerock/control/relay_messages.py
+++ b/greengagerock/control/relay_messages.py
@@ -20,6 +20,17 @@
     patch: Patch
 
 
+class EvacuationRelay(msgspec.Struct, frozen=True, tag="evacuation-relay"):
+    """Relays an operator's patch with evacuation orders to the leader.
+
+    A leader of an older build cannot read this message. It would read a ``PatchRelay`` without
+    the orders and acknowledge them although it ignores them.
+    """
+
+    token: int
+    patch: Patch
+
+
 class ItemsRelay(msgspec.Struct, frozen=True, tag="items-relay"):
     """Relays to the leader a request to read the items."""
 
--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -100,6 +100,15 @@
         routers = [(s.poll.items_revision, s.last_poll_s) for s in self.subscribers.values()]
         self.confirmations.advance(routers, self.timers.now_s)
 
+    def protocols(self):
+        """Return the versions of messages of the routers that poll."""
+        now_s = self.timers.now_s
+        return [
+            s.poll.protocol
+            for s in self.subscribers.values()
+            if now_s - s.last_poll_s < SUBSCRIBER_TIMEOUT_S
+        ]
+
     # --- Messages to routers -------------------------------------------------------
 
     def advance(self):
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -9,17 +9,24 @@
 from greengagerock.assignment.key_assignments import lessor_hold_s
 from greengagerock.assignment.units import UNIT_COUNT
 from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
-from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
+from greengagerock.control.evacuations import Evacuations
+from greengagerock.control.fence_counter import FenceCounter
+from greengagerock.control.holder_gaps import HolderGaps
+from greengagerock.control.pending_proposals import PendingProposals
+from greengagerock.control.relay_messages import (
+    EvacuationRelay,
+    ItemsRelay,
+    PatchRelay,
+    RelayReply,
+    ReportRelay,
+)
 from greengagerock.control.router_updater import RouterUpdater
-from greengagerock.core import GreengageError
 from greengagerock.items.store import LeaveRecord, encode_leave, encode_patch
 from greengagerock.routing.crash_suspects import BAN_S, CrashCounter
 
 # A leaving endpoint keeps its keys for this long, since routers may still send it requests
 # after its leave was acknowledged.
 LEAVE_GRACE_S = 1.0
-# Largest number of fences issued in a term. Fences of a term are below those of the next.
-FENCES_PER_TERM = 1 << 16
 
 
 class SiteLeader:
@@ -39,17 +46,17 @@
     Attributes:
         router_updater: The ``RouterUpdater``, which sends changes to routers.
         crash_counter: The ``CrashCounter`` that counts crashes by request.
-        pending_replies: Reply callback and prepared ``RelayReply`` by log index of the
-            proposed entry.
+        proposals: The ``PendingProposals``.
+        evacuations: The ``Evacuations``.
         directory: The ``InstanceDirectory`` of endpoint instances that have reported.
         assignments_by_service: The ``KeyAssignments`` of each service with keys, by service name.
         earlier_grants_end_s: When all key grants of earlier leaders have certainly expired;
             ``None`` before the first tick or key assignment of the term.
-        fence_count: Number of fences issued in this term.
+        fences: The ``FenceCounter`` of this term.
         withdrawn_endpoints: Names of leaving endpoints that routers no longer get as holders
             of units.
         acknowledged_leaves: The ``AcknowledgedLeaves`` of endpoints that have not reported.
-        units_without_holder: Number of units without a holder at the last tick, by service.
+        holder_gaps: The ``HolderGaps``.
     """
 
     def __init__(self, config, voter, store, timers, outbox):
@@ -65,7 +72,8 @@
             store, voter, self.router_updater, timers, outbox
         )
         self.crash_counter = CrashCounter()
-        self.pending_replies = {}
+        self.proposals = PendingProposals(voter, outbox)
+        self.evacuations = Evacuations(voter, store, self.router_updater, timers, outbox)
         store.on_patch_result = self._on_patch_result
         store.on_leave = self._on_leave_committed
         self._reset()
@@ -75,10 +83,11 @@
         self.assignments_by_service = {}
         self.router_updater.reset()
         self.earlier_grants_end_s = None
-        self.fence_count = 0
+        self.fences = FenceCounter(self.voter.term)
         self.withdrawn_endpoints = set()
         self.acknowledged_leaves.reset()
-        self.units_without_holder = {}
+        self.holder_gaps = HolderGaps(self.outbox)
+        self.evacuations.reset()
 
     def start_term(self):
         """Start a term as the leader."""
@@ -86,22 +95,24 @@
 
     def end_term(self):
         """Stop leading; pending requests get a reply without a value."""
-        pending_replies, self.pending_replies = self.pending_replies, {}
-        for reply, prepared in pending_replies.values():
-            reply(RelayReply(prepared.token))
+        self.proposals.abandon()
         self._reset()
 
     def is_active(self):
         """Return whether this host may act as the leader now."""
         return self.voter.is_ready_to_serve() and self.voter.has_lease()
 
+    def common_protocol(self):
+        """Return the lowest version of messages of all voters and of all routers that poll."""
+        return self.evacuations.common_protocol()
+
     # --- Requests ------------------------------------------------------------------
 
     def process_request(self, request, reply):
         """Process a relayed request.
 
         Args:
-            request: A ``ReportRelay``, ``PatchRelay`` or ``ItemsRelay``.
+            request: A ``ReportRelay``, ``PatchRelay``, ``EvacuationRelay`` or ``ItemsRelay``.
             reply: Called with a ``RelayReply``, immediately or later.
         """
         if not self.is_active():
@@ -118,32 +129,24 @@
                 else:
                     reply(RelayReply(token, report=response))
             case PatchRelay(token, patch):
-                self._on_patch(token, patch, reply)
+                self.proposals.propose(encode_patch(patch), reply, RelayReply(token))
+            case EvacuationRelay(token, patch):
+                acknowledge = self.evacuations.admit(request, reply)
+                if acknowledge:
+                    self.proposals.propose(encode_patch(patch), acknowledge, RelayReply(token))
             case ItemsRelay(token):
                 reply(RelayReply(token, items=self.store.items))
 
-    def _on_patch(self, token, patch, reply):
-        self._propose(encode_patch(patch), reply, RelayReply(token))
-
-    def _propose(self, payload, reply, prepared):
-        """Append to the log and keep ``prepared``, the ``RelayReply`` to send on commit."""
-        try:
-            index = self.voter.propose(payload)
-        except GreengageError as error:
-            self.outbox.log("not-proposed", code=error.code, detail=error.detail)
-            reply(RelayReply(prepared.token))
-            return
-        self.pending_replies[index] = (reply, prepared)
-
     def _reply_to_leave(self, token, leave, response, reply):
         """Reply once a quorum has stored the leave, so that every later leader has it."""
         if self.store.leaving_endpoints.get(leave.endpoint) == leave.started_ms:
             reply(RelayReply(token, report=response))
         else:
-            self._propose(encode_leave(leave), reply, RelayReply(token, report=response))
+            prepared = RelayReply(token, report=response)
+            self.proposals.propose(encode_leave(leave), reply, prepared)
 
     def _on_leave_committed(self, index, leave):
-        pending = self.pending_replies.pop(index, None)
+        pending = self.proposals.pop(index)
         if pending is not None:
             self.outbox.log(
                 "leave-acknowledged",
@@ -167,7 +170,7 @@
             changed=",".join(result.changed[:8]),
             changed_count=len(result.changed),
         )
-        pending = self.pending_replies.pop(index, None)
+        pending = self.proposals.pop(index)
         if pending is not None:
             reply, message = pending
             message = RelayReply(message.token, result=result)
@@ -307,7 +310,8 @@
             assignments.advance(instances, now_s)
             assignments.plan_balance_moves(instances, now_s)
             self._spread_hot_units(service, assignments, instances, now_s)
-            self._log_missing_holders(
+            self.evacuations.note_progress(service, assignments, instances)
+            self.holder_gaps.note(
                 service, len(assignments.free_units.free) + len(assignments.unreported_units)
             )
         for fingerprint in [
@@ -348,14 +352,6 @@
                 takers=",".join(sorted({chunk.target.name for chunk in chunks})),
             )
 
-    def _log_missing_holders(self, service, unit_count):
-        """Log when the first units of a service lose their holder, and when all have one."""
-        previous_count = self.units_without_holder.get(service, 0)
-        self.units_without_holder[service] = unit_count
-        if bool(previous_count) != bool(unit_count):
-            event = "keys-without-holder" if unit_count else "keys-all-held"
-            self.outbox.log(event, service=service, units=unit_count or previous_count)
-
     def _begin_takeover(self, now_s):
         """Compute until when endpoints may still hold keys granted by an earlier leader.
 
@@ -377,17 +373,14 @@
                 self._begin_takeover(self.timers.now_s)
             assignments = self.assignments_by_service[service] = KeyAssignments(
                 service,
-                self._next_fence,
+                self.fences.issue,
                 lambda unit, endpoint: self.router_updater.note_owner(service, unit, endpoint),
                 self.earlier_grants_end_s,
                 self.config.report_interval_s,
+                self.evacuations.is_evacuated,
             )
         return assignments
 
-    def _next_fence(self, highest):
-        self.fence_count += 1
-        return max(highest + 1, self.voter.term * FENCES_PER_TERM + self.fence_count)
-
     def _withdraw_units(self, instance):
         if instance.name in self.withdrawn_endpoints:
             return
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -191,6 +191,7 @@
             slow_link_bytes_per_s(settings.link_mbit_s),
             settings.zone_preference,
             settings.relay,
+            settings.evacuate_s,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/discovery/messages.py
+++ b/greengagerock/discovery/messages.py
@@ -12,11 +12,13 @@
         member: Identity and link address of the sender.
         zone: Availability zone of the sender.
         leaving: Whether the sender is stopping.
+        protocol: ``PROTOCOL_VERSION`` of the sender, 0 for builds that do not send it.
     """
 
     member: Member
     zone: str
     leaving: bool = False
+    protocol: int = 0
 
 
 class ControllerHelloReply(msgspec.Struct, frozen=True, tag="controller-welcome"):
--- a/greengagerock/items/item.py
+++ b/greengagerock/items/item.py
@@ -121,6 +121,20 @@
     version: int
 
 
+class EvacuationOrder(msgspec.Struct, frozen=True, array_like=True):
+    """An operator's order that starts or ends the evacuation of an availability zone.
+
+    Orders have no version: the newest entry of the log wins.
+
+    Attributes:
+        zone: Name of the availability zone.
+        is_active: Whether the evacuation starts.
+    """
+
+    zone: str
+    is_active: bool
+
+
 class Patch(msgspec.Struct, frozen=True, array_like=True):
     """A change of several items that is accepted or refused as a whole.
 
@@ -130,6 +144,7 @@
         limits: The new limits, or ``None`` to keep the current ones.
         removed_routes: Routes to remove.
         removed_services: Services to remove.
+        evacuations: Evacuation orders, in the order in which they take effect.
     """
 
     routes: tuple[RouteItem, ...] = ()
@@ -137,6 +152,7 @@
     limits: CallerLimits | None = None
     removed_routes: tuple[Removal, ...] = ()
     removed_services: tuple[Removal, ...] = ()
+    evacuations: tuple[EvacuationOrder, ...] = ()
 
 
 class Items(msgspec.Struct, frozen=True):
@@ -146,8 +162,11 @@
         routes: Routes by name.
         services: Services by name.
         limits: The limits, or ``None`` before the first patch.
+        evacuations: Log index of the order that started the evacuation, by evacuated
+            availability zone.
     """
 
     routes: dict[str, RouteItem] = {}
     services: dict[str, ServiceItem] = {}
     limits: CallerLimits | None = None
+    evacuations: dict[str, int] = {}
--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -15,9 +15,15 @@
 _encoder = msgspec.msgpack.Encoder()
 _patch_decoder = msgspec.msgpack.Decoder(Patch)
 
+# Number of fields of a ``Patch`` before ``evacuations``. A patch without orders is encoded as
+# these alone, so that its digest equals that in snapshots of builds without evacuations.
+_ITEM_FIELD_COUNT = 5
+
 # First byte of an entry's payload: the kind of the entry.
 _PATCH = b"P"
 _LEAVE = b"L"
+# Prefix of the name by which a changed evacuation is listed among changed items.
+_EVACUATION_NAME = "evacuation"
 
 
 class LeaveRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -71,7 +77,7 @@
 
 def encode_patch(patch):
     """Return the payload of a log entry that carries a patch."""
-    return _PATCH + _encoder.encode(patch)
+    return _PATCH + (_encoder.encode(patch) if patch.evacuations else _encode_item_part(patch))
 
 
 def encode_leave(leave):
@@ -79,13 +85,19 @@
     return _LEAVE + _encoder.encode(leave)
 
 
+def _encode_item_part(patch):
+    """Return the encoding of a patch without its evacuation orders."""
+    return _encoder.encode(msgspec.structs.astuple(patch)[:_ITEM_FIELD_COUNT])
+
+
 class ItemStore:
     """The state machine of the replicated log for named items.
 
     For each name the highest version wins, whether it sets or removes the item. A
     patch is accepted or refused as a whole, in the order of the log, so that all
     voters reach the same state. A resent patch that was accepted before is accepted
-    again without a change.
+    again without a change. Evacuation orders have no versions and are never recognised as resent:
+    the newest one for a zone wins.
 
     Attributes:
         items: The ``Items`` in effect.
@@ -128,7 +140,7 @@
             self._store_leave(leave)
             self.on_leave(entry.index, leave)
             return
-        result = self.apply_patch(_patch_decoder.decode(data))
+        result = self.apply_patch(_patch_decoder.decode(data), entry.index)
         if result.changed:
             self.revision = entry.index
         self.on_patch_result(entry.index, result)
@@ -148,18 +160,22 @@
         self.leaving_endpoints = stored.leavers
         self.on_load()
 
-    def apply_patch(self, patch):
+    def apply_patch(self, patch, index=0):
         """Accept and apply a patch, or refuse it.
 
         Args:
             patch: The ``Patch``.
+            index: Log index of its entry.
 
         Returns:
             A ``PatchResult``.
         """
-        digest = xxhash.xxh64_intdigest(_encoder.encode(patch))
+        has_items = any(msgspec.structs.astuple(patch)[:_ITEM_FIELD_COUNT])
+        if patch.evacuations and not has_items:
+            return PatchResult(changed=self._apply_orders(patch, index))
+        digest = xxhash.xxh64_intdigest(_encode_item_part(patch))
         if digest in self.accepted:
-            return PatchResult()
+            return PatchResult(changed=self._apply_orders(patch, index))
         tombstones = dict(self.tombstones)
         resulting, changed = self._merge(patch, tombstones)
         try:
@@ -169,7 +185,23 @@
         self.items = resulting
         self.tombstones = tombstones
         self._store_digest(digest)
-        return PatchResult(changed=tuple(changed))
+        return PatchResult(changed=(*changed, *self._apply_orders(patch, index)))
+
+    def _apply_orders(self, patch, index):
+        """Apply the evacuation orders of a patch and return the names of those with an effect."""
+        evacuations = dict(self.items.evacuations)
+        changed = {}
+        for order in patch.evacuations:
+            if order.is_active == (order.zone in evacuations):
+                continue
+            if order.is_active:
+                evacuations[order.zone] = index
+            else:
+                del evacuations[order.zone]
+            changed[f"{_EVACUATION_NAME}:{order.zone}"] = None
+        if changed:
+            self.items = msgspec.structs.replace(self.items, evacuations=evacuations)
+        return tuple(changed)
 
     def _store_leave(self, leave):
         self.leaving_endpoints.pop(leave.endpoint, None)
@@ -200,7 +232,7 @@
         if patch.limits and (limits is None or patch.limits.version > limits.version):
             limits = patch.limits
             changed.append("limits")
-        return Items(routes, services, limits), changed
+        return Items(routes, services, limits, self.items.evacuations), changed
 
     def _merge_kind(self, kind, current, upserts, removals, tombstones, changed):
         merged = dict(current)
--- a/greengagerock/language/items.py
+++ b/greengagerock/language/items.py
@@ -8,6 +8,7 @@
 from greengagerock.core import StatementError
 from greengagerock.items import (
     CallerLimits,
+    EvacuationOrder,
     KeyedRules,
     Patch,
     Removal,
@@ -110,6 +111,12 @@
     def remove_service(self, name, version):
         return "service", Removal(name, version)
 
+    def start_evacuation(self, zone):
+        return EvacuationOrder(zone, True)
+
+    def end_evacuation(self, zone):
+        return EvacuationOrder(zone, False)
+
     def start(self, *statements):
         return statements
 
@@ -125,7 +132,7 @@
 
 
 def parse_items(text):
-    """Parse statements that set or remove configuration items.
+    """Parse statements that set or remove configuration items, or start or end evacuations.
 
     Args:
         text: Statements separated by semicolons; of several that set limits, the last counts.
@@ -156,6 +163,7 @@
         limits[-1] if limits else None,
         tuple(removal for kind, removal in removals if kind == "route"),
         tuple(removal for kind, removal in removals if kind == "service"),
+        tuple(item for item in statements if isinstance(item, EvacuationOrder)),
     )
 
 
@@ -169,6 +177,7 @@
     lines += [_format_route(route) for route in items.routes.values()]
     if items.limits is not None:
         lines.append(_format_limits(items.limits))
+    lines += [f"evacuate zone {_quote(zone)}" for zone in sorted(items.evacuations)]
     return ";\n".join(lines) + "\n"
 
 
--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -2,7 +2,13 @@
 
 from random import Random
 
-from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
+from greengagerock.control.relay_messages import (
+    EvacuationRelay,
+    ItemsRelay,
+    PatchRelay,
+    RelayReply,
+    ReportRelay,
+)
 from greengagerock.control.site_leader import SiteLeader
 from greengagerock.core import Timeline, TimerService
 from greengagerock.core.interface import (
@@ -22,6 +28,7 @@
     StopRequested,
     TimeAdvanced,
 )
+from greengagerock.core.protocol import PROTOCOL_VERSION
 from greengagerock.discovery import (
     ControllerHello,
     ControllerHelloReply,
@@ -140,7 +147,8 @@
             case EndpointReportArrived(token, report):
                 self._serve(token, ReportRelay(token, report))
             case PatchArrived(token, patch):
-                self._serve(token, PatchRelay(token, patch))
+                relay_type = EvacuationRelay if patch.evacuations else PatchRelay
+                self._serve(token, relay_type(token, patch))
             case ItemsRequested(token):
                 self._serve(token, ItemsRelay(token))
             case ReadinessRequested(token):
@@ -173,7 +181,7 @@
         match message:
             case ViewPoll():
                 self._on_poll(message, address)
-            case ReportRelay() | PatchRelay() | ItemsRelay():
+            case ReportRelay() | PatchRelay() | EvacuationRelay() | ItemsRelay():
                 self.site_leader.process_request(
                     message, lambda reply: self.outbox.send(address, reply)
                 )
@@ -231,7 +239,7 @@
     def _send_hellos(self):
         """Send hellos to the leader, or to all controllers, so that the leader finds spares."""
         self.timers.subscribe(HELLO_INTERVAL_S, self._send_hellos)
-        hello = ControllerHello(self.member, self.config.zone, self.is_leaving)
+        hello = self._make_hello()
         leader = self._leader_address()
         if leader:
             targets = (leader,)
@@ -242,8 +250,14 @@
             if address != self.config.address:
                 self.outbox.send(address, hello)
 
+    def _make_hello(self):
+        return ControllerHello(
+            self.member, self.config.zone, self.is_leaving, protocol=PROTOCOL_VERSION
+        )
+
     def _on_hello(self, hello, address):
         self.peers.record_hello(hello, self.timers.now_s)
+        self.site_leader.evacuations.versions.note_hello(hello.member.identity, hello.protocol)
         self.outbox.send(
             address, ControllerHelloReply(self._leader_address(), self._controllers())
         )
@@ -258,8 +272,7 @@
                 self.hint_confirmed_s = now_s
             else:
                 # Only the leader itself can confirm that it leads.
-                hello = ControllerHello(self.member, self.config.zone, self.is_leaving)
-                self.outbox.send(reply.leader, hello)
+                self.outbox.send(reply.leader, self._make_hello())
 
     def _controllers(self):
         peer_addresses = self.peers.current_addresses(self.timers.now_s)
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -28,6 +28,7 @@
 from greengagerock.routing.relayed_calls import RelayedCalls
 from greengagerock.routing.retry_budget import SharedRetryBudget
 from greengagerock.routing.router_count import RouterCount
+from greengagerock.routing.zone_evacuations import learning_time_s
 from greengagerock.view import (
     EndpointResponseTimes,
     EndpointsDelta,
@@ -85,6 +86,7 @@
             self._report,
             config.zone_preference,
             config.link_bytes_per_s,
+            config.evacuate_s,
         )
         self.stats = self.dispatcher.stats
         self.relayed_calls = RelayedCalls(
@@ -96,6 +98,7 @@
             self.stats,
             self.timers,
             self.outbox,
+            self.dispatcher.zone_evacuations,
         )
         self.router_count = RouterCount()
         self.had_leader = False
@@ -230,6 +233,7 @@
         if endpoints_delta is not None and endpoints_delta.epoch < self.replica.epoch:
             # The sender is an earlier leader that has not detected yet that it was replaced.
             return
+        contact_s = self.finder.contact_s
         self.finder.record_leader(address, delta.controllers, self.timers.now_s)
         self.router_count.note(delta.routers, self.timers.now_s)
         self.budget.router_count = self.router_count.largest
@@ -242,7 +246,7 @@
         if delta.relays is not None:
             self.dispatcher.paths.on_relays(delta.relays)
         self.dispatcher.banned_fingerprints = frozenset(delta.bans)
-        if items is not None and self._apply_items(items):
+        if items is not None and self._apply_items(items, contact_s):
             # The leader acknowledges a change only after routers have confirmed its items.
             self.outbox.send(address, self.replica.poll({}, {}))
         if endpoints_delta is not None:
@@ -278,11 +282,19 @@
                 count=len(leaving) + len(removed),
             )
 
-    def _apply_items(self, items):
-        """Apply configuration items and return whether anything has changed."""
+    def _apply_items(self, items, contact_s):
+        """Apply configuration items and return whether anything has changed.
+
+        Args:
+            items: The ``ItemsDelta``.
+            contact_s: When a leader was last heard before the message with the delta.
+        """
         limits = self.replica.limits
+        zones = self.replica.evacuated_zones
         if not self.replica.apply_items(items):
             return False
+        if self.replica.evacuated_zones != zones:
+            self._update_evacuations(contact_s)
         self.dispatcher.on_items()
         if self.replica.limits is not None and self.replica.limits != limits:
             self.outbox.add(ApplyCallerLimits(self.replica.limits))
@@ -294,6 +306,19 @@
         )
         return True
 
+    def _update_evacuations(self, contact_s):
+        now_s = self.timers.now_s
+        zones = self.replica.evacuated_zones
+        learnt_s = learning_time_s(contact_s, now_s)
+        self.dispatcher.zone_evacuations.update(zones, learnt_s)
+        self.outbox.log(
+            "evacuations-changed",
+            zones=",".join(sorted(zones)),
+            revision=self.replica.items_revision,
+            contact_age_ms=round(1000 * min(now_s - contact_s, 1e6)),
+            handover_s=self.dispatcher.zone_evacuations.handover_s,
+        )
+
     def _report(self, report):
         if self.finder.leader:
             self.outbox.send(self.finder.leader, report)
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE
+from greengagerock.routing.zone_evacuations import DEFAULT_EVACUATE_S
 
 
 class SiteConfig(msgspec.Struct, frozen=True):
@@ -26,6 +27,8 @@
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone.
         relay_address: Where a router takes requests of other routers, or empty.
+        evacuate_s: Time from an acknowledged order until no request reaches an endpoint of an
+            evacuated zone.
     """
 
     host: str
@@ -43,3 +46,4 @@
     link_bytes_per_s: float | None = None
     zone_preference: float = DEFAULT_ZONE_PREFERENCE
     relay_address: str = ""
+    evacuate_s: float = DEFAULT_EVACUATE_S
--- a/greengagerock/platform/wire_settings.py
+++ b/greengagerock/platform/wire_settings.py
@@ -4,6 +4,7 @@
 
 from greengagerock.core import GreengageError
 from greengagerock.platform.durations import parse_duration
+from greengagerock.routing.zone_evacuations import DEFAULT_EVACUATE_S
 from greengagerock.settings.schema import LimitSettings
 from greengagerock.settings.site import RetrySettings, SiteSettings, split_address
 
@@ -118,6 +119,7 @@
         hold_s=hold_s,
         stop_grace_s=_read_bound_s(bounds, "grace", 6.0),
         link_mbit_s=wire.limits.link_mbps if wire.limits.link_mbps > 0 else 1000.0,
+        evacuate_s=_read_bound_s(bounds, "evacuate", DEFAULT_EVACUATE_S),
         retries=RetrySettings(
             float(bounds.get("retry-budget-ratio", 0.2)),
             float(bounds.get("retry-budget-slack", 60)),
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -48,6 +48,7 @@
         outbox: Receives effects.
         refuse: Callable that refuses a call, with an error code, a detail and the time after
             which the caller may return.
+        zone_evacuations: The ``ZoneEvacuations``.
 
     Attributes:
         ranks: Rank of each priority among the routes of a service, by (service, priority).
@@ -69,6 +70,7 @@
         timers,
         outbox,
         refuse,
+        zone_evacuations,
     ):
         self.replica = replica
         self.observations = observations
@@ -80,6 +82,7 @@
         self.timers = timers
         self.outbox = outbox
         self.refuse = refuse
+        self.zone_evacuations = zone_evacuations
         self.ranks = {}
         self.least_urgent_ranks = {}
         self.waiting_calls = {}
@@ -160,6 +163,9 @@
         if record is None or not self.notices.accepts_held_keys(record, now_s):
             self.wait_for_holder(call)
             return
+        if not self.zone_evacuations.accepts_held(record, now_s):
+            self._refuse_evacuated(call, f"holder {name} is in evacuated zone {record.zone}")
+            return
         pause_left_s = self.notices.pause_left_s(record, now_s)
         if pause_left_s:
             self.refuse(
@@ -201,6 +207,9 @@
 
     def wait_for_holder(self, call):
         """Delay a call while its key has no holder, or refuse it if it has waited too long."""
+        if self.zone_evacuations.are_all_evacuated(self._records_of(call.service)):
+            self._refuse_evacuated(call, f"service {call.service} is in evacuated zones only")
+            return
         now_s = self.timers.now_s
         left_s = call.deadline_s - now_s
         wait_s = min(MAX_KEY_WAIT_S - (now_s - call.arrived_s), MAX_KEY_WAIT_SHARE * left_s)
@@ -229,11 +238,13 @@
     # --- Services without keys -----------------------------------------------------
 
     def _send_to_any(self, call):
-        names = self.replica.by_service.get(call.service, ())
-        records = [self.replica.endpoints[name] for name in names]
+        all_records = self._records_of(call.service)
+        records = [r for r in all_records if self.zone_evacuations.accepts_new(r)]
         path, record, limited = self._pick_endpoint(call, records)
         if record is None and limited:
             self._refuse_limited(call, records, limited)
+        elif all_records and not records:
+            self._refuse_evacuated(call, f"service {call.service} is in evacuated zones only")
         elif record is None:
             code = "no-room" if call.tried_endpoints else "no-endpoint"
             if call.unreached_endpoints:
@@ -297,6 +308,15 @@
 
     # --- All services --------------------------------------------------------------
 
+    def _records_of(self, service):
+        names = self.replica.by_service.get(service, ())
+        return [self.replica.endpoints[name] for name in names]
+
+    def _refuse_evacuated(self, call, detail):
+        learnt_s = max(self.zone_evacuations.learnt_s.values(), default=0.0)
+        age_s = self.timers.now_s - learnt_s
+        self.refuse(call, "zone-evacuated", f"{detail}, known for {age_s:.1f} s")
+
     def _extra_requests(self, call):
         """Return the number of requests beyond the limit that a call's priority allows.
 
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -29,6 +29,11 @@
 from greengagerock.routing.route_index import RouteIndex
 from greengagerock.routing.service_picker import ServicePicker
 from greengagerock.routing.stats import RouterStats
+from greengagerock.routing.zone_evacuations import (
+    DEFAULT_EVACUATE_S,
+    HANDOVER_SHARE,
+    ZoneEvacuations,
+)
 from greengagerock.view import LeavingObserved
 
 # Pause before a call is sent again to a holder that refused it although it is not full, and the
@@ -51,6 +56,7 @@
             leader.
         zone_preference: Preference of the ``EndpointPicker`` for endpoints of the own zone.
         link_bytes_per_s: Speed of the host's network link if it is slow, else ``None``.
+        evacuate_s: Time from an acknowledged order until no request reaches an evacuated zone.
 
     Attributes:
         route_index: The ``RouteIndex``.
@@ -61,6 +67,7 @@
         limits: The ``EndpointLimits``.
         notice_handler: The ``NoticeHandler``.
         paths: The ``EndpointPaths``.
+        zone_evacuations: The ``ZoneEvacuations``.
         endpoint_picker: The ``EndpointPicker``.
         recent_responses: The ``RecentResponses``.
         demand: The ``KeyDemand``.
@@ -84,6 +91,7 @@
         report,
         zone_preference=DEFAULT_ZONE_PREFERENCE,
         link_bytes_per_s=None,
+        evacuate_s=DEFAULT_EVACUATE_S,
     ):
         self.zone = zone
         self.replica = replica
@@ -103,6 +111,7 @@
         self.paths = EndpointPaths(
             replica, self.observations, self.health, timers, outbox, random, report
         )
+        self.zone_evacuations = ZoneEvacuations(HANDOVER_SHARE * evacuate_s)
         self.endpoint_picker = EndpointPicker(
             zone, self.observations, self.health, self.notices, self.paths, random, zone_preference
         )
@@ -121,6 +130,7 @@
             timers,
             outbox,
             self._refuse,
+            self.zone_evacuations,
         )
         self.path_failures = PathFailures(
             replica,
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -90,6 +90,7 @@
             and self.sender.is_keyed(call)
             and not call.is_body_consumed
             and self.notices.accepts_held_keys(record, self.timers.now_s)
+            and self.sender.zone_evacuations.accepts_held(record, self.timers.now_s)
             and not self.notices.pause_left_s(record, self.timers.now_s)
             and not self.paths.pick_relay(call, record)
         )
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -56,6 +56,7 @@
         stats: The ``RouterStats``.
         timers: The timer service.
         outbox: Receives effects.
+        zone_evacuations: The ``ZoneEvacuations``.
 
     Attributes:
         by_token: Requests in progress by token.
@@ -64,7 +65,16 @@
     """
 
     def __init__(
-        self, replica, paths, observations, notices, notice_handler, stats, timers, outbox
+        self,
+        replica,
+        paths,
+        observations,
+        notices,
+        notice_handler,
+        stats,
+        timers,
+        outbox,
+        zone_evacuations,
     ):
         self.replica = replica
         self.paths = paths
@@ -74,6 +84,7 @@
         self.stats = stats
         self.timers = timers
         self.outbox = outbox
+        self.zone_evacuations = zone_evacuations
         self.by_token = {}
         self.is_closing = False
         self.is_stopping = False
@@ -131,8 +142,11 @@
     def _accepts(self, record):
         service = self.replica.services.get(record.service)
         if service is not None and service.keyed is not None:
-            return self.notices.accepts_held_keys(record, self.timers.now_s)
-        return self.notices.accepts_any(record)
+            now_s = self.timers.now_s
+            return self.notices.accepts_held_keys(
+                record, now_s
+            ) and self.zone_evacuations.accepts_held(record, now_s)
+        return self.notices.accepts_any(record) and self.zone_evacuations.accepts_new(record)
 
     def _forward(self, event, record):
         call = self.by_token[event.token] = RelayedCall(event, record)
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 from greengagerock.routing.endpoint_picker import DEFAULT_ZONE_PREFERENCE
+from greengagerock.routing.zone_evacuations import DEFAULT_EVACUATE_S
 from greengagerock.settings.schema import Address, LimitSettings, LogSettings, Name
 
 Seconds = Annotated[float, Meta(gt=0, le=3_600)]
@@ -51,6 +52,8 @@
         link_mbit_s: Speed of the host's network link in megabits per second.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone; 0 treats all zones alike.
+        evacuate_s: Time from an acknowledged order until no request reaches an endpoint of an
+            evacuated availability zone.
         retries: Limits on retries.
         limits: Limits of the HTTP servers and client.
         log: Settings of the log.
@@ -74,6 +77,7 @@
     stop_grace_s: Seconds = 6.0
     link_mbit_s: Annotated[float, Meta(gt=0, le=1_000_000)] = 1000.0
     zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
+    evacuate_s: Seconds = DEFAULT_EVACUATE_S
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from greengagerock.control.operator_messages import OperatorRelay, OperatorRelayReply
-from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
+from greengagerock.control.relay_messages import (
+    EvacuationRelay,
+    ItemsRelay,
+    PatchRelay,
+    RelayReply,
+    ReportRelay,
+)
 from greengagerock.core import GreengageError, Timestamp
 from greengagerock.discovery import ControllerHello, ControllerHelloReply
 from greengagerock.membership import (
@@ -72,6 +78,7 @@
     | ControllerHelloReply
     | ReportRelay
     | PatchRelay
+    | EvacuationRelay
     | ItemsRelay
     | RelayReply
     | ViewPoll
--- a/greengagerock/view/histories.py
+++ b/greengagerock/view/histories.py
@@ -58,6 +58,7 @@
                 tuple(items.routes.values()),
                 tuple(items.services.values()),
                 items.limits,
+                evacuated_zones=tuple(sorted(items.evacuations)),
             )
         names = [name for name, index in self.change_indexes.items() if index > revision]
         return ItemsDelta(
@@ -69,6 +70,7 @@
             items.limits if "limits" in names else None,
             self._removals("route", names, items.routes),
             self._removals("service", names, items.services),
+            tuple(sorted(items.evacuations)),
         )
 
     def _removals(self, kind, names, existing):
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -71,6 +71,8 @@
         limits: The limits if they changed, else ``None``.
         removed_routes: Removed routes.
         removed_services: Removed services.
+        evacuated_zones: All evacuated availability zones, or ``None`` from a leader of an older
+            build, which does not know.
     """
 
     since: int
@@ -81,6 +83,7 @@
     limits: CallerLimits | None = None
     removed_routes: tuple[Removal, ...] = ()
     removed_services: tuple[Removal, ...] = ()
+    evacuated_zones: tuple[str, ...] | None = None
 
 
 class EndpointsDelta(msgspec.Struct, frozen=True, array_like=True):
@@ -178,6 +181,7 @@
         relay_address: ``IP:PORT`` where the router takes requests of other routers, or empty.
         unreachable: Number of endpoints that the router cannot reach itself.
         relays_digest: Digest of the addresses of the relays that the router has.
+        protocol: ``PROTOCOL_VERSION`` of the router, 0 for builds that do not send it.
     """
 
     items_revision: int
@@ -190,6 +194,7 @@
     relay_address: str = ""
     unreachable: int = 0
     relays_digest: int = 0
+    protocol: int = 0
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -1,6 +1,7 @@
 """A router's copy of the items, endpoints and unit owners."""
 
 from greengagerock.assignment.units import KEYS_PER_UNIT
+from greengagerock.core.protocol import PROTOCOL_VERSION
 from greengagerock.view.messages import EndpointResponseTimes, ViewPoll, digest_relays
 
 
@@ -22,6 +23,7 @@
         relays: Addresses of other routers that forward requests of this one.
         relay_address: ``IP:PORT`` where this router takes requests of others, or empty.
         unreachable_count: Number of endpoints that this router cannot reach itself.
+        evacuated_zones: Availability zones whose endpoints get nothing new.
     """
 
     def __init__(self):
@@ -39,6 +41,7 @@
         self.relays = ()
         self.relay_address = ""
         self.unreachable_count = 0
+        self.evacuated_zones = frozenset()
 
     @property
     def has_configuration(self):
@@ -65,6 +68,7 @@
             self.relay_address,
             self.unreachable_count,
             digest_relays(self.relays),
+            protocol=PROTOCOL_VERSION,
         )
 
     def shared_mean_s(self, endpoint):
@@ -101,6 +105,8 @@
         limits = delta.limits
         if limits and (self.limits is None or limits.version > self.limits.version):
             self.limits = limits
+        if delta.evacuated_zones is not None:
+            self.evacuated_zones = frozenset(delta.evacuated_zones)
         return True
 
     def apply_endpoints(self, delta):
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -8,8 +8,15 @@
 from greengagerock.assignment import EndpointLeaving, EndpointReport
 from greengagerock.core import ERROR_KINDS, GreengageError
 from greengagerock.core.interface import EndpointReportArrived, ItemsRequested, PatchArrived
+from greengagerock.items import EvacuationOrder, Patch
 from greengagerock.language.items import format_items, parse_items
-from greengagerock.web.control_calls import PATCH_CALL, READ_CALL, REPORT_CALL
+from greengagerock.web.control_calls import (
+    END_EVACUATION_CALL,
+    PATCH_CALL,
+    READ_CALL,
+    REPORT_CALL,
+    START_EVACUATION_CALL,
+)
 
 DECISION_TIMEOUT_S = 1.5
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -23,9 +30,12 @@
 
     content_type = "application/json"
     _endpoint_path = re.compile(r"/endpoints/([^/]{1,200})/(report|leave)")
+    _evacuation_path = re.compile(r"/evacuations/([^/]{1,200})/(start|end)")
 
     def parse_call(self, method, path):
-        """Return the type of a call, and the name of the endpoint in its path or an empty string.
+        """Return the type of a call, and the name of the endpoint or zone in its path.
+
+        The name is empty for other calls.
 
         Raises:
             GreengageError: ``unknown-name`` if the method and path are not served.
@@ -33,6 +43,10 @@
         match = self._endpoint_path.fullmatch(path)
         if method == "POST" and match:
             return match[2], match[1]
+        match = self._evacuation_path.fullmatch(path)
+        if method == "POST" and match:
+            is_start = match[2] == "start"
+            return (START_EVACUATION_CALL if is_start else END_EVACUATION_CALL), match[1]
         if path == "/items" and method in ("GET", "POST"):
             return (READ_CALL if method == "GET" else PATCH_CALL), ""
         raise GreengageError("unknown-name", f"{method} {path} is not served")
@@ -117,21 +131,27 @@
 
     def _respond(self, environ):
         dialect = self.dialect
-        call, endpoint = dialect.parse_call(environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        call, name = dialect.parse_call(environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if call == READ_CALL:
             return dialect.encode_items(self._request_decision(ItemsRequested))
         data = self._read_body(environ)
         if call == PATCH_CALL:
-            result = self._request_decision(PatchArrived, dialect.decode_patch(data))
-            if result.code:
-                raise GreengageError(result.code, result.detail)
-            return b"{}"
+            return self._apply_patch(dialect.decode_patch(data))
+        if call in (START_EVACUATION_CALL, END_EVACUATION_CALL):
+            order = EvacuationOrder(name, call == START_EVACUATION_CALL)
+            return self._apply_patch(Patch(evacuations=(order,)))
         read_message = dialect.decode_report if call == REPORT_CALL else dialect.decode_leaving
-        response = self._request_decision(EndpointReportArrived, read_message(endpoint, data))
+        response = self._request_decision(EndpointReportArrived, read_message(name, data))
         if response.code:
-            raise GreengageError(response.code, f"endpoint {endpoint}")
+            raise GreengageError(response.code, f"endpoint {name}")
         return dialect.encode_report_response(response)
 
+    def _apply_patch(self, patch):
+        result = self._request_decision(PatchArrived, patch)
+        if result.code:
+            raise GreengageError(result.code, result.detail)
+        return b"{}"
+
     def _request_decision(self, event_type, *values):
         token = self.bridge.new_token()
         value = self.bridge.post_and_wait(token, event_type(token, *values), DECISION_TIMEOUT_S)
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -164,6 +164,7 @@
         yield from self._link_turns()
         yield from self._limits()
         yield from self._paths()
+        yield self._evacuations()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
@@ -189,6 +190,17 @@
                 value=len(dispatcher.limits.by_endpoint),
             )
 
+    def _evacuations(self):
+        """Return how many availability zones are evacuated, as this host knows."""
+        dispatcher = getattr(self.node, "dispatcher", None)
+        if dispatcher is not None:
+            zones = dispatcher.zone_evacuations.learnt_s
+        else:
+            zones = self.node.store.items.evacuations
+        return GaugeMetricFamily(
+            "greengage_evacuated_zones", "Evacuated availability zones.", value=len(zones)
+        )
+
     def _paths(self):
         """Yield how many endpoints a router cannot reach, and what it sends through others."""
         dispatcher = getattr(self.node, "dispatcher", None)
