--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -170,9 +170,6 @@
         Returns:
             A ``PatchResult``.
         """
-        has_items = any(msgspec.structs.astuple(patch)[:_ITEM_FIELD_COUNT])
-        if patch.evacuations and not has_items:
-            return PatchResult(changed=self._apply_orders(patch, index))
         digest = xxhash.xxh64_intdigest(_encode_item_part(patch))
         if digest in self.accepted:
             return PatchResult(changed=self._apply_orders(patch, index))
--- a/greengagerock/language/tests/test_items.py
+++ b/greengagerock/language/tests/test_items.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagerock.core import StatementError
-from greengagerock.items import ItemStore
+from greengagerock.items import EvacuationOrder, Items, ItemStore, Patch
 from greengagerock.language.items import format_items, parse_items
 from greengagerock.testing.item_builders import build_first_patch, build_route
 
@@ -33,3 +33,12 @@
     with pytest.raises(StatementError) as caught:
         parse_items(text)
     assert caught.value.code == "syntax-error"
+
+
+def test_evacuations_are_statements_and_are_listed():
+    text = 'evacuate zone "zone 1"; end evacuation of zone b'
+    orders = (EvacuationOrder("zone 1", True), EvacuationOrder("b", False))
+    assert parse_items(text).evacuations == orders
+    assert parse_items(format_items(Items(evacuations={"b": 4}))) == Patch(
+        evacuations=(EvacuationOrder("b", True),)
+    )
