Evacuation: pushes during a hand-over repeat no changes

A push lists all changes since the router's poll, so that a lost one does no harm. The new test failed before.

--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -26,13 +26,15 @@
     Attributes:
         poll: Its newest ``ViewPoll``.
         last_poll_s: When that poll was received.
+        sent_revision: Last revision of endpoints and owners that was sent to it.
     """
 
-    __slots__ = ("last_poll_s", "poll")
+    __slots__ = ("last_poll_s", "poll", "sent_revision")
 
     def __init__(self, poll, last_poll_s):
         self.poll = poll
         self.last_poll_s = last_poll_s
+        self.sent_revision = poll.endpoints_revision
 
 
 class RouterUpdater:
@@ -55,6 +57,9 @@
         limit_shares: The ``LimitShares`` of this term.
         relay_directory: The ``RelayDirectory`` of this term.
         subscribers: A ``Subscriber`` by link address.
+        sends_increments: Whether a push has only what was not sent before, rather than all changes
+            since the router's poll. While the keys of a zone move, the latter would be several
+            times as long. A router that misses one has to wait for the reply to its next poll.
     """
 
     def __init__(self, address, voter, store, timers, outbox, is_active):
@@ -80,6 +85,7 @@
         self.limit_shares = LimitShares(self.timers.now_s)
         self.relay_directory = RelayDirectory(lambda: len(self.endpoints_history.endpoints))
         self.subscribers = {}
+        self.sends_increments = False
         self.push_timer = None
 
     # --- Messages from routers -----------------------------------------------------
@@ -164,13 +170,17 @@
                 del self.subscribers[address]
                 self.relay_directory.remove(address)
             elif self._is_nearly_current(subscriber.poll):
-                self._send_view(address, subscriber.poll)
+                self._send_view(address, subscriber.poll, subscriber.sent_revision)
 
-    def _send_view(self, address, poll):
+    def _send_view(self, address, poll, sent_revision=0):
+        since = poll.endpoints_revision
+        if self.sends_increments and poll.epoch == self.endpoints_history.epoch:
+            since = max(since, sent_revision)
+        self.subscribers[address].sent_revision = self.endpoints_history.revision
         relays = self.relay_directory.relays_for(address)
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
-            self.packed_endpoints.since(poll.epoch, poll.endpoints_revision),
+            self.packed_endpoints.since(poll.epoch, since),
             self.controllers,
             len(self.subscribers),
             tuple(self.bans),
--- a/greengagerock/node/tests/test_evacuations.py
+++ b/greengagerock/node/tests/test_evacuations.py
@@ -4,7 +4,7 @@
 
 from greengagerock.control import protocol_versions
 from greengagerock.control.relay_messages import EvacuationRelay
-from greengagerock.core.interface import PatchArrived, SendMessage
+from greengagerock.core.interface import MessageReceived, PatchArrived, SendMessage
 from greengagerock.items import Patch
 from greengagerock.replication import voter
 from greengagerock.testing.evacuation_load import (
@@ -205,3 +205,21 @@
     effects = site.hosts[follower].node.handle(PatchArrived(1, make_order()), site.now_s)
     messages = [effect.message for effect in effects if isinstance(effect, SendMessage)]
     assert any(isinstance(message, EvacuationRelay) for message in messages)
+
+
+def test_moving_keys_are_sent_to_routers_about_once():
+    """Guards against pushes that repeat all changes since a router's poll, on slow links."""
+    site = build_zoned_site(till_zones=[1 + number % 3 for number in range(30)])
+    router = site.hosts["edge-1"].node
+    handle, sizes = router.handle, []
+
+    def count(event, now_s):
+        if isinstance(event, MessageReceived) and event.message.endpoints:
+            sizes.append(len(event.message.endpoints))
+        return handle(event, now_s)
+
+    router.handle = count
+    order(site)
+    site.run_for(KEYS_LEFT_S)
+    # 683 stripes change their holder twice, at four bytes each; the rest is for names.
+    assert sum(sizes) < 8_000
