Evacuation: orders that were held up on their way do not revert later ones

A start or end that a link or a paused controller held up, while the operator sent it again and then its opposite, would have taken effect last. Orders now carry the last order that the receiving controller had applied, and an order whose sender has hung up is dropped.

--- a/greengagerock/items/item.py
+++ b/greengagerock/items/item.py
@@ -124,15 +124,19 @@
 class EvacuationOrder(msgspec.Struct, frozen=True, array_like=True):
     """An operator's order that starts or ends the evacuation of an availability zone.
 
-    Orders have no version: the newest entry of the log wins.
+    Orders have no version: the newest entry of the log wins. An order that was held up on its way,
+    so that its sender has long sent it again and then another one, is refused by ``seen_index``.
 
     Attributes:
         zone: Name of the availability zone.
         is_active: Whether the evacuation starts.
+        seen_index: Log index of the last order for the zone that the controller had applied when
+            it received this one, or ``None`` if that is not to be checked.
     """
 
     zone: str
     is_active: bool
+    seen_index: int | None = None
 
 
 class Patch(msgspec.Struct, frozen=True, array_like=True):
--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -11,6 +11,8 @@
 MAX_LEAVING_ENDPOINTS = 1024
 # Enough to recognize resends of hundreds of changes; each digest takes 8 bytes.
 MAX_ACCEPTED_DIGESTS = 4096
+# Enough for the zones of many sites; the oldest order is forgotten first.
+MAX_ORDERED_ZONES = 256
 
 _encoder = msgspec.msgpack.Encoder()
 _patch_decoder = msgspec.msgpack.Decoder(Patch)
@@ -64,12 +66,14 @@
         accepted: Digests of the newest accepted patches, oldest first.
         leavers: Start of each endpoint instance that leaves, in milliseconds since 1970, by
             endpoint name.
+        last_orders: Log index of the last order that started or ended an evacuation, by zone.
     """
 
     items: Items
     tombstones: dict[str, int]
     accepted: list[int]
     leavers: dict[str, int]
+    last_orders: dict[str, int] = {}
 
 
 _stored_decoder = msgspec.msgpack.Decoder(StoredItems)
@@ -106,6 +110,7 @@
         leaving_endpoints: Start of each endpoint instance that leaves, in milliseconds
             since 1970, by endpoint name. It is replicated so that a new leader has the
             leaves that its predecessor acknowledged.
+        last_orders: Log index of the last order that started or ended an evacuation, by zone.
         revision: Log index of the last accepted patch that changed an item; a snapshot does
             not contain it.
         on_patch_result: Called with the log index and ``PatchResult`` of each patch.
@@ -127,6 +132,7 @@
         self.tombstones = {}
         self.accepted = {}
         self.leaving_endpoints = {}
+        self.last_orders = {}
         self.revision = 0
         self.on_patch_result = lambda index, result: None
         self.on_leave = lambda index, leave: None
@@ -148,7 +154,13 @@
     def dump(self):
         """Return the encoded state."""
         return _encoder.encode(
-            StoredItems(self.items, self.tombstones, list(self.accepted), self.leaving_endpoints)
+            StoredItems(
+                self.items,
+                self.tombstones,
+                list(self.accepted),
+                self.leaving_endpoints,
+                self.last_orders,
+            )
         )
 
     def load(self, data):
@@ -158,6 +170,7 @@
         self.tombstones = stored.tombstones
         self.accepted = dict.fromkeys(stored.accepted)
         self.leaving_endpoints = stored.leavers
+        self.last_orders = stored.last_orders
         self.on_load()
 
     def apply_patch(self, patch, index=0):
@@ -170,6 +183,10 @@
         Returns:
             A ``PatchResult``.
         """
+        for order in patch.evacuations:
+            if self._is_outdated(order):
+                detail = f"zone {order.zone!r}: a later order has overtaken this one"
+                return PatchResult("not-ready", detail)
         digest = xxhash.xxh64_intdigest(_encode_item_part(patch))
         if digest in self.accepted:
             return PatchResult(changed=self._apply_orders(patch, index))
@@ -184,6 +201,28 @@
         self._store_digest(digest)
         return PatchResult(changed=(*changed, *self._apply_orders(patch, index)))
 
+    def stamp_orders(self, patch):
+        """Return a patch whose evacuation orders name the last orders that were applied here."""
+        orders = tuple(
+            msgspec.structs.replace(order, seen_index=self.last_orders.get(order.zone, 0))
+            for order in patch.evacuations
+        )
+        return msgspec.structs.replace(patch, evacuations=orders)
+
+    def _is_outdated(self, order):
+        """Return whether an order would revert one that its sender sent later.
+
+        Only an order that was received before the later one was applied lacks its index. If the
+        sender still waits for a response, it sends the order again, with the newer index.
+        """
+        is_change = order.is_active != (order.zone in self.items.evacuations)
+        seen_index = order.seen_index
+        return (
+            is_change
+            and seen_index is not None
+            and (seen_index < self.last_orders.get(order.zone, 0))
+        )
+
     def _apply_orders(self, patch, index):
         """Apply the evacuation orders of a patch and return the names of those with an effect."""
         evacuations = dict(self.items.evacuations)
@@ -195,6 +234,10 @@
                 evacuations[order.zone] = index
             else:
                 del evacuations[order.zone]
+            self.last_orders.pop(order.zone, None)
+            self.last_orders[order.zone] = index
+            if len(self.last_orders) > MAX_ORDERED_ZONES:
+                self.last_orders.pop(next(iter(self.last_orders)))
             changed[f"{_EVACUATION_NAME}:{order.zone}"] = None
         if changed:
             self.items = msgspec.structs.replace(self.items, evacuations=evacuations)
--- a/greengagerock/items/tests/test_evacuation_orders.py
+++ b/greengagerock/items/tests/test_evacuation_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from greengagerock.items import EvacuationOrder, Items, ItemStore, Patch
+from greengagerock.items import EvacuationOrder, Items, ItemStore, Patch, PatchResult
 from greengagerock.items.store import encode_patch
 from greengagerock.replication import Entry
 from greengagerock.testing.evacuation_load import make_order
@@ -38,6 +38,24 @@
     assert apply(ItemStore(), start, end, start) == {"zone-1": 3}
 
 
+def test_order_that_was_held_up_on_its_way_does_not_revert_a_later_one():
+    """Guards against an order that was resent, then followed by its opposite, and then arrives."""
+    store = ItemStore()
+    orders = [make_order(), make_order(is_active=False), make_order()]
+    held_up = []
+    for index, patch in enumerate(orders, 1):
+        held_up.append(store.stamp_orders(patch))
+        assert store.apply_patch(held_up[-1], index).code == ""
+    restored = ItemStore()
+    restored.load(store.dump())
+    for each in (store, restored):
+        assert each.apply_patch(held_up[1], 4).code == "not-ready"
+        assert each.apply_patch(held_up[0], 5) == PatchResult()
+        assert each.items.evacuations == {"zone-1": 3}
+        assert each.apply_patch(each.stamp_orders(held_up[1]), 6).code == ""
+        assert each.items.evacuations == {}
+
+
 def test_repeated_order_is_no_change():
     store = ItemStore()
     apply(store, make_order())
--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -147,8 +147,10 @@
             case EndpointReportArrived(token, report):
                 self._serve(token, ReportRelay(token, report))
             case PatchArrived(token, patch):
-                relay_type = EvacuationRelay if patch.evacuations else PatchRelay
-                self._serve(token, relay_type(token, patch))
+                if patch.evacuations:
+                    self._serve(token, EvacuationRelay(token, self.store.stamp_orders(patch)))
+                else:
+                    self._serve(token, PatchRelay(token, patch))
             case ItemsRequested(token):
                 self._serve(token, ItemsRelay(token))
             case ReadinessRequested(token):
--- a/greengagerock/platform/tests/test_evacuation_calls.py
+++ b/greengagerock/platform/tests/test_evacuation_calls.py
@@ -1,6 +1,7 @@
 """Operators' calls to evacuate a zone reach the decision core on both interfaces."""
 
 import io
+import socket
 
 import pytest
 
@@ -28,11 +29,12 @@
         return self.result
 
 
-def call(dialect, path, result, method="POST"):
+def call(dialect, path, result, method="POST", descriptor=None):
     """Send a call without a body and return its status and the events that it caused."""
     bridge, statuses = FakeBridge(result), []
     application = ControlApplication(bridge, lambda event, **fields: None, dialect)
     environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "wsgi.input": io.BytesIO()}
+    environ["greengage.descriptor"] = descriptor
     application(environ, lambda status, headers: statuses.append(status))
     return statuses[0], bridge.events
 
@@ -62,6 +64,18 @@
     assert status.startswith("503 ")
 
 
+def test_order_of_an_operator_who_has_hung_up_is_dropped():
+    """Guards against a controller that wakes up and passes on what was sent again long ago."""
+    ours, peer = socket.socketpair()
+    peer.close()
+    path = "/greengagerock/evacuations/a/start"
+    with ours:
+        status, events = call(
+            PlatformControlDialect(), path, PatchResult(), descriptor=ours.fileno()
+        )
+    assert (status, events) == ("502 Bad Gateway", [])
+
+
 def test_bound_of_the_settings():
     wire = (
         b'{"node-name": "n", "ip": "10.0.0.1", "zone": "a", "listen": {},'
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -239,7 +239,7 @@
 
     def _send_to_any(self, call):
         all_records = self._records_of(call.service)
-        records = [r for r in all_records if self.zone_evacuations.accepts_new(r)]
+        records = self.zone_evacuations.without_evacuated(all_records)
         path, record, limited = self._pick_endpoint(call, records)
         if record is None and limited:
             self._refuse_limited(call, records, limited)
--- a/greengagerock/routing/zone_evacuations.py
+++ b/greengagerock/routing/zone_evacuations.py
@@ -58,6 +58,10 @@
         """Return whether an endpoint gets requests that other endpoints can run as well."""
         return record.zone not in self.learnt_s
 
+    def without_evacuated(self, records):
+        """Return the endpoints that get requests that other endpoints can run as well."""
+        return [r for r in records if self.accepts_new(r)] if self.learnt_s else records
+
     def accepts_held(self, record, now_s):
         """Return whether an endpoint gets requests for keys that it holds."""
         learnt_s = self.learnt_s.get(record.zone)
@@ -65,10 +69,7 @@
 
     def are_all_evacuated(self, records):
         """Return whether there are endpoints and all of them are in evacuated zones."""
-        if not self.learnt_s:
-            return False
-        zones = {record.zone for record in records}
-        return bool(zones) and zones <= self.learnt_s.keys()
+        return bool(self.learnt_s and records) and not self.without_evacuated(records)
 
 
 def learning_time_s(contact_s, now_s):
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -1,6 +1,7 @@
 """The WSGI application for endpoints' reports and operators' configuration items."""
 
 import re
+import select
 from http.client import responses
 
 import msgspec
@@ -136,17 +137,21 @@
             return dialect.encode_items(self._request_decision(ItemsRequested))
         data = self._read_body(environ)
         if call == PATCH_CALL:
-            return self._apply_patch(dialect.decode_patch(data))
+            return self._apply_patch(dialect.decode_patch(data), environ)
         if call in (START_EVACUATION_CALL, END_EVACUATION_CALL):
             order = EvacuationOrder(name, call == START_EVACUATION_CALL)
-            return self._apply_patch(Patch(evacuations=(order,)))
+            return self._apply_patch(Patch(evacuations=(order,)), environ)
         read_message = dialect.decode_report if call == REPORT_CALL else dialect.decode_leaving
         response = self._request_decision(EndpointReportArrived, read_message(name, data))
         if response.code:
             raise GreengageError(response.code, f"endpoint {name}")
         return dialect.encode_report_response(response)
 
-    def _apply_patch(self, patch):
+    def _apply_patch(self, patch, environ):
+        if patch.evacuations and has_hung_up(environ.get("greengage.descriptor")):
+            # This process was paused meanwhile. The operator has sent the order again, and perhaps
+            # a later one.
+            raise GreengageError("caller-gone", "the operator has closed the connection")
         result = self._request_decision(PatchArrived, patch)
         if result.code:
             raise GreengageError(result.code, result.detail)
@@ -175,3 +180,26 @@
                 "bad-request", f"body truncated: got {len(data)} of {length} bytes"
             )
         return data
+
+
+def has_hung_up(descriptor):
+    """Return whether the peer of a socket has closed its side of the connection.
+
+    Args:
+        descriptor: Descriptor of the socket, or ``None`` if there is none.
+
+    Examples:
+        >>> import socket
+        >>> ours, peer = socket.socketpair()
+        >>> has_hung_up(ours.fileno())
+        False
+        >>> peer.close()
+        >>> has_hung_up(ours.fileno())
+        True
+        >>> ours.close()
+    """
+    if descriptor is None:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
