Read the load that endpoints state in responses

Endpoints may state running and waiting requests, slots and pace in X-Instance-Load (Greengage-Load in the native dialect). The header is decoded once into a LoadNotice, which reaches the core with EndpointNoticed. Values out of bounds are reported as malformed and not used. Responses without the header cost one more header look-up and no event.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -155,6 +155,22 @@
     is_body_consumed: bool
 
 
+class LoadNotice(msgspec.Struct, frozen=True):
+    """The load of an endpoint when it sent a response.
+
+    Attributes:
+        running: Number of requests that it runs.
+        waiting: Number of requests that wait there for a slot.
+        slots: Number of requests that it runs at most at once.
+        pace_percent: How long work takes there at present, in percent of the usual time.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace_percent: int
+
+
 class EndpointNoticed(msgspec.Struct, frozen=True):
     """An endpoint's response says which further requests the endpoint accepts.
 
@@ -167,6 +183,8 @@
             ``None`` if the response names no limit.
         ends_limit: Whether the endpoint had a limit when the request was sent, and names none now.
         malformed_limit: Text that should give a limit but cannot be read, or empty.
+        load: The ``LoadNotice`` of the endpoint, or ``None`` if the response has none.
+        malformed_load: Text that should give the load but cannot be read, or empty.
     """
 
     token: int
@@ -176,6 +194,8 @@
     limit_per_s: float | None = None
     ends_limit: bool = False
     malformed_limit: str = ""
+    load: LoadNotice | None = None
+    malformed_load: str = ""
 
 
 class ResponseStarted(msgspec.Struct, frozen=True):
--- a/greengagerock/platform/caller_dialect.py
+++ b/greengagerock/platform/caller_dialect.py
@@ -25,6 +25,8 @@
 PAUSE_HEADER = "Retry-After"
 # Requests per second that an endpoint takes from all hosts together.
 LIMIT_HEADER = "Server-Limit"
+# Running requests, waiting requests, slots and pace of the endpoint.
+LOAD_HEADER = "X-Instance-Load"
 
 _ROUTER_HEADERS = frozenset({TIMEOUT_HEADER, EXPECTED_ENDPOINT_HEADER})
 # Statuses that suggest that a request was not executed. Only with ``NOT_RUN_HEADER`` is this
@@ -92,7 +94,14 @@
             return None
         pause_text = headers.get(PAUSE_HEADER) if response.status == 503 else None
         limit_text = headers.get(LIMIT_HEADER)
-        return make_notice(token, LEAVING_HEADER in headers, pause_text, limit_text, was_limited)
+        return make_notice(
+            token,
+            LEAVING_HEADER in headers,
+            pause_text,
+            limit_text,
+            was_limited,
+            headers.get(LOAD_HEADER),
+        )
 
     def added_headers(self, request_id, endpoint):
         """Return the headers that this host adds to a response: none to an endpoint's response."""
--- a/greengagerock/platform/tests/test_caller_dialect.py
+++ b/greengagerock/platform/tests/test_caller_dialect.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagerock.core import GreengageError
-from greengagerock.core.interface import EndpointNoticed, Forward, RespondWithError
+from greengagerock.core.interface import EndpointNoticed, Forward, LoadNotice, RespondWithError
 from greengagerock.platform.caller_dialect import PlatformDialect
 from greengagerock.web.upstream import BufferedBody
 
@@ -115,6 +115,24 @@
         (response(200, Server_Limit="many"), EndpointNoticed(1, malformed_limit="many")),
         (response(200, Server_Limit="-5"), EndpointNoticed(1, malformed_limit="-5")),
         (response(200, Server_Limit="9" * 50), EndpointNoticed(1, malformed_limit="9" * 40)),
+        (
+            response(200, X_Instance_Load="2,5,2,140"),
+            EndpointNoticed(1, load=LoadNotice(2, 5, 2, 140)),
+        ),
+        (
+            response(503, X_Instance_Load="2, 12, 2"),
+            EndpointNoticed(1, load=LoadNotice(2, 12, 2, 100)),
+        ),
+        # A wrong load must neither be used nor hide what else the response says.
+        (
+            response(200, Server_Limit="4", X_Instance_Load="-1,0,2"),
+            EndpointNoticed(1, limit_per_s=4.0, malformed_load="-1,0,2"),
+        ),
+        (
+            response(200, X_Instance_Load="1,0,2," + "0" * 60),
+            EndpointNoticed(1, malformed_load="1,0,2," + "0" * 34),
+        ),
+        (response(421, X_Instance_Load="2,5,2"), None),
         (response(421, Server_Limit="5.6"), None),
         (response(200, X_Request_Id="other", Server_Limit="5.6"), None),
     ],
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -26,7 +26,13 @@
     encode_delta,
 )
 from greengagerock.web.control_application import NativeControlDialect
-from greengagerock.web.notice_headers import MAX_READ_LIMIT_PER_S, MAX_READ_PAUSE_S, make_notice
+from greengagerock.web.notice_headers import (
+    MAX_LOAD_COUNT,
+    MAX_PACE_PERCENT,
+    MAX_READ_LIMIT_PER_S,
+    MAX_READ_PAUSE_S,
+    make_notice,
+)
 from greengagerock.web.relay_dialect import (
     ENDPOINT_HEADER,
     MAX_TIMEOUT_S,
@@ -119,6 +125,23 @@
         raise GreengageError("bad-announcement", notice.malformed_pause)
 
 
+def check_load(data):
+    """Read bytes as the load of an endpoint.
+
+    Raises:
+        AssertionError: If a number is out of bounds, or an unreadable text is not reported.
+    """
+    text = data.decode("latin-1")
+    notice = make_notice(1, False, None, load_text=text)
+    load = notice.load
+    if load is None:
+        assert bool(notice.malformed_load) == bool(text)
+        raise GreengageError("bad-announcement", notice.malformed_load)
+    assert min(load.running, load.waiting, load.slots) >= 0
+    assert max(load.running, load.waiting, load.slots) <= MAX_LOAD_COUNT
+    assert 1 <= load.pace_percent <= MAX_PACE_PERCENT
+
+
 def check_relay_request(data):
     """Read bytes as the endpoint and as the remaining time of another router's request.
 
@@ -191,6 +214,11 @@
         [b"2", b"0.5", b"Fri, 04 Dec 2026 08:00:00 GMT"],
         (b"-1", b"1e999", b"nan", b"inf", b"\xff", b"_", b"0x1", b" "),
     ),
+    "load": DecoderTarget(
+        check_load,
+        [b"2,5,2,140", b"0,0,3"],
+        (b"-1", b"9999999", b"nan", b",", b"\xff", b"\xb2", b".", b" "),
+    ),
     "relay-request": DecoderTarget(
         check_relay_request,
         [b"1200", b"0.5"],
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -13,6 +13,8 @@
 LEAVING_HEADER = "greengage-leaving"
 # Requests per second that an endpoint takes from all hosts together.
 LIMIT_HEADER = "greengage-limit"
+# Running requests, waiting requests, slots and pace of the endpoint.
+LOAD_HEADER = "greengage-load"
 KEY_HEADER = "greengage-key"
 TIMEOUT_HEADER = "greengage-timeout-ms"
 REQUEST_ID_HEADER = "greengage-request-id"
@@ -109,7 +111,14 @@
             return None
         pause_text = None if refusal is None else headers.get("Retry-After")
         limit_text = headers.get(LIMIT_HEADER)
-        return make_notice(token, LEAVING_HEADER in headers, pause_text, limit_text, was_limited)
+        return make_notice(
+            token,
+            LEAVING_HEADER in headers,
+            pause_text,
+            limit_text,
+            was_limited,
+            headers.get(LOAD_HEADER),
+        )
 
 
 def parse_timeout_s(value):
