Exchange the loads of endpoints between routers and the leader

A router sees an endpoint's load only in responses to itself, which on large sites is once every few seconds. Routers now report new loads with their polls; the leader merges them by instance and age and sends the busiest ones back with each reply, packed once for all routers. Nothing is sent while no endpoint is busy. Poll and delta omit fields with default values, so sites without loads send fewer bytes than before.

--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -2,8 +2,10 @@
 
 from greengagerock.control.confirmations import Confirmations
 from greengagerock.control.limit_shares import LimitShares
+from greengagerock.control.load_digest import LoadDigest
 from greengagerock.control.relay_directory import RelayDirectory
 from greengagerock.control.response_times import ResponseTimes
+from greengagerock.core import GreengageError
 from greengagerock.view import (
     EndpointRecord,
     EndpointsHistory,
@@ -54,6 +56,7 @@
         confirmations: The ``Confirmations`` of item changes.
         limit_shares: The ``LimitShares`` of this term.
         relay_directory: The ``RelayDirectory`` of this term.
+        load_digest: The ``LoadDigest`` of this term.
         subscribers: A ``Subscriber`` by link address.
     """
 
@@ -79,6 +82,7 @@
         self.response_times = ResponseTimes(self.voter.term)
         self.limit_shares = LimitShares(self.timers.now_s)
         self.relay_directory = RelayDirectory(lambda: len(self.endpoints_history.endpoints))
+        self.load_digest = LoadDigest(self.voter.term)
         self.subscribers = {}
         self.push_timer = None
 
@@ -93,9 +97,19 @@
         has_new_relays = self.relay_directory.note(address, poll.relay_address, poll.unreachable)
         if has_new_limits or has_new_relays:
             self.schedule_push()
-        self._send_view(address, poll)
+        self._note_loads(poll, address)
+        loads = self.load_digest.packed_for(len(self.subscribers), self.timers.now_s)
+        self._send_view(address, poll, loads)
         self._confirm()
 
+    def _note_loads(self, poll, address):
+        if poll.loads is None:
+            return
+        try:
+            self.load_digest.on_packed(poll.loads, self.timers.now_s)
+        except GreengageError as error:
+            self.outbox.log("bad-message", code=error.code, detail=error.detail, address=address)
+
     def _confirm(self):
         routers = [(s.poll.items_revision, s.last_poll_s) for s in self.subscribers.values()]
         self.confirmations.advance(routers, self.timers.now_s)
@@ -121,20 +135,25 @@
     def note_endpoint(self, instance):
         """Record that an endpoint instance is new or has changed."""
         report = instance.report
-        self.endpoints_history.set_endpoint(
-            EndpointRecord(
-                instance.name,
-                report.address,
-                report.service,
-                report.zone,
-                report.slots,
-                instance.is_leaving,
-                report.started_ms,
-                max(0.0, instance.cold_until_s - self.timers.now_s),
-            )
+        record = EndpointRecord(
+            instance.name,
+            report.address,
+            report.service,
+            report.zone,
+            report.slots,
+            instance.is_leaving,
+            report.started_ms,
+            max(0.0, instance.cold_until_s - self.timers.now_s),
         )
+        self.endpoints_history.set_endpoint(record)
+        self.load_digest.note_endpoint(record)
         self.schedule_push()
 
+    def remove_endpoint(self, name):
+        """Record that an endpoint has ended."""
+        self.endpoints_history.remove_endpoint(name)
+        self.load_digest.forget(name)
+
     def note_owner(self, service, unit, endpoint):
         """Record the holder of a unit."""
         self.endpoints_history.set_owner(service, unit, endpoint)
@@ -157,7 +176,7 @@
             elif self._is_nearly_current(subscriber.poll):
                 self._send_view(address, subscriber.poll)
 
-    def _send_view(self, address, poll):
+    def _send_view(self, address, poll, loads=None):
         relays = self.relay_directory.relays_for(address)
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
@@ -170,6 +189,7 @@
             else None,
             self.limit_shares.shares_for(address, len(self.subscribers), self.timers.now_s),
             relays if digest_relays(relays) != poll.relays_digest else None,
+            loads,
         )
         self.outbox.send(address, delta)
 
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -402,6 +402,6 @@
             assignments.end(instance)
         self.withdrawn_endpoints.discard(instance.name)
         if self.directory.instances.get(instance.name) is None:
-            self.router_updater.endpoints_history.remove_endpoint(instance.name)
+            self.router_updater.remove_endpoint(instance.name)
         self.router_updater.schedule_push()
         self.outbox.log("endpoint-ended", endpoint=instance.name, detail=reason)
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -25,6 +25,7 @@
 )
 from greengagerock.discovery import LeaderFinder
 from greengagerock.routing.dispatcher import Dispatcher
+from greengagerock.routing.load_exchange import LoadExchange
 from greengagerock.routing.relayed_calls import RelayedCalls
 from greengagerock.routing.retry_budget import SharedRetryBudget
 from greengagerock.routing.router_count import RouterCount
@@ -87,6 +88,7 @@
             config.link_bytes_per_s,
         )
         self.stats = self.dispatcher.stats
+        self.load_exchange = LoadExchange(self.replica, self.dispatcher.observations.loads)
         self.relayed_calls = RelayedCalls(
             self.replica,
             self.dispatcher.paths,
@@ -198,6 +200,7 @@
             dispatcher.observations.collect_responses(),
             dispatcher.demand.collect(),
             dispatcher.limits.collect_reports(now_s),
+            self.load_exchange.pack(now_s),
         )
         for address in self.finder.poll_addresses(now_s):
             self.outbox.send(address, poll)
@@ -260,6 +263,14 @@
                 # The leader sends changes without a poll only to routers that have confirmed
                 # the full view.
                 self.outbox.send(address, self.replica.poll({}, {}))
+        if delta.loads is not None:
+            self._apply_loads(delta.loads)
+
+    def _apply_loads(self, packed):
+        try:
+            self.load_exchange.apply(packed, self.timers.now_s)
+        except GreengageError as error:
+            self.outbox.log("bad-message", code=error.code, detail=error.detail)
 
     def _log_withdrawn(self, changed_endpoints):
         """Log which endpoints get no new requests from now on, according to the leader."""
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -319,7 +319,7 @@
         call.is_first_there = record.name not in call.tried_endpoints
         if call.is_first_there:
             call.tried_endpoints.append(record.name)
-        self.observations.observation_of(record.name).note_sent(now_s)
+        self.observations.note_sent(record.name, now_s)
         if relay:
             self.paths.relays.note_sent(relay)
         call.cancel_timer()
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -98,7 +98,7 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(random)
         self.notice_handler = NoticeHandler(
-            self.notices, self.limits, replica, timers, outbox, report
+            self.notices, self.limits, self.observations.loads, replica, timers, outbox, report
         )
         self.paths = EndpointPaths(
             replica, self.observations, self.health, timers, outbox, random, report
@@ -219,8 +219,8 @@
             self._note_reached(endpoint, observation, relay, event.response_time_s)
             if observation.is_silent(self.timers.now_s):
                 self._cancel_silent_attempts(endpoint, call.sent_s)
-            observation.note_response(
-                event.response_time_s, call.route.objective_s, self.timers.now_s, bool(relay)
+            self.observations.note_response(
+                call, endpoint, event.response_time_s, self.timers.now_s, bool(relay)
             )
         if event.complete:
             self.sender.link_schedule.note_size(call.route.name, event.body_bytes)
--- a/greengagerock/routing/notice_handler.py
+++ b/greengagerock/routing/notice_handler.py
@@ -9,17 +9,19 @@
     Args:
         notices: The ``EndpointNotices``.
         limits: The ``EndpointLimits``.
+        loads: The ``EndpointLoads``.
         replica: The ``ViewReplica``.
         timers: The timer service.
         outbox: Receives effects.
         report: Callable that sends a message to the leader.
     """
 
-    __slots__ = ("limits", "notices", "outbox", "replica", "report", "timers")
+    __slots__ = ("limits", "loads", "notices", "outbox", "replica", "report", "timers")
 
-    def __init__(self, notices, limits, replica, timers, outbox, report):
+    def __init__(self, notices, limits, loads, replica, timers, outbox, report):
         self.notices = notices
         self.limits = limits
+        self.loads = loads
         self.replica = replica
         self.timers = timers
         self.outbox = outbox
@@ -30,6 +32,7 @@
         self._on_leaving(event, call)
         self._on_pause(event, call)
         self._on_limit(event, call)
+        self._on_load(event, call)
 
     def on_left(self, records, started_ms_by_name):
         """Record that endpoint instances have left, and report starts that the leader lacks.
@@ -83,6 +86,14 @@
             # The next periodic poll would let the other routers exceed the limit meanwhile.
             self.report(self.replica.poll({}, {}, self.limits.collect_reports(now_s)))
 
+    def _on_load(self, event, call):
+        name, started_ms = call.endpoint, call.endpoint_started_ms
+        if event.load is not None:
+            self.loads.note(name, started_ms, event.load, self.timers.now_s)
+        elif event.malformed_load and self.loads.note_malformed(name, started_ms):
+            # Each response of the instance may be like this one, so only the first is logged.
+            self._log_malformed("bad-load", event.malformed_load, call)
+
     def _log_malformed(self, event_name, text, call):
         self.outbox.log(
             event_name,
--- a/greengagerock/routing/observations.py
+++ b/greengagerock/routing/observations.py
@@ -6,6 +6,8 @@
 the mean response times that the leader computes from the reports of all routers.
 """
 
+from greengagerock.routing.endpoint_loads import EndpointLoads
+
 # Weight of the newest response in the running mean.
 NEWEST_RESPONSE_WEIGHT = 0.15
 # Mean response time assumed before any router has got a response.
@@ -261,17 +263,21 @@
         shared_mean_s: Callable that returns the mean response time of an endpoint for all routers,
             or ``None``.
 
+    Attributes:
+        loads: The ``EndpointLoads``, which endpoints and the leader have stated.
+
     Examples:
         >>> observations = EndpointObservations()
         >>> observations.observation_of("e1").in_flight
         0
     """
 
-    __slots__ = ("by_endpoint", "shared_mean_s")
+    __slots__ = ("by_endpoint", "loads", "shared_mean_s")
 
     def __init__(self, shared_mean_s=lambda endpoint: None):
         self.shared_mean_s = shared_mean_s
         self.by_endpoint = {}
+        self.loads = EndpointLoads()
 
     def observation_of(self, endpoint):
         """Return the ``EndpointObservation`` of an endpoint."""
@@ -281,6 +287,17 @@
             self.by_endpoint[endpoint] = observation
         return observation
 
+    def note_sent(self, endpoint, now_s):
+        """Record that a request is sent to an endpoint."""
+        self.observation_of(endpoint).note_sent(now_s)
+        self.loads.note_sent(endpoint, now_s)
+
+    def note_response(self, call, endpoint, response_s, now_s, is_relayed):
+        """Record the response of an endpoint to a call, after ``response_s`` seconds."""
+        observation = self.observation_of(endpoint)
+        observation.note_response(response_s, call.route.objective_s, now_s, is_relayed)
+        self.loads.note_response(endpoint, call.service, response_s)
+
     def unreachable_count(self):
         """Return the number of endpoints to which the last attempt to connect failed."""
         return sum(o.is_unreachable for o in list(self.by_endpoint.values()))
@@ -312,3 +329,4 @@
     def forget(self, endpoint):
         """Drop the observations of an endpoint that has ended."""
         self.by_endpoint.pop(endpoint, None)
+        self.loads.forget(endpoint)
--- a/greengagerock/testing/fake_reporting_endpoint.py
+++ b/greengagerock/testing/fake_reporting_endpoint.py
@@ -64,6 +64,10 @@
         self._busy_until_s[slot] = now_s + wait_s + self.processing_time_s
         return wait_s + self.processing_time_s
 
+    def load_notice(self, now_s):
+        """Return the ``LoadNotice`` of a response: this endpoint states no load."""
+        return None
+
     def count_over_limit(self, window_s, delay_s, since_s):
         """Return the largest excess of requests over the limit in any window.
 
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -416,11 +416,11 @@
             if endpoint.address == address:
                 self.paths.close_idle(host.config.host.name, name)
 
-    def _respond_with_limit(self, host, run_number, endpoint, token, was_limited):
-        """Pass on what the head of a response says about the endpoint's limit."""
+    def _respond_with_notices(self, host, run_number, endpoint, token, was_limited):
+        """Pass on what the head of a response says about the endpoint's limit and load."""
         if token in self.relayed:
             origin = self.relayed[token]
-            self._respond_with_limit(origin[0], origin[1], endpoint, origin[2], was_limited)
+            self._respond_with_notices(origin[0], origin[1], endpoint, origin[2], was_limited)
         if host.run_number != run_number:
             return
         if endpoint.limit_per_s is not None:
@@ -428,12 +428,18 @@
             self._feed(host, EndpointNoticed(token, limit_per_s=endpoint.limit_per_s))
         elif was_limited:
             self._feed(host, EndpointNoticed(token, ends_limit=True))
+        load = endpoint.load_notice(self.now_s)
+        if load is not None:
+            self._feed(host, EndpointNoticed(token, load=load))
 
     def _execute_call(self, host, path, endpoint, call, effect):
         token, run_number = effect.token, host.run_number
         duration_s = endpoint.enqueue_request(self.now_s)
         if duration_s is None:
             if self.paths.end(path, token, True):
+                load = endpoint.load_notice(self.now_s)
+                if load is not None:
+                    self._feed(host, EndpointNoticed(token, load=load))
                 self._fail_attempt(host, token, "refused", True, 0.0)
             return
         unit = None if call.key is None else call.key // KEYS_PER_UNIT
@@ -445,7 +451,7 @@
                 return
             if not self.paths.end(path, token, True):
                 return
-            self._respond_with_limit(host, run_number, endpoint, token, effect.is_limited)
+            self._respond_with_notices(host, run_number, endpoint, token, effect.is_limited)
             self._end_request(host, run_number, token, RequestEnded(token, True, duration_s))
 
         self.at(duration_s, complete)
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -17,13 +17,18 @@
 from greengagerock.transport import Envelope, decode_envelope, encode_envelope
 from greengagerock.transport.monitor import MessageSequence
 from greengagerock.view import (
+    EndpointLoadReports,
     EndpointRecord,
     EndpointsDelta,
+    LoadReport,
     OwnedUnitRanges,
     ViewDelta,
     ViewPoll,
     decode_delta,
+    digest_instance,
     encode_delta,
+    pack_loads,
+    unpack_loads,
 )
 from greengagerock.web.control_application import NativeControlDialect
 from greengagerock.web.notice_headers import (
@@ -66,6 +71,7 @@
     {"till": (OwnedUnitRanges("till-1", (0, 8192)),)},
     {"till-2": 1000},
 )
+LOADS = pack_loads(EndpointLoadReports(9, {"till-1": LoadReport(3, 2, 5, 140, 250)}))
 
 
 def _json(value):
@@ -142,6 +148,17 @@
     assert 1 <= load.pace_percent <= MAX_PACE_PERCENT
 
 
+def check_packed_loads(data):
+    """Unpack bytes as the loads of endpoints.
+
+    Raises:
+        AssertionError: If an unknown endpoint is named, or a pace is not positive.
+    """
+    reports = unpack_loads(data, {digest_instance("till-1", 3): ("till-1", 3)})
+    assert set(reports.loads) <= {"till-1"}
+    assert all(load.pace_percent > 0 for load in reports.loads.values())
+
+
 def check_relay_request(data):
     """Read bytes as the endpoint and as the remaining time of another router's request.
 
@@ -201,7 +218,7 @@
     "link": DecoderTarget(
         decode_envelope,
         [
-            _envelope(ViewPoll(3, 4, 5, {"till-1": (3, 0.1)}, {"till": {7: 2}})),
+            _envelope(ViewPoll(3, 4, 5, {"till-1": (3, 0.1)}, {"till": {7: 2}}, loads=LOADS)),
             _envelope(ViewDelta(None, encode_delta(DELTA), ("10.0.0.2:1",), 3)),
         ],
         _MSGPACK_TOKENS,
@@ -219,6 +236,7 @@
         [b"2,5,2,140", b"0,0,3"],
         (b"-1", b"9999999", b"nan", b",", b"\xff", b"\xb2", b".", b" "),
     ),
+    "loads": DecoderTarget(check_packed_loads, [LOADS], _MSGPACK_TOKENS),
     "relay-request": DecoderTarget(
         check_relay_request,
         [b"1200", b"0.5"],
--- a/greengagerock/view/__init__.py
+++ b/greengagerock/view/__init__.py
@@ -1,6 +1,14 @@
 """Routers' copies of items, endpoints and unit owners, and the deltas that update them."""
 
 from greengagerock.view.histories import EndpointsHistory, ItemsHistory
+from greengagerock.view.load_packing import (
+    EndpointLoadReports,
+    InstanceDigests,
+    LoadReport,
+    digest_instance,
+    pack_loads,
+    unpack_loads,
+)
 from greengagerock.view.messages import (
     EndpointRecord,
     EndpointResponseTimes,
@@ -19,8 +27,11 @@
 from greengagerock.view.replica import ViewReplica
 
 __all__ = [
+    "EndpointLoadReports",
     "EndpointRecord",
     "EndpointResponseTimes",
+    "InstanceDigests",
+    "LoadReport",
     "OwnedUnitRanges",
     "ItemsDelta",
     "ItemsHistory",
@@ -36,5 +47,8 @@
     "ViewReplica",
     "encode_delta",
     "decode_delta",
+    "digest_instance",
     "digest_relays",
+    "pack_loads",
+    "unpack_loads",
 ]
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -163,7 +163,7 @@
     demand_per_s: float | None
 
 
-class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll"):
+class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll", omit_defaults=True):
     """A router's request for the changes that it does not have.
 
     Attributes:
@@ -178,6 +178,7 @@
         relay_address: ``IP:PORT`` where the router takes requests of other routers, or empty.
         unreachable: Number of endpoints that the router cannot reach itself.
         relays_digest: Digest of the addresses of the relays that the router has.
+        loads: Packed loads of endpoints that responded since the last poll, or ``None``.
     """
 
     items_revision: int
@@ -190,9 +191,10 @@
     relay_address: str = ""
     unreachable: int = 0
     relays_digest: int = 0
+    loads: bytes | None = None
 
 
-class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
+class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta", omit_defaults=True):
     """The leader's reply to a ``ViewPoll``, also sent without a poll after a change.
 
     Attributes:
@@ -207,6 +209,7 @@
         limits: Limits of endpoints, with the router's shares.
         relays: Addresses of other routers that forward requests of this one, or ``None`` if the
             router has the newest ones.
+        loads: Packed loads of the busiest endpoints, or ``None`` if none is busy.
     """
 
     items: bytes | None
@@ -217,6 +220,7 @@
     response_times: bytes | None = msgspec.field(default=None, name="times")
     limits: tuple[LimitShare, ...] = ()
     relays: tuple[str, ...] | None = None
+    loads: bytes | None = None
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -45,7 +45,7 @@
         """Whether the configuration has been received."""
         return self.items_revision > 0
 
-    def poll(self, response_times, demand, limits=None):
+    def poll(self, response_times, demand, limits=None, loads=None):
         """Return the message that requests the missing changes.
 
         Args:
@@ -53,6 +53,7 @@
                 router since the last poll.
             demand: Number of requests since the last poll, by service and block of keys.
             limits: ``LimitReport`` objects by endpoint name.
+            loads: Packed loads of endpoints that responded since the last poll.
         """
         return ViewPoll(
             self.items_revision,
@@ -65,6 +66,7 @@
             self.relay_address,
             self.unreachable_count,
             digest_relays(self.relays),
+            loads,
         )
 
     def shared_mean_s(self, endpoint):
