Choose endpoints by the load that they state

The picker knew only this router's requests at an endpoint, of which it sends one every few seconds on large sites. Unknown load leaves the cost as it was.

--- a/greengagerock/routing/endpoint_loads.py
+++ b/greengagerock/routing/endpoint_loads.py
@@ -59,6 +59,15 @@
         """Time until a slot is free for the next request, in seconds, at full weight."""
         return max(0, self.requests + 1 - self.slots) * self.work_s / self.slots
 
+    @property
+    def response_s(self):
+        """Expected response time by which endpoints are compared, in seconds, at full weight.
+
+        Requests that find a free slot count as well, since others follow before the value is
+        used.
+        """
+        return self.work_s * (1 + self.requests / self.slots)
+
     def describe(self):
         """Return the value as text for a log line."""
         return (
--- a/greengagerock/routing/endpoint_picker.py
+++ b/greengagerock/routing/endpoint_picker.py
@@ -14,10 +14,14 @@
 
     Two random endpoints of the local zone are compared with two random endpoints of all zones.
     The expected time is the endpoint's running mean, increased in proportion to this router's
-    requests in flight there per slot. An endpoint that warms up costs one mean more, and one in
-    a remote zone the penalty for crossing zones, which grows with the latency objective of the
-    route. Comparing so few endpoints prevents many
-    routers from all choosing the same one.
+    requests in flight there per slot. Where an endpoint has stated its load recently, it is the
+    work time at the endpoint's pace, increased in proportion to all requests there per slot; the
+    older the value, the less it counts, so that routers do not all choose an endpoint that was
+    idle a while ago. Unknown load does not mean that it is idle.
+
+    An endpoint that warms up costs one mean more, and one in a remote zone the penalty for
+    crossing zones, which grows with the latency objective of the route. Comparing so few
+    endpoints prevents many routers from all choosing the same one.
 
     Args:
         zone: Availability zone of this router.
@@ -83,7 +87,7 @@
             usable = [
                 r for r in direct if self.observations.observation_of(r.name).may_probe(now_s)
             ]
-        return self._cheapest(usable, objective_s)
+        return self._cheapest(usable, objective_s, now_s)
 
     def pick_lost(self, records, excluded, extra_requests, objective_s, now_s):
         """Return an endpoint that only other routers can reach, or ``None``.
@@ -103,7 +107,7 @@
             and not self.observations.observation_of(r.name).is_silent(now_s)
             and self._has_room(r, extra_requests, now_s)
         ]
-        return self._cheapest(usable, objective_s)
+        return self._cheapest(usable, objective_s, now_s)
 
     def _accepting(self, records, excluded, now_s):
         """Return the endpoints that accept requests of this router."""
@@ -115,7 +119,7 @@
             and not self.notices.pause_left_s(r, now_s)
         ]
 
-    def _cheapest(self, usable, objective_s):
+    def _cheapest(self, usable, objective_s, now_s):
         if not usable:
             return None
         local = [r for r in usable if r.zone == self.zone]
@@ -123,7 +127,7 @@
         penalty_s = (
             DEFAULT_ZONE_PENALTY_S if objective_s is None else self.zone_preference * objective_s
         )
-        return min(candidates, key=lambda record: self._cost_s(record, penalty_s))
+        return min(candidates, key=lambda record: self._cost_s(record, penalty_s, now_s))
 
     def _is_healthy(self, record, extra_requests, now_s):
         observation = self.observations.observation_of(record.name)
@@ -143,9 +147,12 @@
             return list(records)
         return self.random.sample(records, 2)
 
-    def _cost_s(self, record, penalty_s):
+    def _cost_s(self, record, penalty_s, now_s):
         observation = self.observations.observation_of(record.name)
         cost_s = observation.mean_response_s * (1 + observation.in_flight / max(record.slots, 1))
+        known = self.observations.loads.known_load(record, observation.mean_response_s, now_s)
+        if known is not None:
+            cost_s += known.weight * (known.response_s - cost_s)
         if record.warm_up_left_s > 0:
             cost_s += observation.mean_response_s
         return cost_s + (0.0 if record.zone == self.zone else penalty_s)
--- a/greengagerock/routing/tests/test_endpoint_picker.py
+++ b/greengagerock/routing/tests/test_endpoint_picker.py
@@ -1,28 +1,9 @@
 """Tests of the choice of an endpoint for a request that any endpoint can run."""
 
 from collections import Counter
-from random import Random
-
-from greengagerock.core import TimerService
-from greengagerock.core.interface import Outbox
-from greengagerock.routing.endpoint_notices import EndpointNotices
-from greengagerock.routing.endpoint_paths import EndpointPaths
-from greengagerock.routing.endpoint_picker import EndpointPicker
-from greengagerock.routing.health import EndpointHealth
-from greengagerock.routing.observations import MIN_OWN_RESPONSES, EndpointObservations
-from greengagerock.view import EndpointRecord, ViewReplica
-
-
-def build_picker(zones):
-    """Return a picker in zone ``a`` and one endpoint in each of ``zones``."""
-    records = [EndpointRecord(f"e{n}", "x:1", "docs", zone, 3) for n, zone in enumerate(zones)]
-    observations = EndpointObservations()
-    health, timers, random = EndpointHealth(), TimerService(0.0), Random(1)
-    paths = EndpointPaths(
-        ViewReplica(), observations, health, timers, Outbox(), random, lambda message: None
-    )
-    picker = EndpointPicker("a", observations, health, EndpointNotices(), paths, random)
-    return picker, records, observations
+
+from greengagerock.routing.observations import MIN_OWN_RESPONSES
+from greengagerock.testing.picker_builders import build_picker
 
 
 def load(picker, records, observations, objective_s, count=6):
