Admit calls by the load of endpoints

Unknown load admits all calls, as before.

The loop registers the descriptor of a caller that waits for a second reason only once; registering it again failed, and the caller counted as not watched. Timers of attempts move from call_sender.py to attempt_watch.py unchanged.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -77,6 +77,7 @@
         budget_s: How long the caller waits for the response, in seconds.
         key: Key of the request, or ``None``.
         body_digest: Digest of a short body; for a longer body, its declared length.
+        body_bytes: Size of a short body, which this host holds; 0 for a longer one.
     """
 
     token: int
@@ -88,6 +89,7 @@
     budget_s: float
     key: int | None = None
     body_digest: str = ""
+    body_bytes: int = 0
 
 
 class RelayArrived(msgspec.Struct, frozen=True):
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -97,7 +97,10 @@
             attempt.begin_watch(lambda descriptor: self._register(descriptor, token))
 
     def _register(self, descriptor, token):
-        """Register a caller's descriptor; return whether that succeeded."""
+        """Register a caller's descriptor; return whether it is registered."""
+        if self._token_by_descriptor.get(descriptor) == token:
+            # The call waited for something else before.
+            return True
         try:
             self._poll.register(descriptor, select.EPOLLRDHUP)
         except OSError:
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -1,12 +1,9 @@
 """Choice of the endpoint for a call, and of the moment at which the call is sent to it."""
 
 from greengagerock.assignment.units import KEYS_PER_UNIT
-from greengagerock.core.interface import (
-    CancelAttempt,
-    CloseIdleConnections,
-    Forward,
-    WatchCaller,
-)
+from greengagerock.core.interface import CloseIdleConnections, Forward, WatchCaller
+from greengagerock.routing.attempt_watch import AttemptWatch
+from greengagerock.routing.call_admission import MAX_DECISION_S, CallAdmission
 from greengagerock.routing.endpoint_paths import Direct, NoPath, Probe, Relayed
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
 
@@ -15,20 +12,13 @@
 MAX_KEY_WAIT_S = 0.5
 # Largest share of the remaining time that a call waits for a holder of its key.
 MAX_KEY_WAIT_SHARE = 0.3
-# Longest time that a call waits for its turn on the link, below the time for which the I/O layer
-# waits for a decision.
-MAX_TURN_WAIT_S = 4.0
-# Time after sending from which on the I/O layer watches whether the caller is still connected.
-WATCH_AFTER_S = 0.2
-# Time after the deadline at which an attempt is cancelled: while it waits for the head of the
-# response, while a short body arrives, and while a long response is being relayed.
-OVERDUE_S = 0.25
-BODY_GRACE_S = 1.0
-STREAM_GRACE_S = 5.0
 # Requests above the limit of an endpoint that are allowed for an urgent route.
 URGENT_EXTRA_REQUESTS = 1
 # Number of failures to connect after which a call is sent through relays only.
 MAX_CONNECT_FAILURES = 2
+# Number of endpoints whose load may exclude a call before it waits or is refused. Each further one
+# would cost a look at all endpoints of the service.
+MAX_EXCLUDING_ENDPOINTS = 3
 # Calls with less time left than this are not sent.
 MIN_TIME_LEFT_S = 0.005
 
@@ -54,6 +44,8 @@
         least_urgent_ranks: Highest rank of each service.
         waiting_calls: Calls that wait for a holder of their key, by (service, unit).
         calls_awaiting_turns: Calls that wait for their turn on the link, by token.
+        admission: The ``CallAdmission``, by the load of endpoints.
+        attempt_watch: The ``AttemptWatch``.
         is_closing: Whether responses direct callers to other hosts.
     """
 
@@ -85,6 +77,23 @@
         self.waiting_calls = {}
         self.calls_awaiting_turns = {}
         self.is_closing = False
+        self.attempt_watch = AttemptWatch(timers, outbox)
+        self.admission = CallAdmission(
+            observations,
+            self._rank_of,
+            lambda call: len(replica.by_service.get(call.service, ())),
+            limits.random,
+            timers,
+            outbox,
+            self.send,
+            self._release_turn,
+            refuse,
+        )
+
+    def begin_closing(self):
+        """Direct callers to other hosts from now on, those that wait for a free slot at once."""
+        self.is_closing = True
+        self.admission.stop()
 
     def send(self, call):
         """Send a call, let it wait, or refuse it."""
@@ -100,7 +109,7 @@
         """Return whether a call may be sent now; otherwise it waits or was refused."""
         now_s = self.timers.now_s
         objective_s = call.route.objective_s
-        useful_until_s = min(call.deadline_s, now_s + MAX_TURN_WAIT_S)
+        useful_until_s = min(call.deadline_s, call.event_s + MAX_DECISION_S)
         if objective_s is not None:
             useful_until_s = min(useful_until_s, call.arrived_s + objective_s)
         decision = self.link_schedule.request(
@@ -121,6 +130,10 @@
 
     def end_turn(self, call, is_complete):
         """Give the turn of a call that has ended to the next ones."""
+        self.admission.remove(call.token)
+        self._release_turn(call, is_complete)
+
+    def _release_turn(self, call, is_complete=False):
         self.calls_awaiting_turns.pop(call.token, None)
         self.link_schedule.end(call.token, self.timers.now_s, is_complete)
         if self.calls_awaiting_turns:
@@ -175,6 +188,8 @@
         ):
             detail = f"{observation.in_flight} requests in flight at endpoint {name}"
             self.refuse(call, "no-room", detail)
+        elif not self.admission.admits(call, record):
+            self.admission.settle(call)
         elif not self.limits.try_take(record, now_s):
             retry_after_s = self.limits.retry_after_s(record, now_s)
             self.refuse(call, "endpoint-limited", f"limit of endpoint {name}", retry_after_s)
@@ -232,6 +247,8 @@
         names = self.replica.by_service.get(call.service, ())
         records = [self.replica.endpoints[name] for name in names]
         path, record, limited = self._pick_endpoint(call, records)
+        if record is None and self.admission.settle(call):
+            return
         if record is None and limited:
             self._refuse_limited(call, records, limited)
         elif record is None:
@@ -266,15 +283,20 @@
         """Return an endpoint whose limit admits a call, or ``None``, and those that do not."""
         now_s = self.timers.now_s
         excluded = list(excluded)
-        limited = []
-        while True:
-            record = pick(
-                records, excluded, self._extra_requests(call), call.route.objective_s, now_s
-            )
-            if record is None or self.limits.try_take(record, now_s):
-                return record, limited
-            limited.append(record)
+        limited, full_count = [], 0
+        extra, objective_s = self._extra_requests(call), call.route.objective_s
+        while full_count < MAX_EXCLUDING_ENDPOINTS:
+            record = pick(records, excluded, extra, objective_s, now_s)
+            if record is None:
+                break
             excluded.append(record.name)
+            if not self.admission.admits(call, record):
+                full_count += 1
+            elif self.limits.try_take(record, now_s):
+                return record, limited
+            else:
+                limited.append(record)
+        return None, limited
 
     def _refuse_limited(self, call, records, limited):
         now_s = self.timers.now_s
@@ -297,6 +319,10 @@
 
     # --- All services --------------------------------------------------------------
 
+    def _rank_of(self, call):
+        """Return the rank of a call's priority in its service; 0 is the most urgent."""
+        return self.ranks.get((call.service, call.route.priority), 0)
+
     def _extra_requests(self, call):
         """Return the number of requests beyond the limit that a call's priority allows.
 
@@ -322,8 +348,7 @@
         self.observations.note_sent(record.name, now_s)
         if relay:
             self.paths.relays.note_sent(relay)
-        call.cancel_timer()
-        call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch_caller(call))
+        self.attempt_watch.begin(call)
         self.outbox.add(
             Forward(
                 call.token,
@@ -336,30 +361,3 @@
                 relay,
             )
         )
-
-    def _watch_caller(self, call):
-        call.timer = None
-        if call.endpoint:
-            self.outbox.add(WatchCaller(call.token))
-            self._schedule_overdue(call, call.deadline_s + OVERDUE_S)
-
-    def _schedule_overdue(self, call, due_s):
-        wait_s = max(OVERDUE_S, due_s - self.timers.now_s)
-        call.timer = self.timers.subscribe(wait_s, lambda: self._cancel_overdue(call))
-
-    def _cancel_overdue(self, call):
-        """End an attempt whose response is still incomplete long after the deadline.
-
-        The I/O layer's time-out ends only silent connections, and bytes may come without end.
-        """
-        call.timer = None
-        if not call.endpoint:
-            return
-        stream_end_s = call.deadline_s + STREAM_GRACE_S
-        if call.has_stream and self.timers.now_s < stream_end_s:
-            self._schedule_overdue(call, stream_end_s)
-            return
-        call.is_overdue = True
-        is_body_awaited = self.timers.now_s < call.deadline_s + BODY_GRACE_S
-        self.outbox.add(CancelAttempt(call.token, only_waiting=is_body_awaited))
-        self._schedule_overdue(call, self.timers.now_s)
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -19,6 +19,11 @@
         tried_endpoints: Names of all endpoints that it was sent to.
         delivery_count: Number of times that it may have reached an endpoint.
         awaited_unit: The (service, unit) whose holder it waits for, or ``None``.
+        body_bytes: Size of its body as far as this host holds it.
+        event_s: When it arrived or its last attempt ended; a decision is due some time later.
+        known_load: The ``KnownLoad`` of the endpoint considered last, or ``None`` if unknown.
+        verdict: ``Wait`` or ``Refuse`` by the load of endpoints, or ``None`` if one admits it.
+        is_share_counted: Whether it has been counted for the least share of its route.
         timer: Pending timer of the call, such as the end of a wait, or ``None``.
         relay: Address of the relay of the current attempt, empty for an own connection.
         tried_relays: Addresses of relays that could not forward it.
@@ -34,17 +39,21 @@
     __slots__ = (
         "arrived_s",
         "awaited_unit",
+        "body_bytes",
         "is_body_consumed",
         "deadline_s",
         "delivery_count",
         "endpoint",
         "endpoint_started_ms",
+        "event_s",
         "fingerprint",
         "has_stream",
         "is_abandoned",
         "is_overdue",
         "is_first_there",
+        "is_share_counted",
         "key",
+        "known_load",
         "may_have_run",
         "relay",
         "request_id",
@@ -56,6 +65,7 @@
         "tried_endpoints",
         "tried_relays",
         "unreached_endpoints",
+        "verdict",
     )
 
     def __init__(self, event, route, service, now_s, deadline_s):
@@ -66,6 +76,11 @@
         self.key = event.key
         self.arrived_s = now_s
         self.deadline_s = deadline_s
+        self.event_s = now_s
+        self.body_bytes = event.body_bytes
+        self.known_load = None
+        self.verdict = None
+        self.is_share_counted = False
         self.fingerprint = ""
         self.endpoint = ""
         self.endpoint_started_ms = 0
@@ -84,6 +99,14 @@
         self.may_have_run = False
         self.is_body_consumed = False
 
+    def end_attempt(self, now_s):
+        """End the current attempt; return its endpoint and relay, empty if there was none."""
+        endpoint, self.endpoint = self.endpoint, ""
+        relay, self.relay = self.relay, ""
+        self.event_s = now_s
+        self.cancel_timer()
+        return endpoint, relay
+
     def cancel_timer(self):
         """Cancel the timer, if one is set."""
         if self.timer is not None:
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -258,7 +258,7 @@
     def begin_closing(self):
         """Direct callers to other hosts with each response from now on."""
         self.error_responder.is_closing = True
-        self.sender.is_closing = True
+        self.sender.begin_closing()
 
     def on_items(self):
         """Update the routes from the replica."""
@@ -299,9 +299,7 @@
     # --- Failures ------------------------------------------------------------------
 
     def _end_attempt(self, call):
-        endpoint, call.endpoint = call.endpoint, ""
-        relay, call.relay = call.relay, ""
-        call.cancel_timer()
+        endpoint, relay = call.end_attempt(self.timers.now_s)
         if endpoint:
             self.observations.observation_of(endpoint).note_ended()
         if relay:
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -86,6 +86,7 @@
             reason=event.reason,
             bytes_left=event.has_sent_bytes,
             after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
+            believed="" if call.known_load is None else call.known_load.describe(),
         )
 
     def _log(self, call, code, outcome, detail, retry_s):
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -2,7 +2,8 @@
 
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.core.interface import CancelAttempt, Forward, RespondWithError, WatchCaller
-from greengagerock.routing.call_sender import MIN_TIME_LEFT_S, WATCH_AFTER_S
+from greengagerock.routing.attempt_watch import WATCH_AFTER_S
+from greengagerock.routing.call_sender import MIN_TIME_LEFT_S
 from greengagerock.routing.failures import (
     REASON_CONNECT,
     REASON_CONNECTION_LOST,
--- a/greengagerock/testing/loaded_site.py
+++ b/greengagerock/testing/loaded_site.py
@@ -19,19 +19,24 @@
 def build_loaded_patch():
     """Return items: the least urgent route also goes to the services of the two others."""
     shares = (("exports", 1.0), ("slots", 1.0), ("booking", 1.0))
-    routes = (
-        build_route("lookup", weighted_services=(("slots", 1),), priority=0, timeout_s=3.9),
+    targets = {"lookup": (("slots", 1.0),), "book": (("booking", 1.0),), "export": shares}
+    routes = tuple(
         build_route(
-            "book", weighted_services=(("booking", 1),), priority=1, timeout_s=5.4, kind="unsafe"
-        ),
-        build_route("export", weighted_services=shares, priority=2, timeout_s=5.4),
+            name,
+            weighted_services=targets[name],
+            priority=priority,
+            kind="unsafe" if METHODS[name] == "POST" else "safe",
+            timeout_s=BUDGETS_S[name],
+            objective_s=OBJECTIVES_S[name],
+        )
+        for priority, name in enumerate(("lookup", "book", "export"))
     )
-    services = [
+    services = (
         build_service("slots"),
         build_service("booking", keyed=False),
         build_service("exports", keyed=False),
-    ]
-    return Patch(routes, tuple(services), build_limits())
+    )
+    return Patch(routes, services, build_limits())
 
 
 def build_loaded_site(seed=1, routers=7, states_load=True, **options):
@@ -73,7 +78,6 @@
         late: Callers that were served later.
         refused_once: Callers that were refused at least once.
         failed: Callers that were never served.
-        early_retries: Refusals without a time at which the caller should come back.
     """
 
     __slots__ = ("failed", "in_time", "late", "refused_once", "sent")
@@ -115,6 +119,9 @@
         token = site.call(self.router, self.route, self.key, METHODS[self.route], left_s)
         self.tokens.append(token)
         self.load.callers_by_token[token] = self
+        if token in site.request_results:
+            # It was refused at once.
+            self.on_result(token, site.request_results[token])
 
     def on_result(self, token, result):
         """Process the response to one of its requests."""
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -63,6 +63,7 @@
             parse_timeout_s(headers.get(self.timeout_header)),
             parse_key(headers.get(self.key_header)),
             body_digest,
+            0 if data is None else len(data),
         )
 
     def service_label(self, event):
