--- a/greengagerock/testing/fake_loaded_endpoint.py
+++ b/greengagerock/testing/fake_loaded_endpoint.py
@@ -55,6 +55,13 @@
         running = sum(start_s <= now_s for start_s, _ in self.spans_s)
         return running, len(self.spans_s) - running
 
+    def restart(self):
+        """Begin a new instance without requests; responses of the earlier one still arrive."""
+        self.started_ms += 5000
+        self.sequence = 0
+        self.spans_s = []
+        self._busy_until_s = [0.0] * self.slots
+
     def load_notice(self, now_s):
         """Return the ``LoadNotice`` of a response, or ``None`` if it states no load."""
         if not self.states_load:
