--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -106,7 +106,7 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(random)
         self.notice_handler = NoticeHandler(
-            self.notices, self.limits, replica, timers, outbox, report
+            self.notices, self.limits, self.observations.loads, replica, timers, outbox, report
         )
         self.paths = EndpointPaths(
             replica, self.observations, self.health, timers, outbox, random, report
@@ -229,8 +229,8 @@
             self._note_reached(endpoint, observation, relay, event.response_time_s)
             if observation.is_silent(self.timers.now_s):
                 self._cancel_silent_attempts(endpoint, call.sent_s)
-            observation.note_response(
-                event.response_time_s, call.route.objective_s, self.timers.now_s, bool(relay)
+            self.observations.note_response(
+                call, endpoint, event.response_time_s, self.timers.now_s, bool(relay)
             )
         if event.complete:
             self.sender.link_schedule.note_size(call.route.name, event.body_bytes)
@@ -268,7 +268,7 @@
     def begin_closing(self):
         """Direct callers to other hosts with each response from now on."""
         self.error_responder.is_closing = True
-        self.sender.is_closing = True
+        self.sender.begin_closing()
 
     def on_items(self):
         """Update the routes from the replica."""
@@ -309,9 +309,7 @@
     # --- Failures ------------------------------------------------------------------
 
     def _end_attempt(self, call):
-        endpoint, call.endpoint = call.endpoint, ""
-        relay, call.relay = call.relay, ""
-        call.cancel_timer()
+        endpoint, relay = call.end_attempt(self.timers.now_s)
         if endpoint:
             self.observations.observation_of(endpoint).note_ended()
         if relay:
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -17,16 +17,27 @@
 from greengagerock.transport import Envelope, decode_envelope, encode_envelope
 from greengagerock.transport.monitor import MessageSequence
 from greengagerock.view import (
+    EndpointLoadReports,
     EndpointRecord,
     EndpointsDelta,
+    LoadReport,
     OwnedUnitRanges,
     ViewDelta,
     ViewPoll,
     decode_delta,
+    digest_instance,
     encode_delta,
+    pack_loads,
+    unpack_loads,
 )
 from greengagerock.web.control_application import NativeControlDialect
-from greengagerock.web.notice_headers import MAX_READ_LIMIT_PER_S, MAX_READ_PAUSE_S, make_notice
+from greengagerock.web.notice_headers import (
+    MAX_LOAD_COUNT,
+    MAX_PACE_PERCENT,
+    MAX_READ_LIMIT_PER_S,
+    MAX_READ_PAUSE_S,
+    make_notice,
+)
 from greengagerock.web.relay_dialect import (
     ENDPOINT_HEADER,
     MAX_TIMEOUT_S,
@@ -60,6 +71,7 @@
     {"till": (OwnedUnitRanges("till-1", (0, 8192)),)},
     {"till-2": 1000},
 )
+LOADS = pack_loads(EndpointLoadReports(9, {"till-1": LoadReport(3, 2, 5, 140, 250)}))
 
 
 def _json(value):
@@ -119,6 +131,34 @@
         raise GreengageError("bad-announcement", notice.malformed_pause)
 
 
+def check_load(data):
+    """Read bytes as the load of an endpoint.
+
+    Raises:
+        AssertionError: If a number is out of bounds, or an unreadable text is not reported.
+    """
+    text = data.decode("latin-1")
+    notice = make_notice(1, False, None, load_text=text)
+    load = notice.load
+    if load is None:
+        assert bool(notice.malformed_load) == bool(text)
+        raise GreengageError("bad-announcement", notice.malformed_load)
+    assert min(load.running, load.waiting, load.slots) >= 0
+    assert max(load.running, load.waiting, load.slots) <= MAX_LOAD_COUNT
+    assert 1 <= load.pace_percent <= MAX_PACE_PERCENT
+
+
+def check_packed_loads(data):
+    """Unpack bytes as the loads of endpoints.
+
+    Raises:
+        AssertionError: If an unknown endpoint is named, or a pace is not positive.
+    """
+    reports = unpack_loads(data, {digest_instance("till-1", 3): ("till-1", 3)})
+    assert set(reports.loads) <= {"till-1"}
+    assert all(load.pace_percent > 0 for load in reports.loads.values())
+
+
 def check_relay_request(data):
     """Read bytes as the endpoint and as the remaining time of another router's request.
 
@@ -178,7 +218,7 @@
     "link": DecoderTarget(
         decode_envelope,
         [
-            _envelope(ViewPoll(3, 4, 5, {"till-1": (3, 0.1)}, {"till": {7: 2}})),
+            _envelope(ViewPoll(3, 4, 5, {"till-1": (3, 0.1)}, {"till": {7: 2}}, loads=LOADS)),
             _envelope(ViewDelta(None, encode_delta(DELTA), ("10.0.0.2:1",), 3)),
         ],
         _MSGPACK_TOKENS,
@@ -191,6 +231,12 @@
         [b"2", b"0.5", b"Fri, 04 Dec 2026 08:00:00 GMT"],
         (b"-1", b"1e999", b"nan", b"inf", b"\xff", b"_", b"0x1", b" "),
     ),
+    "load": DecoderTarget(
+        check_load,
+        [b"2,5,2,140", b"0,0,3"],
+        (b"-1", b"9999999", b"nan", b",", b"\xff", b"\xb2", b".", b" "),
+    ),
+    "loads": DecoderTarget(check_packed_loads, [LOADS], _MSGPACK_TOKENS),
     "relay-request": DecoderTarget(
         check_relay_request,
         [b"1200", b"0.5"],
