Connect timeouts by attempt, and connect timeouts of busy endpoints told apart from losses

Cause: each attempt gave up connecting after 150 ms, and one such failure counted as the loss of the endpoint.

Change: Forward.connect_timeout_s, up to 1 s and 0.3 of the remaining time, where only one endpoint may run a request and none of its groups may be lost. REASON_CONNECT_TIMEOUT beside REASON_CONNECT. A connect timeout counts as a loss only if neither the endpoint nor its groups responded within LOSS_SPAN_S, or after eight in a row for the only endpoint.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -143,8 +143,8 @@
 
     Attributes:
         token: The request.
-        reason: ``connect``, ``refused``, ``not-owner``, ``lost``, ``timeout``, ``caller`` or
-            ``relay``.
+        reason: ``connect``, ``connect-timeout``, ``refused``, ``not-owner``, ``lost``,
+            ``timeout``, ``caller`` or ``relay``.
         has_sent_bytes: Whether any byte of the request may have been sent to the endpoint.
         is_body_consumed: Whether any byte of the caller's body was consumed.
     """
@@ -269,6 +269,8 @@
         is_limited: Whether the endpoint has named a limit on the requests that it takes.
         relay: Address of the router through which the request is sent, or empty if it is sent on
             an own connection.
+        connect_timeout_s: Timeout of connecting if it is longer than the configured one, else
+            ``None``.
     """
 
     token: int
@@ -279,6 +281,7 @@
     close: bool = False
     is_limited: bool = False
     relay: str = ""
+    connect_timeout_s: float | None = None
 
 
 class RespondWithError(msgspec.Struct, frozen=True):
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -8,6 +8,7 @@
     WatchCaller,
 )
 from greengagerock.routing.endpoint_paths import Direct, NoPath, Probe, Relayed
+from greengagerock.routing.failures import MAX_CONNECT_FAILURES
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
@@ -27,8 +28,6 @@
 STREAM_GRACE_S = 5.0
 # Requests above the limit of an endpoint that are allowed for an urgent route.
 URGENT_EXTRA_REQUESTS = 1
-# Number of failures to connect after which a call is sent through relays only.
-MAX_CONNECT_FAILURES = 2
 # Calls with less time left than this are not sent.
 MIN_TIME_LEFT_S = 0.005
 
@@ -334,6 +333,7 @@
                 self.is_closing,
                 self.limits.is_limited(record, now_s),
                 relay,
+                self.paths.connect_timeout_s(call, record, self.is_keyed(call)),
             )
         )
 
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -23,6 +23,7 @@
         relay: Address of the relay of the current attempt, empty for an own connection.
         tried_relays: Addresses of relays that could not forward it.
         unreached_endpoints: Names of endpoints to which connecting failed.
+        connect_failures: Number of attempts that failed to connect.
         has_stream: Whether a long response is being relayed.
         is_overdue: Whether the attempt was cancelled because it was incomplete at the deadline.
         is_abandoned: Whether its caller has disconnected.
@@ -34,6 +35,7 @@
     __slots__ = (
         "arrived_s",
         "awaited_unit",
+        "connect_failures",
         "is_body_consumed",
         "deadline_s",
         "delivery_count",
@@ -74,6 +76,7 @@
         self.relay = ""
         self.tried_relays = []
         self.unreached_endpoints = []
+        self.connect_failures = 0
         self.delivery_count = 0
         self.awaited_unit = None
         self.timer = None
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -13,7 +13,6 @@
 from greengagerock.routing.error_responses import ErrorResponder
 from greengagerock.routing.failures import (
     REASON_CALLER,
-    REASON_CONNECT,
     REASON_CONNECTION_LOST,
     REASON_NOT_OWNER,
     REASON_REFUSED,
@@ -182,17 +181,17 @@
         elif event.reason == REASON_CALLER:
             outcome = OUTCOME_UNKNOWN if event.has_sent_bytes else OUTCOME_NOT_RUN
             self._finish(call, "bad-request", outcome)
-        elif event.reason == REASON_CONNECT or not event.has_sent_bytes:
+        elif not event.has_sent_bytes:
             if relay:
                 self.path_failures.on_not_relayed(call, event, endpoint, relay)
             else:
-                # Requests on older connections do not get a response either.
-                self._cancel_silent_attempts(endpoint, call.sent_s)
-                self.path_failures.on_unreachable(call, endpoint)
+                sent_s = call.sent_s
+                if self.path_failures.on_not_connected(call, event, endpoint):
+                    # Requests on older connections do not get a response either.
+                    self._cancel_silent_attempts(endpoint, sent_s)
         elif event.reason == REASON_TIMEOUT or call.is_overdue:
             self.health.note_failure(endpoint, now_s)
-            if relay:
-                self.paths.relays.note_failure(relay)
+            self.path_failures.on_no_response(endpoint, relay, call.sent_s)
             self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
         elif event.reason == REASON_RELAY:
             self._on_relay_lost(call, relay)
--- a/greengagerock/routing/endpoint_paths.py
+++ b/greengagerock/routing/endpoint_paths.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from greengagerock.routing import connect_timeouts
 from greengagerock.routing.observations import MAX_PROBE_INTERVAL_S, PROBE_INTERVAL_S
 from greengagerock.routing.partition_detector import PartitionDetector
 from greengagerock.routing.relay_pool import RelayPool
@@ -67,7 +68,7 @@
         self.health = health
         self.timers = timers
         self.report = report
-        self.detector = PartitionDetector(replica, outbox)
+        self.detector = PartitionDetector(replica, timers, outbox, self._on_partition)
         self.relays = RelayPool(timers, outbox, random)
         self.unrelayed = {}
         self.next_probe_s = float("-inf")
@@ -99,6 +100,21 @@
         relay = self.pick_relay(call, record)
         return Relayed(relay) if relay else NoPath()
 
+    def connect_timeout_s(self, call, record, is_keyed):
+        """Return the connect timeout of an attempt, or ``None`` for the configured one.
+
+        Args:
+            call: The ``Call``.
+            record: The ``EndpointRecord`` of the endpoint that was chosen.
+            is_keyed: Whether only that endpoint may run it.
+        """
+        names = () if is_keyed else self.replica.by_service.get(call.service, ())
+        has_alternative = connect_timeouts.has_alternative(call, names)
+        is_suspect = self.is_lost(record) or self.detector.is_suspect(record)
+        return connect_timeouts.connect_timeout_s(
+            call, has_alternative, is_suspect, self.timers.now_s
+        )
+
     def may_probe(self, record, has_alternatives=False):
         """Return whether a request may be sent to a lost endpoint to see whether it is reached.
 
@@ -130,11 +146,30 @@
     def note_lost(self, record):
         """Record that connecting to an endpoint failed."""
         self.observations.observation_of(record.name).note_unreachable(self.timers.now_s)
-        is_new_group = self.detector.note_lost(record)
+        self.detector.note_failure(record)
+        self.update_report()
+
+    def note_timeout(self, record, began_s, is_only_one=False):
+        """Record a connect timeout; return whether the endpoint counts as lost.
+
+        Args:
+            record: The ``EndpointRecord``.
+            began_s: When the attempt began.
+            is_only_one: Whether no other endpoint may run the request.
+        """
+        if self.detector.note_timeout(record, began_s, is_only_one):
+            return False
+        self.note_lost(record)
+        return True
+
+    def note_no_response(self, record, sent_s):
+        """Record a request that got no response over an own connection until its deadline."""
+        self.detector.note_no_response(record, sent_s)
+
+    def _on_partition(self):
+        """Report at once, so that relays that are partitioned as well are replaced."""
         self.update_report()
-        if is_new_group:
-            # Relays that are partitioned as well are then replaced.
-            self.report(self.replica.poll({}, {}))
+        self.report(self.replica.poll({}, {}))
 
     def note_reached(self, record):
         """Record a response of an endpoint over an own connection."""
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -1,6 +1,9 @@
 """Reasons for failed attempts, and whether the request may have run."""
 
+# The endpoint refused or reset a new connection.
 REASON_CONNECT = "connect"
+# A new connection was not accepted in time: the endpoint is busy, or the path to it is lost.
+REASON_CONNECT_TIMEOUT = "connect-timeout"
 REASON_REFUSED = "refused"
 REASON_CONNECTION_LOST = "lost"
 REASON_TIMEOUT = "timeout"
@@ -11,8 +14,12 @@
 # The relay took no request, or its connection broke; the endpoint is not to blame.
 REASON_RELAY = "relay"
 
+# Number of failures to connect after which a call is sent through relays only, or refused.
+MAX_CONNECT_FAILURES = 2
+
 CODE_BY_REASON = {
     REASON_CONNECT: "connect-failed",
+    REASON_CONNECT_TIMEOUT: "connect-failed",
     REASON_REFUSED: "endpoint-refused",
     REASON_CONNECTION_LOST: "answer-lost",
     REASON_TIMEOUT: "deadline-exceeded",
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -2,7 +2,11 @@
 
 from greengagerock.core import OUTCOME_NOT_RUN
 from greengagerock.routing.call_sender import MIN_TIME_LEFT_S
-from greengagerock.routing.failures import REASON_RELAY
+from greengagerock.routing.failures import (
+    MAX_CONNECT_FAILURES,
+    REASON_CONNECT_TIMEOUT,
+    REASON_RELAY,
+)
 
 # Number of relays that fail to reach an endpoint from which on relays are not tried for a while.
 MIN_RELAYS_OF_LOST_ENDPOINT = 2
@@ -45,16 +49,53 @@
         self.outbox = outbox
         self.finish = finish
 
-    def on_unreachable(self, call, endpoint):
-        """Handle a failure to connect to an endpoint."""
-        now_s = self.timers.now_s
-        observation = self.observations.observation_of(endpoint)
-        is_first_failure = not observation.is_unreachable
+    def on_not_connected(self, call, event, endpoint):
+        """Handle a failure to connect; return whether the endpoint counts as lost."""
+        call.connect_failures += 1
         record = self.replica.endpoints.get(endpoint)
+        is_keyed = self.sender.is_keyed(call)
+        is_timeout = event.reason == REASON_CONNECT_TIMEOUT and record is not None
+        is_first_failure = not self.observations.observation_of(endpoint).is_unreachable
+        if is_timeout and not self.paths.note_timeout(record, call.sent_s, is_keyed):
+            self._on_late_connection(call, record)
+            return False
+        if not is_timeout:
+            self._note_lost(endpoint, record)
+        self._on_lost(call, endpoint, record, is_first_failure)
+        return True
+
+    def _note_lost(self, endpoint, record):
         if record is None:
-            observation.note_unreachable(now_s)
+            self.observations.observation_of(endpoint).note_unreachable(self.timers.now_s)
         else:
             self.paths.note_lost(record)
+
+    def _on_late_connection(self, call, record):
+        """Handle a connect timeout of an endpoint that is busy.
+
+        A relay would open one more connection to it. So the call goes to another endpoint, or is
+        sent there once more if no other may run it.
+        """
+        self._note_not_delivered(call, record.name)
+        has_time = call.deadline_s - self.timers.now_s >= MIN_TIME_LEFT_S
+        if not self.sender.is_keyed(call):
+            # Requests prefer other endpoints for a while.
+            self.observations.observation_of(record.name).last_shed_s = self.timers.now_s
+            self.paths.health.note_failure(record.name, self.timers.now_s)
+            self._send_elsewhere(call)
+        elif (
+            has_time
+            and call.connect_failures < MAX_CONNECT_FAILURES
+            and self.replica.owner_of(call.service, call.key) == record.name
+            and self._may_send_again(call, record)
+        ):
+            self.sender.forward(call, record)
+        else:
+            detail = f"endpoint {record.name} accepts connections late"
+            self.finish(call, "connect-failed", OUTCOME_NOT_RUN, detail)
+
+    def _on_lost(self, call, endpoint, record, is_first_failure):
+        """Send a call whose endpoint counts as lost on another path or to another endpoint."""
         if is_first_failure:
             self.outbox.log(
                 "endpoint-unreachable",
@@ -64,13 +105,21 @@
                 unreachable=self.observations.unreachable_count(),
             )
         self._note_not_delivered(call, endpoint)
-        has_time = call.deadline_s - now_s >= MIN_TIME_LEFT_S
+        has_time = call.deadline_s - self.timers.now_s >= MIN_TIME_LEFT_S
         if has_time and is_first_failure and self._may_connect_again(call, record):
             # One lost packet has the same effect; two failures show an unreachable endpoint.
             self.sender.forward(call, record)
         else:
             self._send_elsewhere(call)
 
+    def on_no_response(self, endpoint, relay, sent_s):
+        """Handle a request that got no response until its deadline."""
+        record = self.replica.endpoints.get(endpoint)
+        if relay:
+            self.paths.relays.note_failure(relay)
+        elif record is not None:
+            self.paths.note_no_response(record, sent_s)
+
     def on_not_relayed(self, call, event, endpoint, relay):
         """Handle a request that a relay did not deliver."""
         call.tried_relays.append(relay)
@@ -88,10 +137,16 @@
         return (
             record is not None
             and self.sender.is_keyed(call)
-            and not call.is_body_consumed
+            and self._may_send_again(call, record)
+            and not self.paths.pick_relay(call, record)
+        )
+
+    def _may_send_again(self, call, record):
+        """Return whether a call may be sent again to the same endpoint."""
+        return (
+            not call.is_body_consumed
             and self.notices.accepts_held_keys(record, self.timers.now_s)
             and not self.notices.pause_left_s(record, self.timers.now_s)
-            and not self.paths.pick_relay(call, record)
         )
 
     def _note_not_delivered(self, call, endpoint):
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -5,6 +5,7 @@
 from greengagerock.routing.call_sender import MIN_TIME_LEFT_S, WATCH_AFTER_S
 from greengagerock.routing.failures import (
     REASON_CONNECT,
+    REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
     REASON_TIMEOUT,
 )
@@ -97,7 +98,9 @@
         call = self._end(event.token)
         record = self.replica.endpoints.get(call.endpoint)
         if event.reason == REASON_CONNECT or not event.has_sent_bytes:
-            if record is not None and event.reason == REASON_CONNECT:
+            if record is not None and event.reason == REASON_CONNECT_TIMEOUT:
+                self.paths.note_timeout(record, self.timers.now_s)
+            elif record is not None and event.reason == REASON_CONNECT:
                 self.paths.note_lost(record)
             code, outcome = "connect-failed", OUTCOME_NOT_RUN
         else:
--- a/greengagerock/testing/fake_reporting_endpoint.py
+++ b/greengagerock/testing/fake_reporting_endpoint.py
@@ -24,6 +24,7 @@
         queue_limit: Requests that may wait for a slot, or ``None`` if it runs any number at
             once.
         limit_per_s: Requests per second that it says it takes, or ``None``.
+        max_connect_delay_s: Longest time until it accepts a new connection.
         arrivals: Tuples of time and router, for each request that reached it.
         notified_routers: Time at which each router first got a response that names the limit.
     """
@@ -45,6 +46,7 @@
         self.processing_time_s = 0.01
         self.queue_limit = None
         self.limit_per_s = None
+        self.max_connect_delay_s = 0.0
         self.arrivals = []
         self.notified_routers = {}
         self._busy_until_s = [0.0] * SLOTS_PER_ENDPOINT
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -296,12 +296,23 @@
         path = (host.config.host.name, effect.endpoint)
         fault = self.paths.fault_of(path)
         is_reused = self.paths.take_connection(path)
+        connect_timeout_s = max(CONNECT_TIMEOUT_S, effect.connect_timeout_s or 0.0)
+        connect_timeout_s = min(connect_timeout_s, effect.timeout_s)
         if endpoint is None or not endpoint.is_up:
             self._fail_attempt(host, effect.token, "connect", False, CALL_DELAY_S)
         elif fault is not None and not is_reused:
             is_silent = fault in (HANGS, ONE_WAY)
-            delay_s = CONNECT_TIMEOUT_S if is_silent else CALL_DELAY_S
-            self._fail_attempt(host, effect.token, "connect", False, delay_s)
+            reason = "connect-timeout" if is_silent else "connect"
+            delay_s = connect_timeout_s if is_silent else CALL_DELAY_S
+            self._fail_attempt(host, effect.token, reason, False, delay_s)
+        elif not is_reused and endpoint.max_connect_delay_s:
+            delay_s = self.random.uniform(0, endpoint.max_connect_delay_s)
+            if delay_s > connect_timeout_s:
+                self._fail_attempt(host, effect.token, "connect-timeout", False, connect_timeout_s)
+            else:
+                self.at(
+                    delay_s, lambda: self._send_to_endpoint(host, endpoint, effect, path, fault)
+                )
         else:
             self._send_to_endpoint(host, endpoint, effect, path, fault)
 
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -6,6 +6,7 @@
 from greengagerock.core.interface import AttemptFailed, RelayArrived
 from greengagerock.routing.failures import (
     REASON_CONNECT,
+    REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
     REASON_RELAY,
     REASON_TIMEOUT,
@@ -131,6 +132,6 @@
     Args:
         failure: An ``AttemptFailed`` event of the connection to the relay.
     """
-    if failure.reason in (REASON_CONNECT, REASON_CONNECTION_LOST):
+    if failure.reason in (REASON_CONNECT, REASON_CONNECT_TIMEOUT, REASON_CONNECTION_LOST):
         return msgspec.structs.replace(failure, reason=REASON_RELAY)
     return failure
--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -154,3 +154,21 @@
     assert result == AttemptFailed(1, "refused", False, False)
     assert closed.wait(10.0)
     server.close()
+
+
+@pytest.mark.parametrize(("chosen_s", "reason"), [(None, "connect-timeout"), (1.3, "timeout")])
+def test_late_connection_is_waited_for_as_long_as_the_decision_core_says(chosen_s, reason):
+    """The operating system repeats its first packet after 1 s."""
+    server = socket.create_server(("127.37.0.3", 0), backlog=0)
+    address = server.getsockname()
+    waiting = [socket.create_connection(address)]
+    timer = threading.Timer(0.3, lambda: waiting.append(server.accept()[0]))
+    timer.start()
+    forward = Forward(1, "e", f"127.37.0.3:{address[1]}", {}, 1.6, connect_timeout_s=chosen_s)
+    result = Upstream(LimitSettings(connect_timeout_s=0.15)).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: None
+    )
+    timer.join()
+    assert (result.reason, result.has_sent_bytes) == (reason, reason == "timeout")
+    for sock in [server, *waiting]:
+        sock.close()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -14,6 +14,7 @@
 from greengagerock.routing.failures import (
     REASON_CALLER,
     REASON_CONNECT,
+    REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
     REASON_TIMEOUT,
 )
@@ -355,7 +356,8 @@
             A urllib3 response whose body is unread, or an ``AttemptFailed`` event.
         """
         read_timeout_s = max(forward.timeout_s, MIN_TIMEOUT_S)
-        connect_timeout_s = min(self.limits.connect_timeout_s, read_timeout_s)
+        chosen_s = max(self.limits.connect_timeout_s, forward.connect_timeout_s or 0.0)
+        connect_timeout_s = min(chosen_s, read_timeout_s)
         timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
         attempt.target = uri
         _thread_state.attempt = attempt
@@ -395,8 +397,10 @@
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
     def _failure(self, forward, error, attempt, body):
-        if isinstance(error, (NewConnectionError, ConnectTimeoutError)):
+        if isinstance(error, NewConnectionError):
             reason = REASON_CONNECT
+        elif isinstance(error, ConnectTimeoutError):
+            reason = REASON_CONNECT_TIMEOUT
         elif isinstance(error, UrllibTimeoutError):
             reason = REASON_TIMEOUT
         else:
