Resets of connections by full endpoints

Cause: a reset after the request was sent counted as a failure of the endpoint and as a possible crash. Endpoints that reset connections when they are full were avoided for 1 to 8 s (keyed requests were refused meanwhile with connect-failed), and three resets of a request suspended it for ten minutes.

Change: REASON_RESET beside REASON_CONNECTION_LOST (a closed connection). On a reset a router lowers its limit for the endpoint; a safe request goes to another endpoint, or comes back to the only one after 0.1 s. An unsafe request still ends with an unknown outcome; so for 0.5 s after a reset or refused connection, unsafe requests prefer other endpoints. The leader counts a reset like a crash, so that requests that crash endpoints are suspended as soon as before, but withdraws it, and a suspension that rests on it, when the endpoint instance reports again.

--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -197,6 +197,8 @@
                 born_ms=report.started_ms,
             )
             return ReportResponse("stale-report")
+        if not admission.is_late:
+            self._withdraw_crashes(report)
         if not instance.is_leaving and self.acknowledged_leaves.has_left(report):
             instance.leaving_since_s = now_s
         if admission.is_new or admission.is_changed:
@@ -260,6 +262,17 @@
             self.router_updater.bans[report.fingerprint] = now_s + BAN_S
             self.router_updater.schedule_push()
 
+    def _withdraw_crashes(self, report):
+        """Do not count resets of connections by an endpoint that has reported since as crashes."""
+        for fingerprint in self.crash_counter.note_alive(
+            report.endpoint, str(report.started_ms), self.timers.now_s
+        ):
+            if self.router_updater.bans.pop(fingerprint, None) is not None:
+                self.outbox.log(
+                    "ban-ended", fingerprint=fingerprint, detail=f"{report.endpoint} reports"
+                )
+                self.router_updater.schedule_push()
+
     # --- Routers -------------------------------------------------------------------
 
     def on_poll(self, poll, address):
--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -144,7 +144,7 @@
     Attributes:
         token: The request.
         reason: ``connect``, ``connect-timeout``, ``refused``, ``not-owner``, ``lost``,
-            ``timeout``, ``caller`` or ``relay``.
+            ``reset``, ``timeout``, ``caller`` or ``relay``.
         has_sent_bytes: Whether any byte of the request may have been sent to the endpoint.
         is_body_consumed: Whether any byte of the caller's body was consumed.
     """
--- a/greengagerock/node/tests/test_late_connections.py
+++ b/greengagerock/node/tests/test_late_connections.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from greengagerock.core.interface import LogEvent
 from greengagerock.testing.fake_site import build_fake_site
+from greengagerock.testing.log_recorder import record_log_lines
 from greengagerock.testing.partition_load import PartitionLoad
 
 LOSS_EVENTS = ("endpoint-unreachable", "partition-begins")
@@ -17,14 +17,8 @@
         The ``PartitionLoad``, and the log lines about losses.
     """
     load = PartitionLoad(build_fake_site(seed=seed, routers=10), budget_s=2.0)
-    site, lines = load.site, []
-    carry_out = site._carry_out
-
-    def record_lines(host, effects):
-        lines.extend(e for e in effects if isinstance(e, LogEvent) and e.event in LOSS_EVENTS)
-        carry_out(host, effects)
-
-    site._carry_out = record_lines
+    site = load.site
+    lines = record_log_lines(site, LOSS_EVENTS)
     load.offer(60, 2.0)
     for name in BUSY:
         site.reporting_endpoints[name].processing_time_s = 0.15
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -10,6 +10,7 @@
 from greengagerock.routing.endpoint_paths import Direct, NoPath, Probe, Relayed
 from greengagerock.routing.failures import MAX_CONNECT_FAILURES
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
+from greengagerock.routing.preferred_endpoints import PreferredEndpoints
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
 # new holder within one report interval.
@@ -75,6 +76,7 @@
         self.limits = limits
         self.paths = paths
         self.endpoint_picker = endpoint_picker
+        self.preferred = PreferredEndpoints(endpoint_picker, observations)
         self.link_schedule = link_schedule
         self.timers = timers
         self.outbox = outbox
@@ -250,7 +252,7 @@
         limited = []
         if len(call.unreached_endpoints) < MAX_CONNECT_FAILURES:
             excluded = (*call.tried_endpoints, *call.unreached_endpoints)
-            pick = self.endpoint_picker.pick
+            pick = self.preferred.picker_for(call)
             record, limited = self._pick_within_limits(call, records, pick, excluded)
             if record is not None:
                 return Probe() if self.paths.is_lost(record) else Direct(), record, limited
@@ -312,9 +314,7 @@
         call.endpoint = record.name
         call.relay = relay
         call.endpoint_started_ms = record.started_ms
-        call.sent_s = now_s
-        call.has_stream = call.is_overdue = False
-        call.delivery_count += 1
+        call.begin_attempt(now_s)
         call.is_first_there = record.name not in call.tried_endpoints
         if call.is_first_there:
             call.tried_endpoints.append(record.name)
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -87,6 +87,12 @@
         self.may_have_run = False
         self.is_body_consumed = False
 
+    def begin_attempt(self, now_s):
+        """Record that an attempt begins, before anything may have reached its endpoint."""
+        self.sent_s = now_s
+        self.has_stream = self.is_overdue = False
+        self.delivery_count += 1
+
     def cancel_timer(self):
         """Cancel the timer, if one is set."""
         if self.timer is not None:
--- a/greengagerock/routing/crash_suspects.py
+++ b/greengagerock/routing/crash_suspects.py
@@ -13,6 +13,9 @@
 CRASH_WINDOW_S = 600.0
 # Length of a ban.
 BAN_S = 600.0
+# Time after a reset connection from which on a report of the endpoint shows that it has not
+# crashed; an earlier one may have been sent before.
+REPORT_MARGIN_S = 0.3
 # Number of suspected requests that the leader stores.
 MAX_SUSPECTS = 1024
 
@@ -27,6 +30,8 @@
         endpoint: Name of the endpoint.
         incarnation: Incarnation of the endpoint.
         answered: Whether the reporting router has recently got a response to the same request.
+        is_reset: Whether the endpoint reset the connection before any byte of its response, as a
+            full endpoint does.
     """
 
     fingerprint: str
@@ -35,6 +40,7 @@
     endpoint: str
     incarnation: str
     answered: bool
+    is_reset: bool = False
 
 
 def fingerprint_request(event):
@@ -101,19 +107,29 @@
 
     Other requests that were in flight at a crashed endpoint are reported, too. They are not
     banned, because some endpoint responds to them; none responds to the request that causes the
-    crashes.
+    crashes. A reset connection counts until the endpoint instance reports again: one that is full
+    goes on reporting, one that has crashed does not.
+
+    Attributes:
+        suspects: ``Suspect`` objects by fingerprint.
+        resets: Times of reset connections by fingerprint, by endpoint and incarnation.
 
     Examples:
         >>> counter = CrashCounter()
         >>> reports = [CrashReport("f", "s", "GET /x", f"e{n}", "i", False) for n in range(3)]
         >>> [counter.add_report(report, 0.0) for report in reports]
         [False, False, True]
+        >>> counter.add_report(CrashReport("g", "s", "GET /x", "e7", "i", False, True), 1.0)
+        False
+        >>> counter.note_alive("e7", "i", 2.0), counter.suspects["g"].crash_times
+        ([], {})
     """
 
-    __slots__ = ("suspects",)
+    __slots__ = ("resets", "suspects")
 
     def __init__(self):
         self.suspects = OrderedDict()
+        self.resets = {}
 
     def add_report(self, report, now_s):
         """Process a report and return whether the request is to be banned now."""
@@ -121,8 +137,43 @@
         self.suspects.move_to_end(report.fingerprint)
         if len(self.suspects) > MAX_SUSPECTS:
             self.suspects.popitem(last=False)
+        instance = (report.endpoint, report.incarnation)
+        if report.is_reset:
+            self.resets.setdefault(instance, {})[report.fingerprint] = now_s
+            if len(self.resets) > MAX_SUSPECTS:
+                del self.resets[next(iter(self.resets))]
+        else:
+            self.resets.get(instance, {}).pop(report.fingerprint, None)
         suspect.was_answered = suspect.was_answered or report.answered
-        suspect.crash_times[(report.endpoint, report.incarnation)] = now_s
+        suspect.crash_times[instance] = now_s
+        return self._is_to_be_banned(suspect, now_s)
+
+    def note_alive(self, endpoint, incarnation, now_s):
+        """Process a report of an endpoint instance, which shows that it has not crashed.
+
+        Returns:
+            Fingerprints of requests that are no longer to be banned.
+        """
+        instance = (endpoint, incarnation)
+        resets = self.resets.get(instance)
+        if not resets:
+            return []
+        cleared = []
+        for fingerprint, reset_s in list(resets.items()):
+            if now_s - reset_s < REPORT_MARGIN_S:
+                continue
+            del resets[fingerprint]
+            suspect = self.suspects.get(fingerprint)
+            if suspect is not None:
+                was_banned = self._is_to_be_banned(suspect, now_s)
+                suspect.crash_times.pop(instance, None)
+                if was_banned and not self._is_to_be_banned(suspect, now_s):
+                    cleared.append(fingerprint)
+        if not resets:
+            del self.resets[instance]
+        return cleared
+
+    def _is_to_be_banned(self, suspect, now_s):
         recent = [at_s for at_s in suspect.crash_times.values() if now_s - at_s < CRASH_WINDOW_S]
         return not suspect.was_answered and len(recent) >= CRASHES_UNTIL_BAN
 
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -4,7 +4,8 @@
 from greengagerock.core.interface import CancelAttempt
 from greengagerock.routing.call_sender import CallSender
 from greengagerock.routing.calls import Call
-from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
+from greengagerock.routing.connection_losses import ConnectionLosses
+from greengagerock.routing.crash_suspects import RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
 from greengagerock.routing.endpoint_limits import EndpointLimits
 from greengagerock.routing.endpoint_notices import EndpointNotices
@@ -13,7 +14,6 @@
 from greengagerock.routing.error_responses import ErrorResponder
 from greengagerock.routing.failures import (
     REASON_CALLER,
-    REASON_CONNECTION_LOST,
     REASON_NOT_OWNER,
     REASON_REFUSED,
     REASON_RELAY,
@@ -67,6 +67,7 @@
         error_responder: The ``ErrorResponder``.
         sender: The ``CallSender``.
         path_failures: The ``PathFailures``.
+        connection_losses: The ``ConnectionLosses``.
         calls: Calls in progress by token.
         banned_fingerprints: Fingerprints of requests that crashed several endpoints.
         is_stopping: Whether new requests are refused.
@@ -131,6 +132,17 @@
             outbox,
             self._finish,
         )
+        self.connection_losses = ConnectionLosses(
+            replica,
+            self.observations,
+            self.health,
+            self.recent_responses,
+            self.sender,
+            timers,
+            report,
+            self._may_resend,
+            self._finish,
+        )
         self.calls = {}
         self.banned_fingerprints = frozenset()
         self.is_stopping = False
@@ -196,7 +208,7 @@
         elif event.reason == REASON_RELAY:
             self._on_relay_lost(call, relay)
         else:
-            self._on_connection_lost(call, event, endpoint)
+            self.connection_losses.on_lost(call, event, endpoint)
 
     def on_response_started(self, event):
         """Process a ``ResponseStarted``: a long response is being relayed."""
@@ -377,27 +389,6 @@
         else:
             self.sender.send(call)
 
-    def _on_connection_lost(self, call, event, endpoint):
-        call.may_have_run = True
-        self.health.note_failure(endpoint, self.timers.now_s)
-        record = self.replica.endpoints.get(endpoint)
-        if record is not None and event.reason == REASON_CONNECTION_LOST:
-            was_answered = call.fingerprint in self.recent_responses
-            self.report(
-                CrashReport(
-                    call.fingerprint,
-                    call.service,
-                    call.request_id,
-                    endpoint,
-                    str(record.started_ms),
-                    was_answered,
-                )
-            )
-        if call.route.is_idempotent:
-            self._resend_or_finish(call, "answer-lost", OUTCOME_UNKNOWN)
-        else:
-            self._finish(call, "answer-lost", OUTCOME_UNKNOWN)
-
     def _resend_or_finish(self, call, code, outcome):
         """Send a call again if that is safe and allowed, else respond with an error."""
         if self.sender.is_keyed(call) and code != "answer-lost":
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -6,6 +6,8 @@
 REASON_CONNECT_TIMEOUT = "connect-timeout"
 REASON_REFUSED = "refused"
 REASON_CONNECTION_LOST = "lost"
+# The endpoint reset the connection before any byte of its response: it is full, or has crashed.
+REASON_RESET = "reset"
 REASON_TIMEOUT = "timeout"
 REASON_NOT_OWNER = "not-owner"
 # The caller's request body was cut off or is malformed.
@@ -22,6 +24,7 @@
     REASON_CONNECT_TIMEOUT: "connect-failed",
     REASON_REFUSED: "endpoint-refused",
     REASON_CONNECTION_LOST: "answer-lost",
+    REASON_RESET: "answer-lost",
     REASON_TIMEOUT: "deadline-exceeded",
     REASON_CALLER: "bad-request",
     REASON_RELAY: "relay-unavailable",
--- a/greengagerock/routing/observations.py
+++ b/greengagerock/routing/observations.py
@@ -52,6 +52,7 @@
         own_mean_s: Running mean of the response times that this router has measured.
         own_response_weight: Number of responses in that mean, reduced with their age.
         last_shed_s: When the endpoint last refused a request for lack of room.
+        last_reset_s: When it last reset or refused a connection of this router.
         limit: Largest number of this router's requests at the endpoint; below one, the share of
             the time in which the router has a request there.
         last_sent_s: When the newest request was sent.
@@ -81,6 +82,7 @@
         "is_unreachable",
         "last_decrease_s",
         "last_probe_s",
+        "last_reset_s",
         "last_sent_s",
         "last_shed_s",
         "limit",
@@ -99,6 +101,7 @@
         self.own_mean_s = 0.0
         self.own_response_weight = 0.0
         self.last_shed_s = float("-inf")
+        self.last_reset_s = float("-inf")
         self.limit = INITIAL_LIMIT
         self.silent_since_s = 0.0
         self.is_unreachable = False
@@ -176,6 +179,17 @@
         if self.is_busy(objective_s):
             self._decrease_limit(SHED_DECREASE_FACTOR, now_s)
 
+    def note_reset(self, now_s):
+        """Record that the endpoint reset a request's connection, and decrease the limit.
+
+        An endpoint resets connections when it is full.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        self.last_reset_s = self.last_shed_s = now_s
+        self._decrease_limit(SHED_DECREASE_FACTOR, now_s)
+
     def is_busy(self, objective_s):
         """Return whether the mean response time is a large part of the latency objective.
 
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -56,6 +56,8 @@
         is_keyed = self.sender.is_keyed(call)
         is_timeout = event.reason == REASON_CONNECT_TIMEOUT and record is not None
         is_first_failure = not self.observations.observation_of(endpoint).is_unreachable
+        if not is_timeout:
+            self.observations.observation_of(endpoint).last_reset_s = self.timers.now_s
         if is_timeout and not self.paths.note_timeout(record, call.sent_s, is_keyed):
             self._on_late_connection(call, record)
             return False
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -17,6 +17,7 @@
     REASON_CALLER,
     REASON_CONNECTION_LOST,
     REASON_REFUSED,
+    REASON_RESET,
     is_certainly_not_run,
 )
 from greengagerock.routing.health import EndpointHealth, RetryBudget
@@ -331,7 +332,7 @@
             self._close_idle_connections(request)
         elif event.reason not in _REASONS_WITHOUT_FAULT and not request.is_abandoned:
             self.health.note_failure(request.endpoint, self.timers.now_s)
-            if event.reason == REASON_CONNECTION_LOST and not request.is_orphaned:
+            if event.reason in (REASON_CONNECTION_LOST, REASON_RESET) and not request.is_orphaned:
                 self._report_crash(request)
         self.registry.unassign(request)
         try:
--- a/greengagerock/testing/fake_reporting_endpoint.py
+++ b/greengagerock/testing/fake_reporting_endpoint.py
@@ -23,6 +23,7 @@
         processing_time_s: Time that it takes to run a request.
         queue_limit: Requests that may wait for a slot, or ``None`` if it runs any number at
             once.
+        resets_when_full: Whether it resets connections instead of refusing requests.
         limit_per_s: Requests per second that it says it takes, or ``None``.
         max_connect_delay_s: Longest time until it accepts a new connection.
         arrivals: Tuples of time and router, for each request that reached it.
@@ -45,6 +46,7 @@
         self.runs = []
         self.processing_time_s = 0.01
         self.queue_limit = None
+        self.resets_when_full = False
         self.limit_per_s = None
         self.max_connect_delay_s = 0.0
         self.arrivals = []
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -445,7 +445,8 @@
         duration_s = endpoint.enqueue_request(self.now_s)
         if duration_s is None:
             if self.paths.end(path, token, True):
-                self._fail_attempt(host, token, "refused", True, 0.0)
+                reason = "reset" if endpoint.resets_when_full else "refused"
+                self._fail_attempt(host, token, reason, True, 0.0)
             return
         unit = None if call.key is None else call.key // KEYS_PER_UNIT
         endpoint.runs.append((call.request_id, unit, self.now_s))
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -9,6 +9,7 @@
     REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
     REASON_RELAY,
+    REASON_RESET,
     REASON_TIMEOUT,
 )
 from greengagerock.web.native_dialect import HOP_BY_HOP
@@ -26,6 +27,12 @@
 MAX_TIMEOUT_S = 600.0
 
 _REQUEST_HEADERS = frozenset({ENDPOINT_HEADER, TIMEOUT_HEADER, LIMITED_HEADER})
+_CONNECTION_FAILURES = (
+    REASON_CONNECT,
+    REASON_CONNECT_TIMEOUT,
+    REASON_CONNECTION_LOST,
+    REASON_RESET,
+)
 _REASON_BY_CODE = {
     "connect-failed": REASON_CONNECT,
     "answer-lost": REASON_CONNECTION_LOST,
@@ -132,6 +139,6 @@
     Args:
         failure: An ``AttemptFailed`` event of the connection to the relay.
     """
-    if failure.reason in (REASON_CONNECT, REASON_CONNECT_TIMEOUT, REASON_CONNECTION_LOST):
+    if failure.reason in _CONNECTION_FAILURES:
         return msgspec.structs.replace(failure, reason=REASON_RELAY)
     return failure
--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -172,3 +172,25 @@
     assert (result.reason, result.has_sent_bytes) == (reason, reason == "timeout")
     for sock in [server, *waiting]:
         sock.close()
+
+
+@pytest.mark.parametrize(("linger", "reason"), [(RESET_ON_CLOSE, "reset"), (None, "lost")])
+def test_connection_reset_after_the_request_is_told_apart_from_a_closed_one(linger, reason):
+    server = socket.create_server(("127.37.0.4", 0))
+
+    def serve():
+        sock, _ = server.accept()
+        sock.recv(4096)
+        if linger is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    forward = Forward(1, "e", f"127.37.0.4:{server.getsockname()[1]}", {}, 2.0)
+    result = Upstream(LimitSettings()).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: None
+    )
+    thread.join()
+    server.close()
+    assert result == AttemptFailed(1, reason, True, False)
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -3,7 +3,7 @@
 import select
 import socket
 import threading
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -16,6 +16,7 @@
     REASON_CONNECT,
     REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
+    REASON_RESET,
     REASON_TIMEOUT,
 )
 from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
@@ -308,6 +309,27 @@
         response.close()
 
 
+def is_reset(error):
+    """Return whether the other side reset a connection, rather than closed it.
+
+    Args:
+        error: An exception of urllib3, which has the cause as an argument.
+
+    Examples:
+        >>> from http.client import RemoteDisconnected
+        >>> from urllib3.exceptions import ProtocolError
+        >>> is_reset(ProtocolError("aborted", ConnectionResetError(104, "reset")))
+        True
+        >>> is_reset(ProtocolError("aborted", RemoteDisconnected("closed")))
+        False
+    """
+    return any(
+        isinstance(cause, ConnectionResetError | BrokenPipeError)
+        and not isinstance(cause, RemoteDisconnected)
+        for cause in (error, *error.args)
+    )
+
+
 class Upstream:
     """The connection pools of one host, one for each endpoint address.
 
@@ -403,6 +425,8 @@
             reason = REASON_CONNECT_TIMEOUT
         elif isinstance(error, UrllibTimeoutError):
             reason = REASON_TIMEOUT
+        elif is_reset(error) and not attempt.is_cancelled:
+            reason = REASON_RESET
         else:
             reason = REASON_CONNECTION_LOST
         is_consumed = bool(body and body.is_consumed)
