--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -5,7 +5,9 @@
 from greengagerock.routing.attempt_watch import AttemptWatch
 from greengagerock.routing.call_admission import MAX_DECISION_S, CallAdmission
 from greengagerock.routing.endpoint_paths import Direct, NoPath, Probe, Relayed
+from greengagerock.routing.failures import MAX_CONNECT_FAILURES
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
+from greengagerock.routing.preferred_endpoints import PreferredEndpoints
 
 # Longest time that a call waits for a holder of its key. A key that moves with a handover has a
 # new holder within one report interval.
@@ -14,8 +16,6 @@
 MAX_KEY_WAIT_SHARE = 0.3
 # Requests above the limit of an endpoint that are allowed for an urgent route.
 URGENT_EXTRA_REQUESTS = 1
-# Number of failures to connect after which a call is sent through relays only.
-MAX_CONNECT_FAILURES = 2
 # Number of endpoints whose load may exclude a call before it waits or is refused. Each further one
 # would cost a look at all endpoints of the service.
 MAX_EXCLUDING_ENDPOINTS = 3
@@ -70,6 +70,7 @@
         self.limits = limits
         self.paths = paths
         self.endpoint_picker = endpoint_picker
+        self.preferred = PreferredEndpoints(endpoint_picker, observations)
         self.link_schedule = link_schedule
         self.timers = timers
         self.outbox = outbox
@@ -279,7 +280,7 @@
         limited = []
         if len(call.unreached_endpoints) < MAX_CONNECT_FAILURES:
             excluded = (*call.tried_endpoints, *call.unreached_endpoints)
-            pick = self.endpoint_picker.pick
+            pick = self.preferred.picker_for(call)
             record, limited = self._pick_within_limits(call, records, pick, excluded)
             if record is not None:
                 return Probe() if self.paths.is_lost(record) else Direct(), record, limited
@@ -359,9 +360,7 @@
         call.endpoint = record.name
         call.relay = relay
         call.endpoint_started_ms = record.started_ms
-        call.sent_s = now_s
-        call.has_stream = call.is_overdue = False
-        call.delivery_count += 1
+        call.begin_attempt(now_s)
         call.is_first_there = record.name not in call.tried_endpoints
         if call.is_first_there:
             call.tried_endpoints.append(record.name)
@@ -379,5 +378,6 @@
                 self.is_closing,
                 self.limits.is_limited(record, now_s),
                 relay,
+                self.paths.connect_timeout_s(call, record, self.is_keyed(call)),
             )
         )
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -28,6 +28,7 @@
         relay: Address of the relay of the current attempt, empty for an own connection.
         tried_relays: Addresses of relays that could not forward it.
         unreached_endpoints: Names of endpoints to which connecting failed.
+        connect_failures: Number of attempts that failed to connect.
         has_stream: Whether a long response is being relayed.
         is_overdue: Whether the attempt was cancelled because it was incomplete at the deadline.
         is_abandoned: Whether its caller has disconnected.
@@ -40,6 +41,7 @@
         "arrived_s",
         "awaited_unit",
         "body_bytes",
+        "connect_failures",
         "is_body_consumed",
         "deadline_s",
         "delivery_count",
@@ -89,6 +91,7 @@
         self.relay = ""
         self.tried_relays = []
         self.unreached_endpoints = []
+        self.connect_failures = 0
         self.delivery_count = 0
         self.awaited_unit = None
         self.timer = None
@@ -107,6 +110,12 @@
         self.cancel_timer()
         return endpoint, relay
 
+    def begin_attempt(self, now_s):
+        """Record that an attempt begins, before anything may have reached its endpoint."""
+        self.sent_s = now_s
+        self.has_stream = self.is_overdue = False
+        self.delivery_count += 1
+
     def cancel_timer(self):
         """Cancel the timer, if one is set."""
         if self.timer is not None:
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -4,7 +4,8 @@
 from greengagerock.core.interface import CancelAttempt
 from greengagerock.routing.call_sender import CallSender
 from greengagerock.routing.calls import Call
-from greengagerock.routing.crash_suspects import CrashReport, RecentResponses, fingerprint_call
+from greengagerock.routing.connection_losses import ConnectionLosses
+from greengagerock.routing.crash_suspects import RecentResponses, fingerprint_call
 from greengagerock.routing.demand import KeyDemand
 from greengagerock.routing.endpoint_limits import EndpointLimits
 from greengagerock.routing.endpoint_notices import EndpointNotices
@@ -13,12 +14,11 @@
 from greengagerock.routing.error_responses import ErrorResponder
 from greengagerock.routing.failures import (
     REASON_CALLER,
-    REASON_CONNECT,
-    REASON_CONNECTION_LOST,
     REASON_NOT_OWNER,
     REASON_REFUSED,
     REASON_RELAY,
     REASON_TIMEOUT,
+    abandoned_result,
 )
 from greengagerock.routing.health import EndpointHealth
 from greengagerock.routing.link_schedule import LinkSchedule
@@ -75,6 +75,7 @@
         error_responder: The ``ErrorResponder``.
         sender: The ``CallSender``.
         path_failures: The ``PathFailures``.
+        connection_losses: The ``ConnectionLosses``.
         calls: Calls in progress by token.
         banned_fingerprints: Fingerprints of requests that crashed several endpoints.
         is_stopping: Whether new requests are refused.
@@ -142,6 +143,17 @@
             outbox,
             self._finish,
         )
+        self.connection_losses = ConnectionLosses(
+            replica,
+            self.observations,
+            self.health,
+            self.recent_responses,
+            self.sender,
+            timers,
+            report,
+            self._may_resend,
+            self._finish,
+        )
         self.calls = {}
         self.banned_fingerprints = frozenset()
         self.is_stopping = False
@@ -183,7 +195,7 @@
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
         self.error_responder.log_failed_attempt(call, event, endpoint, relay)
         if call.is_abandoned:
-            self._finish(call, "caller-gone", OUTCOME_UNKNOWN)
+            self._finish(call, *abandoned_result(call, event))
             return
         if event.reason == REASON_REFUSED:
             self._on_refused(call, endpoint, relay)
@@ -192,22 +204,22 @@
         elif event.reason == REASON_CALLER:
             outcome = OUTCOME_UNKNOWN if event.has_sent_bytes else OUTCOME_NOT_RUN
             self._finish(call, "bad-request", outcome)
-        elif event.reason == REASON_CONNECT or not event.has_sent_bytes:
+        elif not event.has_sent_bytes:
             if relay:
                 self.path_failures.on_not_relayed(call, event, endpoint, relay)
             else:
-                # Requests on older connections do not get a response either.
-                self._cancel_silent_attempts(endpoint, call.sent_s)
-                self.path_failures.on_unreachable(call, endpoint)
+                sent_s = call.sent_s
+                if self.path_failures.on_not_connected(call, event, endpoint):
+                    # Requests on older connections do not get a response either.
+                    self._cancel_silent_attempts(endpoint, sent_s)
         elif event.reason == REASON_TIMEOUT or call.is_overdue:
             self.health.note_failure(endpoint, now_s)
-            if relay:
-                self.paths.relays.note_failure(relay)
+            self.path_failures.on_no_response(endpoint, relay, call.sent_s)
             self._finish(call, "deadline-exceeded", OUTCOME_UNKNOWN)
         elif event.reason == REASON_RELAY:
             self._on_relay_lost(call, relay)
         else:
-            self._on_connection_lost(call, event, endpoint)
+            self.connection_losses.on_lost(call, event, endpoint)
 
     def on_response_started(self, event):
         """Process a ``ResponseStarted``: a long response is being relayed."""
@@ -386,27 +398,6 @@
         else:
             self.sender.send(call)
 
-    def _on_connection_lost(self, call, event, endpoint):
-        call.may_have_run = True
-        self.health.note_failure(endpoint, self.timers.now_s)
-        record = self.replica.endpoints.get(endpoint)
-        if record is not None and event.reason == REASON_CONNECTION_LOST:
-            was_answered = call.fingerprint in self.recent_responses
-            self.report(
-                CrashReport(
-                    call.fingerprint,
-                    call.service,
-                    call.request_id,
-                    endpoint,
-                    str(record.started_ms),
-                    was_answered,
-                )
-            )
-        if call.route.is_idempotent:
-            self._resend_or_finish(call, "answer-lost", OUTCOME_UNKNOWN)
-        else:
-            self._finish(call, "answer-lost", OUTCOME_UNKNOWN)
-
     def _resend_or_finish(self, call, code, outcome):
         """Send a call again if that is safe and allowed, else respond with an error."""
         if self.sender.is_keyed(call) and code != "answer-lost":
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -11,6 +11,7 @@
     "zone-evacuated": 1.0,
     "no-room": 0.35,
     "connect-failed": 0.3,
+    "caller-gone": 0.3,
     "no-endpoint": 0.5,
     "not-ready": 0.5,
     "stopping": 0.0,
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -3,7 +3,7 @@
 import select
 import socket
 import threading
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -14,7 +14,9 @@
 from greengagerock.routing.failures import (
     REASON_CALLER,
     REASON_CONNECT,
+    REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
+    REASON_RESET,
     REASON_TIMEOUT,
 )
 from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
@@ -307,6 +309,27 @@
         response.close()
 
 
+def is_reset(error):
+    """Return whether the other side reset a connection, rather than closed it.
+
+    Args:
+        error: An exception of urllib3, which has the cause as an argument.
+
+    Examples:
+        >>> from http.client import RemoteDisconnected
+        >>> from urllib3.exceptions import ProtocolError
+        >>> is_reset(ProtocolError("aborted", ConnectionResetError(104, "reset")))
+        True
+        >>> is_reset(ProtocolError("aborted", RemoteDisconnected("closed")))
+        False
+    """
+    return any(
+        isinstance(cause, ConnectionResetError | BrokenPipeError)
+        and not isinstance(cause, RemoteDisconnected)
+        for cause in (error, *error.args)
+    )
+
+
 class Upstream:
     """The connection pools of one host, one for each endpoint address.
 
@@ -355,7 +378,8 @@
             A urllib3 response whose body is unread, or an ``AttemptFailed`` event.
         """
         read_timeout_s = max(forward.timeout_s, MIN_TIMEOUT_S)
-        connect_timeout_s = min(self.limits.connect_timeout_s, read_timeout_s)
+        chosen_s = max(self.limits.connect_timeout_s, forward.connect_timeout_s or 0.0)
+        connect_timeout_s = min(chosen_s, read_timeout_s)
         timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
         attempt.target = uri
         _thread_state.attempt = attempt
@@ -395,10 +419,14 @@
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
     def _failure(self, forward, error, attempt, body):
-        if isinstance(error, (NewConnectionError, ConnectTimeoutError)):
+        if isinstance(error, NewConnectionError):
             reason = REASON_CONNECT
+        elif isinstance(error, ConnectTimeoutError):
+            reason = REASON_CONNECT_TIMEOUT
         elif isinstance(error, UrllibTimeoutError):
             reason = REASON_TIMEOUT
+        elif is_reset(error) and not attempt.is_cancelled:
+            reason = REASON_RESET
         else:
             reason = REASON_CONNECTION_LOST
         is_consumed = bool(body and body.is_consumed)
