--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -191,6 +191,8 @@
             slow_link_bytes_per_s(settings.link_mbit_s),
             settings.zone_preference,
             settings.relay,
+            settings.warm_up.rate_factor,
+            settings.warm_up.rate_slack,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/items/__init__.py
+++ b/greengagerock/items/__init__.py
@@ -2,6 +2,7 @@
 
 from greengagerock.items.item import (
     CallerLimits,
+    EndpointWarmUp,
     Items,
     KeyedRules,
     Patch,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "CallerLimits",
+    "EndpointWarmUp",
     "ItemStore",
     "Items",
     "KeyedRules",
--- a/greengagerock/items/item.py
+++ b/greengagerock/items/item.py
@@ -69,6 +69,31 @@
     grant_location: str | None = None
 
 
+class EndpointWarmUp(msgspec.Struct, frozen=True, array_like=True):
+    """How long an endpoint is cold after its start, and how many requests it may get meanwhile.
+
+    Attributes:
+        duration_s: Usual length of the cold phase in seconds, or ``None`` if it was not given.
+        requests_per_s: Requests per second that a cold endpoint takes from all routers together,
+            or ``None`` if it was not given. A whole number stays one, so that it is returned as
+            it was sent.
+        duration_text: The duration in the operator's notation, or ``None``.
+
+    Examples:
+        >>> EndpointWarmUp(3.0, 3.5).limit_per_s, EndpointWarmUp(3.0).limit_per_s
+        (3.5, 0.0)
+    """
+
+    duration_s: float | None = None
+    requests_per_s: int | float | None = None
+    duration_text: str | None = None
+
+    @property
+    def limit_per_s(self):
+        """Requests per second of a cold endpoint, or 0 if they are not limited."""
+        return float(self.requests_per_s or 0)
+
+
 class ServiceItem(msgspec.Struct, frozen=True, array_like=True):
     """A service whose endpoints serve requests.
 
@@ -80,6 +105,7 @@
         keyed: Rules for keys, or ``None`` for a service without keys.
         protocol: Protocol that its endpoints speak, or ``None``.
         is_encrypted: Whether its endpoints expect TLS, or ``None``.
+        warm_up: Treatment of cold endpoints, or ``None`` if they are treated as warm.
     """
 
     name: str
@@ -89,6 +115,12 @@
     keyed: KeyedRules | None = None
     protocol: str | None = None
     is_encrypted: bool | None = None
+    warm_up: EndpointWarmUp | None = None
+
+    @property
+    def cold_limit_per_s(self):
+        """Requests per second of a cold endpoint, or 0 if they are not limited."""
+        return 0.0 if self.warm_up is None else self.warm_up.limit_per_s
 
 
 class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
--- a/greengagerock/items/validation.py
+++ b/greengagerock/items/validation.py
@@ -1,5 +1,7 @@
 """Validation of a patch as a whole against the current items."""
 
+import math
+
 from greengagerock.core import GreengageError
 
 # A latency objective that exceeds the timeout by a minute or more is assumed to be given in the
@@ -57,6 +59,14 @@
         _reject(service.name, "at least one connection must be allowed")
     if not service.health_path.startswith("/"):
         _reject(service.name, "the path of the liveness check must begin with a slash")
+    if service.warm_up is not None:
+        _check_warm_up(service.name, service.warm_up)
+
+
+def _check_warm_up(name, warm_up):
+    for value in (warm_up.duration_s, warm_up.requests_per_s):
+        if value is not None and not 0 <= value < math.inf:
+            _reject(name, "the warm-up time and its request rate must be finite and not negative")
 
 
 def _check_conflicts(patch, items):
--- a/greengagerock/language/items.py
+++ b/greengagerock/language/items.py
@@ -1,13 +1,15 @@
 """Parsing and formatting of the text form of configuration items."""
 
+from decimal import Decimal
 from functools import cache
 from importlib.resources import files
 
-from lark import Lark, Transformer, UnexpectedInput, v_args
+from lark import Lark, Token, Transformer, UnexpectedInput, v_args
 
 from greengagerock.core import StatementError
 from greengagerock.items import (
     CallerLimits,
+    EndpointWarmUp,
     KeyedRules,
     Patch,
     Removal,
@@ -16,6 +18,9 @@
     WeightedService,
 )
 
+# Longer integers are read as floating-point numbers.
+MAX_INTEGER_DIGITS = 16
+
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0}
 
 
@@ -68,6 +73,21 @@
     def keyed(self, warm_up_s=None):
         return KeyedRules(warm_up_s)
 
+    def rate(self, number):
+        # The log has integers of 64 bits only.
+        is_whole = "." not in number and len(number) < MAX_INTEGER_DIGITS
+        return int(number) if is_whole else float(number)
+
+    def warm_up(self, *parts):
+        *duration, last = parts
+        if type(last) is not Token:
+            rate = last
+        else:
+            rate, duration = None, parts
+        if not duration:
+            return EndpointWarmUp(None, rate)
+        return EndpointWarmUp(self.duration(*duration), rate, "".join(duration))
+
     def set_route(self, name, version, host, prefix, *clauses):
         service_weights = tuple(value for value in clauses if type(value) is tuple)
         optional = {
@@ -98,8 +118,10 @@
             optional.get("priority"),
         )
 
-    def set_service(self, name, version, health, connections, keyed=None):
-        return ServiceItem(name, version, health, int(connections), keyed)
+    def set_service(self, name, version, health, connections, *clauses):
+        keyed = next((clause for clause in clauses if isinstance(clause, KeyedRules)), None)
+        warm_up = next((clause for clause in clauses if isinstance(clause, EndpointWarmUp)), None)
+        return ServiceItem(name, version, health, int(connections), keyed, warm_up=warm_up)
 
     def set_limits(self, version, headers, body, header_timeout_s, idle_timeout_s):
         return CallerLimits(version, int(headers), int(body), header_timeout_s, idle_timeout_s)
@@ -180,9 +202,31 @@
     return (
         f"set service {_quote(service.name)} version {service.version}"
         f" health {_quote(service.health_path)} connections {service.max_connections}{keyed}"
+        f"{_format_warm_up(service.warm_up)}"
     )
 
 
+def _format_warm_up(warm_up):
+    if warm_up is None or (warm_up.duration_s is None and warm_up.requests_per_s is None):
+        return ""
+    text = " warm_up"
+    if warm_up.duration_s is not None:
+        text += f" {warm_up.duration_text or _format_duration(warm_up.duration_s)}"
+    if warm_up.requests_per_s is not None:
+        text += f" rate {_format_number(warm_up.requests_per_s)}"
+    return text
+
+
+def _format_number(number):
+    """Format a number without an exponent; one that is not whole keeps its fraction.
+
+    Examples:
+        >>> _format_number(4), _format_number(4.0), _format_number(0.00001)
+        ('4', '4.0', '0.00001')
+    """
+    return str(number) if isinstance(number, int) else f"{Decimal(repr(number)):f}"
+
+
 def _format_route(route):
     services_text = ", ".join(
         _quote(weighted_service.service)
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -26,6 +26,9 @@
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone.
         relay_address: Where a router takes requests of other routers, or empty.
+        warm_up_rate_factor: Multiple of a service's warm-up rate that a cold endpoint may get in
+            any one second from all routers.
+        warm_up_rate_slack: Number of requests that it may get in addition.
     """
 
     host: str
@@ -43,3 +46,5 @@
     link_bytes_per_s: float | None = None
     zone_preference: float = DEFAULT_ZONE_PREFERENCE
     relay_address: str = ""
+    warm_up_rate_factor: float = 1.5
+    warm_up_rate_slack: float = 8.0
--- a/greengagerock/platform/wire_items.py
+++ b/greengagerock/platform/wire_items.py
@@ -5,6 +5,7 @@
 from greengagerock.core import GreengageError
 from greengagerock.items import (
     CallerLimits,
+    EndpointWarmUp,
     KeyedRules,
     Patch,
     Removal,
@@ -15,6 +16,9 @@
 )
 from greengagerock.platform.durations import format_duration, parse_duration
 
+# Largest request rate of an item. JSON has integers of any length, the log those of 64 bits.
+MAX_RATE_PER_S = 1_000_000_000
+
 
 class WireWeightedService(msgspec.Struct):
     """A service that receives a share of a route's requests."""
@@ -67,6 +71,8 @@
         warm: Duration for which requests of a key are slow at an endpoint that received the key
             without a handover.
         grants: Where endpoints receive their grants, for example ``heartbeat``.
+        warmup: Duration for which an endpoint is cold after its start.
+        warmup_per_s: Requests per second that a cold endpoint takes from all hosts together.
     """
 
     name: str
@@ -78,6 +84,8 @@
     sharded: bool | None = None
     warm: str | None = None
     grants: str | None = None
+    warmup: str | None = None
+    warmup_per_s: int | float | None = None
 
 
 class WireLimits(msgspec.Struct, rename="kebab"):
@@ -244,10 +252,26 @@
         warm_up_s = None if wire.warm is None else parse_duration(wire.warm)
         keyed = KeyedRules(warm_up_s, wire.grants)
     return ServiceItem(
-        wire.name, wire.version, wire.health_path, wire.max_conns, keyed, wire.protocol, wire.tls
+        wire.name,
+        wire.version,
+        wire.health_path,
+        wire.max_conns,
+        keyed,
+        wire.protocol,
+        wire.tls,
+        _read_warm_up(wire),
     )
 
 
+def _read_warm_up(wire):
+    if wire.warmup is None and wire.warmup_per_s is None:
+        return None
+    if abs(wire.warmup_per_s or 0) > MAX_RATE_PER_S:
+        raise GreengageError("invalid-item", f"{wire.name!r}: the warm-up rate is out of range")
+    duration_s = None if wire.warmup is None else parse_duration(wire.warmup)
+    return EndpointWarmUp(duration_s, wire.warmup_per_s, wire.warmup)
+
+
 def _write_service(service):
     keyed = service.keyed
     warm_up_s = keyed.warm_up_s if keyed else None
@@ -261,9 +285,17 @@
         True if keyed else None,
         None if warm_up_s is None else format_duration(warm_up_s),
         keyed.grant_location if keyed else None,
+        _write_warm_up_duration(service.warm_up),
+        None if service.warm_up is None else service.warm_up.requests_per_s,
     )
 
 
+def _write_warm_up_duration(warm_up):
+    if warm_up is None or warm_up.duration_s is None:
+        return None
+    return warm_up.duration_text or format_duration(warm_up.duration_s)
+
+
 def _read_limits(wire):
     if wire is None:
         return None
--- a/greengagerock/platform/wire_settings.py
+++ b/greengagerock/platform/wire_settings.py
@@ -5,7 +5,7 @@
 from greengagerock.core import GreengageError
 from greengagerock.platform.durations import parse_duration
 from greengagerock.settings.schema import LimitSettings
-from greengagerock.settings.site import RetrySettings, SiteSettings, split_address
+from greengagerock.settings.site import RetrySettings, SiteSettings, WarmUpSettings, split_address
 
 # Each request of a caller in progress occupies a thread. A third of the file descriptors is left
 # for connections to endpoints.
@@ -123,6 +123,9 @@
             float(bounds.get("retry-budget-slack", 60)),
             _read_bound_s(bounds, "retry-window", 10.0),
         ),
+        warm_up=WarmUpSettings(
+            float(bounds.get("warmup-overage", 1.5)), float(bounds.get("warmup-slack", 8))
+        ),
         limits=LimitSettings(
             caller_threads=CALLER_THREADS,
             queued_connections=QUEUED_CONNECTIONS,
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -25,6 +25,18 @@
     window_s: Seconds = 10.0
 
 
+class WarmUpSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How many requests a cold endpoint may get in any one second, over all hosts.
+
+    Attributes:
+        rate_factor: Multiple of the rate that the service's item gives.
+        rate_slack: Number of requests allowed in addition.
+    """
+
+    rate_factor: Annotated[float, Meta(ge=0, le=100)] = 1.5
+    rate_slack: Annotated[float, Meta(ge=0)] = 8.0
+
+
 class SiteSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The settings of one daemon in a site.
 
@@ -52,6 +64,7 @@
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone; 0 treats all zones alike.
         retries: Limits on retries.
+        warm_up: Limits on requests to cold endpoints.
         limits: Limits of the HTTP servers and client.
         log: Settings of the log.
     """
@@ -75,6 +88,7 @@
     link_mbit_s: Annotated[float, Meta(gt=0, le=1_000_000)] = 1000.0
     zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
+    warm_up: WarmUpSettings = msgspec.field(default_factory=WarmUpSettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
