Limits of cold endpoints: derived by the leader, divided by the routers

A cold endpoint got the same requests as a warm one, and one that became cold again was treated as warm, since the leader kept the smaller of two times. Now each report moves the end of the cold phase, the leader sends the limit and the demand as a LimitShare, and routers admit by RequestAllowance within a bound for any one second.

--- a/greengagerock/assignment/block_loads.py
+++ b/greengagerock/assignment/block_loads.py
@@ -66,6 +66,17 @@
         """Return the requests per second for a block."""
         return self.counts.get(block, 0.0) / DECAY_S
 
+    def total_rate(self):
+        """Return the requests per second for all blocks.
+
+        Examples:
+            >>> loads = BlockLoads()
+            >>> loads.add_requests({7: 12, 9: 3}, 0.0)
+            >>> loads.total_rate()
+            10.0
+        """
+        return sum(self.counts.values()) / DECAY_S
+
     def hot_blocks(self, min_count):
         """Return the blocks whose decayed count is at least ``min_count``."""
         return {block for block, count in self.counts.items() if count >= min_count}
--- a/greengagerock/assignment/endpoint_weights.py
+++ b/greengagerock/assignment/endpoint_weights.py
@@ -69,7 +69,17 @@
         cap, _ = self.caps.get(endpoint, (weight, 0.0))
         return min(weight, cap)
 
-    def cap(self, endpoint, weight, limit_per_s, demand_per_s, now_s):
+    def cap(
+        self,
+        endpoint,
+        weight,
+        limit_per_s,
+        demand_per_s,
+        now_s,
+        interval_s=CAP_INTERVAL_S,
+        use_share=LIMIT_USE_SHARE,
+        lowest=0.0,
+    ):
         """Bound the weight of an endpoint that limits its requests.
 
         Args:
@@ -78,6 +88,9 @@
             limit_per_s: Requests per second that it takes.
             demand_per_s: Requests per second for its present keys.
             now_s: Monotonic time in seconds.
+            interval_s: Time after which the bound is derived anew.
+            use_share: Share of the limit that the requests for its keys should use.
+            lowest: Weight that it keeps in any case.
 
         Examples:
             >>> weights = EndpointWeights()
@@ -86,13 +99,17 @@
             (0.15, 1.0)
         """
         cap, capped_s = self.caps.get(endpoint, (weight, float("-inf")))
-        if now_s - capped_s < CAP_INTERVAL_S or (
+        if now_s - capped_s < interval_s or (
             endpoint not in self.caps and demand_per_s <= limit_per_s
         ):
             return
-        target = weight * LIMIT_USE_SHARE * limit_per_s / max(demand_per_s, MIN_DEMAND_PER_S)
+        target = weight * use_share * limit_per_s / max(demand_per_s, MIN_DEMAND_PER_S)
         target = min(target, cap * MAX_INCREASE)
-        self.caps[endpoint] = (max(LOWEST_CAP, target), now_s)
+        self.caps[endpoint] = (max(LOWEST_CAP, lowest, target), now_s)
+
+    def is_capped(self, endpoint):
+        """Return whether the weight of an endpoint is bounded."""
+        return endpoint in self.caps
 
     def end_cap(self, endpoint):
         """Drop the bound of an endpoint that has no limit any more."""
--- a/greengagerock/assignment/instance_directory.py
+++ b/greengagerock/assignment/instance_directory.py
@@ -18,7 +18,8 @@
         last_report_s: When its newest report arrived.
         leaving_since_s: When it announced that it leaves, or ``None``.
         hold_until_s: When its newest grant has expired, in this host's clock.
-        cold_until_s: Until when it is slow after its start.
+        cold_until_s: Until when it is cold according to its newest report. An endpoint may become
+            cold again at any moment, so a report may move it up as well as down.
     """
 
     __slots__ = (
@@ -171,7 +172,7 @@
             self.remove(instance)
         instance.report = report
         instance.last_report_s = now_s
-        instance.cold_until_s = min(instance.cold_until_s, now_s + report.cold_s)
+        instance.cold_until_s = now_s + report.cold_s
         was_leaving = instance.is_leaving
         if report.draining and not was_leaving:
             instance.leaving_since_s = now_s
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -363,7 +363,9 @@
                 else 0
             )
             held = len(self.held.get(instance, ())) + len(granted)
-            quota = max(desired - held, self._pool_quota(len(available)))
+            quota = desired - held
+            if not self.weights.is_capped(instance.name):
+                quota = max(quota, self._pool_quota(len(available)))
             granted += self._choose_free(instance, self.free_units.unreserved, quota)
         if not granted:
             return
--- a/greengagerock/assignment/reports.py
+++ b/greengagerock/assignment/reports.py
@@ -61,7 +61,7 @@
         zone: Its availability zone.
         slots: Number of requests that it runs at once.
         draining: Whether it is about to leave.
-        cold_s: Remaining time for which it is slow after its start, in seconds.
+        cold_s: Remaining time for which it is cold, in seconds.
         holds: Keys that it holds.
         freed: Keys that it has released.
     """
--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -3,6 +3,7 @@
 from greengagerock.control.confirmations import Confirmations
 from greengagerock.control.limit_shares import LimitShares
 from greengagerock.control.relay_directory import RelayDirectory
+from greengagerock.control.response_rates import ResponseRates
 from greengagerock.control.response_times import ResponseTimes
 from greengagerock.view import (
     EndpointRecord,
@@ -53,6 +54,7 @@
         response_times: The ``ResponseTimes`` over all routers.
         confirmations: The ``Confirmations`` of item changes.
         limit_shares: The ``LimitShares`` of this term.
+        response_rates: The ``ResponseRates`` of this term.
         relay_directory: The ``RelayDirectory`` of this term.
         subscribers: A ``Subscriber`` by link address.
     """
@@ -77,7 +79,8 @@
         self.packed_endpoints = PackedDeltaCache(self.endpoints_history)
         self.confirmations = Confirmations(self.timers.now_s)
         self.response_times = ResponseTimes(self.voter.term)
-        self.limit_shares = LimitShares(self.timers.now_s)
+        self.limit_shares = LimitShares(self.timers.now_s, self.voter.term)
+        self.response_rates = ResponseRates(self.timers.now_s)
         self.relay_directory = RelayDirectory(lambda: len(self.endpoints_history.endpoints))
         self.subscribers = {}
         self.push_timer = None
@@ -90,6 +93,8 @@
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
         has_new_limits = self.limit_shares.on_reports(address, poll.limits, self.timers.now_s)
+        self.limit_shares.cold.on_reports(address, poll.cold_requests, self.timers.now_s)
+        self.response_rates.add(poll.response_times)
         has_new_relays = self.relay_directory.note(address, poll.relay_address, poll.unreachable)
         if has_new_limits or has_new_relays:
             self.schedule_push()
@@ -159,17 +164,20 @@
 
     def _send_view(self, address, poll):
         relays = self.relay_directory.relays_for(address)
+        router_count, now_s = len(self.subscribers), self.timers.now_s
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
             self.packed_endpoints.since(poll.epoch, poll.endpoints_revision),
             self.controllers,
-            len(self.subscribers),
+            router_count,
             tuple(self.bans),
             self.response_times.packed
             if poll.response_times_number != self.response_times.number
             else None,
-            self.limit_shares.shares_for(address, len(self.subscribers), self.timers.now_s),
+            self.limit_shares.shares_for(address, router_count, now_s),
             relays if digest_relays(relays) != poll.relays_digest else None,
+            self.limit_shares.cold_shares_for(address, router_count, poll.cold_number, now_s),
+            self.limit_shares.cold.number,
         )
         self.outbox.send(address, delta)
 
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -7,8 +7,9 @@
     ReportResponse,
 )
 from greengagerock.assignment.key_assignments import lessor_hold_s
-from greengagerock.assignment.units import UNIT_COUNT
 from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
+from greengagerock.control.cold_endpoints import ColdEndpoints
+from greengagerock.control.limited_weights import apply_limits
 from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
 from greengagerock.control.router_updater import RouterUpdater
 from greengagerock.core import GreengageError
@@ -38,6 +39,7 @@
 
     Attributes:
         router_updater: The ``RouterUpdater``, which sends changes to routers.
+        cold_endpoints: The ``ColdEndpoints``.
         crash_counter: The ``CrashCounter`` that counts crashes by request.
         pending_replies: Reply callback and prepared ``RelayReply`` by log index of the
             proposed entry.
@@ -64,6 +66,9 @@
         self.acknowledged_leaves = AcknowledgedLeaves(
             store, voter, self.router_updater, timers, outbox
         )
+        self.cold_endpoints = ColdEndpoints(
+            store, lambda: self.directory, self.router_updater, timers, outbox
+        )
         self.crash_counter = CrashCounter()
         self.pending_replies = {}
         store.on_patch_result = self._on_patch_result
@@ -210,6 +215,8 @@
                 draining=instance.is_leaving,
                 sequence=report.sequence,
             )
+        if not admission.is_late:
+            self.cold_endpoints.on_report(instance, admission.is_new or admission.is_changed)
         if admission.is_late or service.keyed is None:
             return ReportResponse()
         assignments = self._assignments_of(report.service)
@@ -296,6 +303,7 @@
             self.router_updater.endpoints_history.mark_settled()
             self.outbox.log("leader-settled", endpoints=len(self.directory.instances))
             self.router_updater.schedule_push()
+        self.cold_endpoints.advance()
         for instance in self.directory.remove_silent(now_s):
             self._end_instance(instance, "silent")
         for instance in self.directory.instances.values():
@@ -303,7 +311,7 @@
                 self._withdraw_units(instance)
         for service, assignments in self.assignments_by_service.items():
             instances = self.directory.of_service(service)
-            self._apply_limits(assignments, instances, now_s)
+            apply_limits(assignments, instances, self.router_updater.limit_shares, now_s)
             assignments.advance(instances, now_s)
             assignments.plan_balance_moves(instances, now_s)
             self._spread_hot_units(service, assignments, instances, now_s)
@@ -316,27 +324,6 @@
             del self.router_updater.bans[fingerprint]
             self.crash_counter.forget(fingerprint)
 
-    def _apply_limits(self, assignments, instances, now_s):
-        """Give endpoints that limit their requests fewer keys while the limit lasts."""
-        for instance in instances:
-            limit = self.router_updater.limit_shares.lasting_limit(
-                instance.name, instance.report.started_ms, now_s
-            )
-            if limit is None:
-                assignments.weights.end_cap(instance.name)
-                continue
-            demand_per_s = limit.demand_per_s(now_s)
-            if demand_per_s is None:
-                continue
-            held_share = len(assignments.held.get(instance, ())) / UNIT_COUNT
-            assignments.weights.cap(
-                instance.name,
-                held_share * len(instances),
-                limit.limit_per_s,
-                demand_per_s,
-                now_s,
-            )
-
     def _spread_hot_units(self, service, assignments, instances, now_s):
         plans = assignments.plan_rebalancing(instances, now_s)
         for source, chunks in plans.items():
--- a/greengagerock/core/errors.py
+++ b/greengagerock/core/errors.py
@@ -53,6 +53,7 @@
     ErrorKind("relay-unavailable", 503, "The other router cannot forward the request.", 1),
     ErrorKind("endpoint-refused", 503, "The endpoint refused the request without running it.", 1),
     ErrorKind("endpoint-limited", 503, "The endpoint takes only so many requests a second.", 1),
+    ErrorKind("endpoint-cold", 503, "The endpoint is cold and takes only few requests.", 1),
     ErrorKind("answer-lost", 502, "The connection broke before the endpoint responded.", 1),
     ErrorKind("deadline-exceeded", 504, "The deadline passed before the endpoint responded.", 1),
     ErrorKind("not-ready", 503, "This daemon has not yet joined the system.", 1),
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -24,6 +24,7 @@
     TimeAdvanced,
 )
 from greengagerock.discovery import LeaderFinder
+from greengagerock.routing.cold_endpoints import ColdEndpoints
 from greengagerock.routing.dispatcher import Dispatcher
 from greengagerock.routing.relayed_calls import RelayedCalls
 from greengagerock.routing.retry_budget import SharedRetryBudget
@@ -86,6 +87,14 @@
             config.zone_preference,
             config.link_bytes_per_s,
         )
+        self.cold_endpoints = ColdEndpoints(
+            self.replica,
+            self.dispatcher.limits,
+            config.warm_up_rate_factor,
+            config.warm_up_rate_slack,
+            self.timers,
+            self.outbox,
+        )
         self.stats = self.dispatcher.stats
         self.relayed_calls = RelayedCalls(
             self.replica,
@@ -198,6 +207,7 @@
             dispatcher.observations.collect_responses(),
             dispatcher.demand.collect(),
             dispatcher.limits.collect_reports(now_s),
+            dispatcher.limits.cold.collect_reports(),
         )
         for address in self.finder.poll_addresses(now_s):
             self.outbox.send(address, poll)
@@ -236,6 +246,7 @@
         self.dispatcher.limits.apply_shares(
             delta.limits, self.router_count.largest, self.timers.now_s
         )
+        self.cold_endpoints.on_view(delta, self.router_count.largest)
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
@@ -254,6 +265,7 @@
                     self.replica.left_instances(endpoints_delta), endpoints_delta.left
                 )
             endpoint_names, units = self.replica.apply_endpoints(endpoints_delta)
+            self.cold_endpoints.on_endpoints(endpoint_names)
             self.dispatcher.on_endpoints(endpoint_names, units)
             self._log_withdrawn(endpoint_names)
             if is_first_of_epoch:
@@ -284,6 +296,7 @@
         if not self.replica.apply_items(items):
             return False
         self.dispatcher.on_items()
+        self.cold_endpoints.on_items()
         if self.replica.limits is not None and self.replica.limits != limits:
             self.outbox.add(ApplyCallerLimits(self.replica.limits))
         self.outbox.log(
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -175,9 +175,8 @@
         ):
             detail = f"{observation.in_flight} requests in flight at endpoint {name}"
             self.refuse(call, "no-room", detail)
-        elif not self.limits.try_take(record, now_s):
-            retry_after_s = self.limits.retry_after_s(record, now_s)
-            self.refuse(call, "endpoint-limited", f"limit of endpoint {name}", retry_after_s)
+        elif not self.limits.try_take(record, now_s, self._is_urgent(call)):
+            self._refuse_limited(call, [record])
         else:
             self._send_on(path, call, record)
 
@@ -233,7 +232,7 @@
         records = [self.replica.endpoints[name] for name in names]
         path, record, limited = self._pick_endpoint(call, records)
         if record is None and limited:
-            self._refuse_limited(call, records, limited)
+            self._refuse_limited(call, limited, self._shortest_pause_s(records))
         elif record is None:
             code = "no-room" if call.tried_endpoints else "no-endpoint"
             if call.unreached_endpoints:
@@ -271,19 +270,14 @@
             record = pick(
                 records, excluded, self._extra_requests(call), call.route.objective_s, now_s
             )
-            if record is None or self.limits.try_take(record, now_s):
+            if record is None or self.limits.try_take(record, now_s, self._is_urgent(call)):
                 return record, limited
             limited.append(record)
             excluded.append(record.name)
 
-    def _refuse_limited(self, call, records, limited):
-        now_s = self.timers.now_s
-        waits_s = [self.limits.retry_after_s(record, now_s) for record in limited]
-        pause_s = self._shortest_pause_s(records)
-        if pause_s is not None:
-            waits_s.append(pause_s)
-        names = ",".join(record.name for record in limited[:8])
-        self.refuse(call, "endpoint-limited", f"limits of endpoints {names}", min(waits_s))
+    def _refuse_limited(self, call, limited, pause_s=None):
+        refusal = self.limits.refusal(limited, self.timers.now_s, pause_s)
+        self.refuse(call, refusal.code, refusal.detail, refusal.retry_after_s)
 
     def _shortest_pause_s(self, records):
         """Return when the first endpoint accepts requests again, ``None`` if one does already."""
@@ -303,9 +297,11 @@
         An endpoint serves its queue in order of arrival. So urgent requests can only be
         preferred by holding back the others.
         """
+        return URGENT_EXTRA_REQUESTS if self._is_urgent(call) else 0
+
+    def _is_urgent(self, call):
         rank = self.ranks.get((call.service, call.route.priority))
-        is_urgent = rank is not None and rank < self.least_urgent_ranks[call.service]
-        return URGENT_EXTRA_REQUESTS if is_urgent else 0
+        return rank is not None and rank < self.least_urgent_ranks[call.service]
 
     def forward(self, call, record, relay=""):
         """Send a call to an endpoint, through another router if ``relay`` is its address."""
--- a/greengagerock/routing/endpoint_limits.py
+++ b/greengagerock/routing/endpoint_limits.py
@@ -2,6 +2,8 @@
 
 import heapq
 
+from greengagerock.routing.cold_limits import ColdLimits
+from greengagerock.routing.limit_refusals import refuse_by_limits
 from greengagerock.routing.request_allowance import RequestAllowance
 from greengagerock.view import LimitReport
 
@@ -76,6 +78,7 @@
         ended: Start of the instance and time of the end, by name of an endpoint whose limit
             ended recently.
         router_count: Number of routers.
+        cold: The ``ColdLimits`` of endpoints that are cold.
 
     Examples:
         >>> from random import Random
@@ -86,13 +89,14 @@
         (True, False)
     """
 
-    __slots__ = ("by_endpoint", "ended", "random", "router_count")
+    __slots__ = ("by_endpoint", "cold", "ended", "random", "router_count")
 
     def __init__(self, random):
         self.random = random
         self.by_endpoint = {}
         self.ended = {}
         self.router_count = 1
+        self.cold = ColdLimits(random)
 
     # --- Responses -----------------------------------------------------------------
 
@@ -121,25 +125,62 @@
     def forget(self, endpoint):
         """Drop the limit of an endpoint that has ended."""
         self.by_endpoint.pop(endpoint, None)
+        self.cold.forget(endpoint)
+
+    def note_cold(self, record, requests_per_s, now_s):
+        """Limit the requests to a cold endpoint; return whether they were not limited before.
+
+        Args:
+            record: The ``EndpointRecord``, with the time for which it stays cold.
+            requests_per_s: Requests per second that it takes from all routers together.
+            now_s: Monotonic time in seconds.
+        """
+        return self.cold.note_cold(record, requests_per_s, now_s)
 
     # --- Requests ------------------------------------------------------------------
 
     def is_limited(self, record, now_s):
-        """Return whether an endpoint has a limit."""
+        """Return whether an endpoint names a limit itself."""
         return self._current(record, now_s) is not None
 
-    def try_take(self, record, now_s):
-        """Return whether a request may be sent to an endpoint, and count it if so."""
+    def try_take(self, record, now_s, is_urgent=True):
+        """Return whether a request may be sent to an endpoint, and count it if so.
+
+        If the endpoint names a limit and is cold, both must admit the request, by the same random
+        number, so that the smaller one holds.
+
+        Args:
+            record: The ``EndpointRecord``.
+            now_s: Monotonic time in seconds.
+            is_urgent: Whether the request is preferred at a cold endpoint.
+        """
+        self.cold.urgency.count(record.service, is_urgent)
         limit = self._current(record, now_s)
+        cold = self.cold.current(record, now_s)
+        if limit is not None:
+            limit.requests += 1
+        if cold is None:
+            return limit is None or limit.allowance.try_take(now_s)
+        cold.requests += 1
+        self.cold.prepare(cold, record.service, now_s)
         if limit is None:
-            return True
-        limit.requests += 1
-        return limit.allowance.try_take(now_s)
+            return cold.allowance.try_take(now_s, is_urgent)
+        draw = self.random.random()
+        pair = sorted((limit, cold), key=lambda either: either.limit_per_s)
+        return all(either.allowance.try_take(now_s, is_urgent, draw) for either in pair)
 
     def retry_after_s(self, record, now_s):
-        """Return when a caller that an endpoint's limit excludes should come back."""
+        """Return when a caller that an endpoint's limits exclude should come back."""
         limit = self._current(record, now_s)
-        return 0.0 if limit is None else limit.allowance.retry_after_s(now_s)
+        cold = self.cold.current(record, now_s)
+        if cold is None:
+            return 0.0 if limit is None else limit.allowance.retry_after_s(now_s)
+        wait_s = self.cold.retry_after_s(cold, now_s)
+        return wait_s if limit is None else max(wait_s, limit.allowance.retry_after_s(now_s))
+
+    def refusal(self, records, now_s, pause_s=None):
+        """Return the ``LimitRefusal`` of a call that the limits of ``records`` exclude."""
+        return refuse_by_limits(self, records, pause_s, now_s)
 
     # --- Leader --------------------------------------------------------------------
 
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -8,6 +8,7 @@
     "key-moving": 0.3,
     "endpoint-refused": 0.25,
     "endpoint-limited": 0.5,
+    "endpoint-cold": 1.0,
     "no-room": 0.35,
     "connect-failed": 0.3,
     "no-endpoint": 0.5,
--- a/greengagerock/routing/request_allowance.py
+++ b/greengagerock/routing/request_allowance.py
@@ -2,19 +2,10 @@
 
 from collections import deque
 
-# Time in which an endpoint tolerates a burst, the share of what its limit allows in that time that
-# a burst may add, and the number of requests beyond that.
-BURST_WINDOW_S = 4.0
-BURST_SHARE = 0.5
-BURST_REQUESTS = 4.0
-# Requests per second that all routers together send at least. Otherwise a limit of 0 would never
-# end, since only responses say so.
-MIN_LIMIT_PER_S = 0.5
-# Share of a limit that is used with random admission, whose number of requests varies by about
-# its square root.
-RANDOM_USE_SHARE = 0.85
-# Share of the burst that routers collect while they do not know the demand.
-RANDOM_BURST_SHARE = 0.25
+from greengagerock.routing.burst_bounds import DeclaredBound
+
+# Lower demand counts as this, so that a bound that allows nothing can be divided by it.
+MIN_DEMAND_PER_S = 1e-9
 # Longest time after which a refused caller is to come back.
 MAX_RETRY_AFTER_S = 5.0
 
@@ -32,15 +23,17 @@
     Args:
         random: Random number generator.
         now_s: Monotonic time in seconds.
+        bound: The ``DeclaredBound`` or ``ColdBound`` on the requests of all routers.
 
     Attributes:
+        plan: The ``AdmissionPlan``, or ``None`` before the first configuration.
         rate_per_s: Requests per second that the bucket gains.
         capacity: Largest content of the bucket.
         probability: Probability with which each request is admitted, or ``None`` if the bucket
             decides.
-        window_requests: Largest number of requests admitted at random in ``BURST_WINDOW_S``, or
-            ``None`` if that is less than one.
-        admitted_s: Times of the newest requests that were admitted at random.
+        less_urgent_share: Share of the less urgent requests that is admitted if a more urgent
+            one would be.
+        admitted_s: Times of the newest requests that were admitted while their number was bounded.
         credit: Content of the bucket when it was last updated.
         updated_s: When it was last updated.
         promised_s: Latest time that was given to a refused caller.
@@ -65,29 +58,33 @@
 
     __slots__ = (
         "admitted_s",
+        "bound",
         "capacity",
         "credit",
+        "less_urgent_share",
+        "plan",
         "probability",
         "promised_s",
         "random",
         "rate_per_s",
         "updated_s",
-        "window_requests",
     )
 
-    def __init__(self, random, now_s):
+    def __init__(self, random, now_s, bound=None):
         self.random = random
+        self.bound = bound or DeclaredBound()
+        self.plan = None
         self.rate_per_s = 0.0
         self.capacity = 1.0
         self.probability = None
-        self.window_requests = None
+        self.less_urgent_share = 1.0
         self.admitted_s = deque()
         # Buckets of several routers must not all fill at the same moment.
         self.credit = random.random()
         self.updated_s = now_s
         self.promised_s = now_s
 
-    def configure(self, limit_per_s, share, router_count, demand_per_s, now_s):
+    def configure(self, limit_per_s, share, router_count, demand_per_s, now_s, urgent_per_s=None):
         """Set what the router may send.
 
         Args:
@@ -97,41 +94,70 @@
             demand_per_s: Requests per second that all routers have for the endpoint, or ``None``
                 if that is unknown.
             now_s: Monotonic time in seconds.
+            urgent_per_s: Requests per second among them that are preferred to the others, or
+                ``None`` to treat all alike.
         """
         self._refill(now_s)
-        limit_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
-        burst = BURST_SHARE * BURST_WINDOW_S * limit_per_s + BURST_REQUESTS
-        is_random = router_count > burst
-        use_share = RANDOM_USE_SHARE if is_random else 1.0
-        self.rate_per_s = use_share * limit_per_s * share
-        self.capacity = (RANDOM_BURST_SHARE if is_random else 1.0) * burst / router_count
+        is_first = self.plan is None
+        plan = self.plan = self.bound.plan(limit_per_s, router_count)
+        self.rate_per_s = plan.rate_per_s * share
+        self.capacity = plan.credit / router_count
         self.credit = min(self.credit, self.capacity)
-        tolerated = int((BURST_WINDOW_S * limit_per_s + burst) / router_count)
-        self.window_requests = tolerated if is_random and tolerated else None
+        if is_first and plan.starts_full:
+            self.credit = self.capacity
         self.probability = None
-        if is_random and demand_per_s is not None:
-            self.probability = min(1.0, use_share * limit_per_s / max(demand_per_s, limit_per_s))
+        self.less_urgent_share = 1.0
+        if demand_per_s is None:
+            return
+        preferred_per_s = demand_per_s if urgent_per_s is None else urgent_per_s
+        probability = min(
+            1.0, plan.rate_per_s / max(preferred_per_s, plan.min_demand_per_s, MIN_DEMAND_PER_S)
+        )
+        if plan.is_random:
+            self.probability = probability
+        if (
+            urgent_per_s is not None
+            and probability > 0
+            and demand_per_s > max(plan.rate_per_s, urgent_per_s)
+        ):
+            left_per_s = max(0.0, plan.rate_per_s - probability * urgent_per_s)
+            self.less_urgent_share = left_per_s / (demand_per_s - urgent_per_s) / probability
+
+    def try_take(self, now_s, is_urgent=True, draw=None):
+        """Return whether a request may be sent now, and take it from the bucket if so.
 
-    def try_take(self, now_s):
-        """Return whether a request may be sent now, and take it from the bucket if so."""
+        Args:
+            now_s: Monotonic time in seconds.
+            is_urgent: Whether the request is preferred to others.
+            draw: Random number from 0 to 1, or ``None`` for a new one.
+        """
         self._refill(now_s)
+        share = 1.0 if is_urgent else self.less_urgent_share
         if self.probability is None and self.capacity >= 1.0:
-            if self.credit < 1.0:
+            if self.credit < 1.0 or self._is_window_full(now_s):
+                return False
+            if share < 1.0 and self._draw(draw) >= share:
                 return False
             self.credit -= 1.0
-            return True
-        probability = self.credit if self.probability is None else self.probability
-        self.credit = 0.0
-        if self._is_window_full(now_s) or self.random.random() >= probability:
-            return False
-        self.admitted_s.append(now_s)
+        else:
+            probability = self.credit if self.probability is None else self.probability
+            self.credit = 0.0
+            if self._is_window_full(now_s) or self._draw(draw) >= share * probability:
+                return False
+        if self.plan is not None and self.plan.window_requests is not None:
+            self.admitted_s.append(now_s)
         return True
 
+    def _draw(self, draw):
+        return self.random.random() if draw is None else draw
+
     def _is_window_full(self, now_s):
         """Return whether this router's part of what the endpoint tolerates is used up."""
-        while self.admitted_s and self.admitted_s[0] <= now_s - BURST_WINDOW_S:
+        if self.plan is None or self.plan.window_requests is None:
+            return False
+        while self.admitted_s and self.admitted_s[0] <= now_s - self.plan.window_s:
             self.admitted_s.popleft()
-        return self.window_requests is not None and len(self.admitted_s) >= self.window_requests
+        return len(self.admitted_s) >= self.plan.window_requests
 
     def retry_after_s(self, now_s):
         """Return when a caller that is refused now should come back, one caller after the other.
--- a/greengagerock/routing/tests/test_endpoint_limits.py
+++ b/greengagerock/routing/tests/test_endpoint_limits.py
@@ -5,8 +5,9 @@
 import pytest
 
 from greengagerock.core.interface import EndpointNoticed, Forward, RespondWithError
+from greengagerock.routing.burst_bounds import BURST_WINDOW_S
 from greengagerock.routing.endpoint_limits import LIMIT_VALIDITY_S, EndpointLimits
-from greengagerock.routing.request_allowance import BURST_WINDOW_S, RequestAllowance
+from greengagerock.routing.request_allowance import RequestAllowance
 from greengagerock.routing.router_count import RouterCount
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 from greengagerock.view import EndpointRecord, LimitShare
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -153,6 +153,8 @@
             routers may have found the leader yet.
         demand_per_s: Requests per second that all routers have for the endpoint, or ``None`` if
             not all routers may have found the leader yet.
+        left_s: Time for which the endpoint stays cold, 0 if it is warm, or ``None`` if it names
+            the limit itself.
     """
 
     endpoint: str
@@ -161,6 +163,7 @@
     limit_per_s: float | None
     share: float | None
     demand_per_s: float | None
+    left_s: float | None = None
 
 
 class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll"):
@@ -178,6 +181,8 @@
         relay_address: ``IP:PORT`` where the router takes requests of other routers, or empty.
         unreachable: Number of endpoints that the router cannot reach itself.
         relays_digest: Digest of the addresses of the relays that the router has.
+        cold_requests: Requests for cold endpoints since the last poll, by endpoint name.
+        cold_number: Number up to which the router has the leader's changes of cold endpoints.
     """
 
     items_revision: int
@@ -190,6 +195,8 @@
     relay_address: str = ""
     unreachable: int = 0
     relays_digest: int = 0
+    cold_requests: dict[str, LimitReport] = {}
+    cold_number: int = 0
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
@@ -207,6 +214,8 @@
         limits: Limits of endpoints, with the router's shares.
         relays: Addresses of other routers that forward requests of this one, or ``None`` if the
             router has the newest ones.
+        cold_limits: Changes of the limits of cold endpoints since the router's ``cold_number``.
+        cold_number: Number of the newest of these changes, or 0 from an older build.
     """
 
     items: bytes | None
@@ -217,6 +226,8 @@
     response_times: bytes | None = msgspec.field(default=None, name="times")
     limits: tuple[LimitShare, ...] = ()
     relays: tuple[str, ...] | None = None
+    cold_limits: tuple[LimitShare, ...] = ()
+    cold_number: int = 0
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -22,6 +22,7 @@
         relays: Addresses of other routers that forward requests of this one.
         relay_address: ``IP:PORT`` where this router takes requests of others, or empty.
         unreachable_count: Number of endpoints that this router cannot reach itself.
+        cold_number: Number up to which the leader's changes of cold endpoints were applied.
     """
 
     def __init__(self):
@@ -39,13 +40,14 @@
         self.relays = ()
         self.relay_address = ""
         self.unreachable_count = 0
+        self.cold_number = 0
 
     @property
     def has_configuration(self):
         """Whether the configuration has been received."""
         return self.items_revision > 0
 
-    def poll(self, response_times, demand, limits=None):
+    def poll(self, response_times, demand, limits=None, cold_requests=None):
         """Return the message that requests the missing changes.
 
         Args:
@@ -53,6 +55,7 @@
                 router since the last poll.
             demand: Number of requests since the last poll, by service and block of keys.
             limits: ``LimitReport`` objects by endpoint name.
+            cold_requests: ``LimitReport`` objects of requests for cold endpoints, by name.
         """
         return ViewPoll(
             self.items_revision,
@@ -65,6 +68,8 @@
             self.relay_address,
             self.unreachable_count,
             digest_relays(self.relays),
+            cold_requests or {},
+            self.cold_number,
         )
 
     def shared_mean_s(self, endpoint):
