--- a/greengagerock/assignment/endpoint_weights.py
+++ b/greengagerock/assignment/endpoint_weights.py
@@ -20,6 +20,8 @@
 # Time after which the weight of a limited endpoint is derived anew. Its demand is a mean over
 # about two seconds, so it lags behind the keys.
 CAP_INTERVAL_S = 4.0
+# This time for a cold endpoint, whose limit lasts for a few seconds.
+COLD_CAP_INTERVAL_S = 1.0
 # An endpoint with a limit keeps some keys: only responses say when the limit has ended.
 LOWEST_CAP = 0.02
 # Lower demand counts as this, so that the weight of an endpoint without requests stays finite.
@@ -37,6 +39,7 @@
         adjusted_s: When the weights were last adjusted.
         caps: Largest weight of each endpoint that limits its requests, and when it was derived, by
             endpoint name.
+        cold: Names of the cold endpoints among them.
 
     Examples:
         >>> weights = EndpointWeights()
@@ -48,7 +51,7 @@
         True
     """
 
-    __slots__ = ("adjusted_s", "caps", "mean_response_s", "responses", "weights")
+    __slots__ = ("adjusted_s", "caps", "cold", "mean_response_s", "responses", "weights")
 
     def __init__(self):
         self.mean_response_s = 0.0
@@ -56,6 +59,7 @@
         self.responses = {}
         self.adjusted_s = 0.0
         self.caps = {}
+        self.cold = set()
 
     def add_responses(self, endpoint, count, mean_s):
         """Add the responses that a router received from an endpoint since its previous message."""
@@ -76,9 +80,9 @@
         limit_per_s,
         demand_per_s,
         now_s,
-        interval_s=CAP_INTERVAL_S,
         use_share=LIMIT_USE_SHARE,
         lowest=0.0,
+        is_cold=False,
     ):
         """Bound the weight of an endpoint that limits its requests.
 
@@ -88,9 +92,10 @@
             limit_per_s: Requests per second that it takes.
             demand_per_s: Requests per second for its present keys.
             now_s: Monotonic time in seconds.
-            interval_s: Time after which the bound is derived anew.
             use_share: Share of the limit that the requests for its keys should use.
             lowest: Weight that it keeps in any case.
+            is_cold: Whether the limit is that of a cold endpoint: the bound is derived anew more
+                often, and also holds for free keys.
 
         Examples:
             >>> weights = EndpointWeights()
@@ -99,6 +104,7 @@
             (0.15, 1.0)
         """
         cap, capped_s = self.caps.get(endpoint, (weight, float("-inf")))
+        interval_s = COLD_CAP_INTERVAL_S if is_cold else CAP_INTERVAL_S
         if now_s - capped_s < interval_s or (
             endpoint not in self.caps and demand_per_s <= limit_per_s
         ):
@@ -106,20 +112,23 @@
         target = weight * use_share * limit_per_s / max(demand_per_s, MIN_DEMAND_PER_S)
         target = min(target, cap * MAX_INCREASE)
         self.caps[endpoint] = (max(LOWEST_CAP, lowest, target), now_s)
+        if is_cold:
+            self.cold.add(endpoint)
 
-    def is_capped(self, endpoint):
-        """Return whether the weight of an endpoint is bounded."""
-        return endpoint in self.caps
+    def is_bounded_cold(self, endpoint):
+        """Return whether an endpoint gets no more free keys than its weight allows."""
+        return endpoint in self.cold
 
     def end_cap(self, endpoint):
         """Drop the bound of an endpoint that has no limit any more."""
         self.caps.pop(endpoint, None)
+        self.cold.discard(endpoint)
 
     def forget(self, endpoint):
         """Drop the data of an endpoint that has ended."""
         self.weights.pop(endpoint, None)
         self.responses.pop(endpoint, None)
-        self.caps.pop(endpoint, None)
+        self.end_cap(endpoint)
 
     def adjust(self, now_s):
         """Adjust the weights if an interval has passed, and return whether they were adjusted."""
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -364,7 +364,7 @@
             )
             held = len(self.held.get(instance, ())) + len(granted)
             quota = desired - held
-            if not self.weights.is_capped(instance.name):
+            if not self.weights.is_bounded_cold(instance.name):
                 quota = max(quota, self._pool_quota(len(available)))
             granted += self._choose_free(instance, self.free_units.unreserved, quota)
         if not granted:
--- a/greengagerock/control/cold_endpoints.py
+++ b/greengagerock/control/cold_endpoints.py
@@ -115,13 +115,15 @@
     def _expected_per_s(self, instance, limit_per_s, now_s):
         """Return the requests per second to expect for a cold endpoint, or ``None``.
 
-        An endpoint that started just now gets up to an equal share of its service's requests, or,
-        if it holds keys, as many as its rate allows.
+        An endpoint that started just now gets up to an equal share of its service's requests, or
+        keys whose requests its rate allows.
         """
         rates = self.router_updater.response_rates
         own_per_s = rates.rate(instance.name, now_s)
         if own_per_s is None or now_s - instance.first_report_s >= ESTABLISHED_S:
             return own_per_s
+        if self.store.items.services[instance.report.service].keyed is not None:
+            return limit_per_s
         others = self.directory().of_service(instance.report.service)
         total_per_s = sum(rates.rate(other.name, now_s) for other in others)
         return max(total_per_s / len(others), limit_per_s)
--- a/greengagerock/control/cold_shares.py
+++ b/greengagerock/control/cold_shares.py
@@ -1,6 +1,6 @@
 """Limits of cold endpoints in one leader's term, and the demand for them."""
 
-from greengagerock.control.limit_state import LimitState
+from greengagerock.control.limit_state import DecayingRate, LimitState
 from greengagerock.view import LimitShare
 
 # Time after the beginning of a cold phase in which the demand measured before counts as well: the
@@ -9,8 +9,11 @@
 # Change of the end of a cold phase from which on routers are sent it. Reports are delayed by
 # different times, which must not cause messages.
 MIN_END_CHANGE_S = 0.25
+# Time constant of the mean of the demand that follows changes soon. With that of other limits,
+# half as long, the larger mean of 5 requests a second is too high by a half.
+FAST_DECAY_S = 1.5
 # Relative changes of the demand from which on it is sent again, and the shortest time between.
-# Random admission plans for a rise to twice the demand.
+# Random admission plans for a rise to two and a half times the demand.
 MAX_DEMAND_RISE = 1.25
 MAX_DEMAND_FALL = 0.6
 DEMAND_INTERVAL_S = 0.5
@@ -50,6 +53,7 @@
 
     def __init__(self, started_ms, now_s):
         super().__init__(started_ms, now_s)
+        self.fast_rate = DecayingRate(FAST_DECAY_S, now_s)
         self.until_s = self.sent_until_s = now_s
         self.expected_per_s = None
         self.number = 0
--- a/greengagerock/control/limited_weights.py
+++ b/greengagerock/control/limited_weights.py
@@ -6,12 +6,11 @@
 
 from greengagerock.assignment.endpoint_weights import LIMIT_USE_SHARE
 from greengagerock.assignment.units import UNIT_COUNT
+from greengagerock.control.cold_shares import EXPECTATION_S
 
 # Keys leave a cold endpoint only if it stays cold for longer than this. They move with its next
 # report, and back with one after the end; each move delays some callers by up to 0.5 s.
 MIN_LEFT_TO_MOVE_S = 5.0
-# Time after which the weight of a cold endpoint is derived anew.
-COLD_CAP_INTERVAL_S = 1.0
 
 
 def apply_limits(assignments, instances, limit_shares, now_s):
@@ -25,8 +24,7 @@
     """
     for instance in instances:
         name, started_ms = instance.name, instance.report.started_ms
-        if limit_shares.cold.is_cold(name, started_ms):
-            _apply_cold(assignments, instance, instances, limit_shares.cold.states[name], now_s)
+        if apply_cold_limit(assignments, instance, instances, limit_shares, now_s):
             continue
         limit = limit_shares.lasting_limit(name, started_ms, now_s)
         if limit is None:
@@ -41,11 +39,26 @@
         )
 
 
-def _apply_cold(assignments, instance, instances, state, now_s):
-    """Bound the weight of a cold endpoint, so that the demand for its keys fits its rate."""
+def apply_cold_limit(assignments, instance, instances, limit_shares, now_s):
+    """Bound the weight of an endpoint if it is cold: the demand for its keys fits its rate.
+
+    Args:
+        assignments: The ``KeyAssignments`` of the service.
+        instance: The ``EndpointInstance``.
+        instances: All instances of the service.
+        limit_shares: The ``LimitShares``.
+        now_s: Monotonic time in seconds.
+
+    Returns:
+        Whether it is cold.
+    """
+    if not limit_shares.cold.is_cold(instance.name, instance.report.started_ms):
+        return False
+    state = limit_shares.cold.states[instance.name]
     held_weight = len(assignments.held.get(instance, ())) / UNIT_COUNT * len(instances)
     weight, demand_per_s = held_weight, state.demand_per_s(now_s)
-    if not held_weight or demand_per_s is None:
+    if not held_weight or demand_per_s is None or now_s - state.since_s < EXPECTATION_S:
+        # The demand for its present keys is not known yet.
         block_loads = assignments.hot_units.block_loads
         block_loads.decay(now_s)
         weight, demand_per_s = 1.0, block_loads.total_rate() / len(instances)
@@ -56,10 +69,11 @@
         state.limit_per_s,
         demand_per_s,
         now_s,
-        interval_s=COLD_CAP_INTERVAL_S,
         use_share=cold_use_share(now_s - state.since_s, left_s),
         lowest=held_weight if left_s < MIN_LEFT_TO_MOVE_S else 0.0,
+        is_cold=True,
     )
+    return True
 
 
 def cold_use_share(elapsed_s, left_s):
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -9,7 +9,7 @@
 from greengagerock.assignment.key_assignments import lessor_hold_s
 from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
 from greengagerock.control.cold_endpoints import ColdEndpoints
-from greengagerock.control.limited_weights import apply_limits
+from greengagerock.control.limited_weights import apply_cold_limit, apply_limits
 from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
 from greengagerock.control.router_updater import RouterUpdater
 from greengagerock.core import GreengageError
@@ -221,6 +221,9 @@
             return ReportResponse()
         assignments = self._assignments_of(report.service)
         instances = self.directory.of_service(report.service)
+        # A cold endpoint's first report must not get it all the keys that are free.
+        limit_shares = self.router_updater.limit_shares
+        apply_cold_limit(assignments, instance, instances, limit_shares, now_s)
         grants = assignments.process_report(instance, instances, now_s, self.config.hold_s)
         return ReportResponse("", grants, self.config.hold_s)
 
--- a/greengagerock/routing/burst_bounds.py
+++ b/greengagerock/routing/burst_bounds.py
@@ -31,7 +31,10 @@
 EXCESS_PROBABILITY = 1e-4
 # Factor by which the demand may rise before the routers know of it, within about 0.7 s. Demand
 # waves of the known deployments raise the rate of one kind of request 1.7 to 2.5 times.
-DEMAND_RISE = 2.0
+DEMAND_RISE = 2.5
+# Requests of one router in any window while the demand is low. With one, two requests that reach
+# a router shortly after each other would lead to a refusal far below the bound.
+LOW_DEMAND_REQUESTS = 2
 
 
 class AdmissionPlan(msgspec.Struct, frozen=True):
@@ -43,6 +46,8 @@
         credit: Sum of the capacities of all buckets.
         window_s: Length of the window of ``window_requests``, in seconds.
         window_requests: Largest number of requests of one router in any window, or ``None``.
+        low_demand_per_s: Known demand up to which every request is admitted, as long as no router
+            sends more than ``LOW_DEMAND_REQUESTS`` in any window.
         min_demand_per_s: Lower demand counts as this when requests are admitted at random.
         starts_full: Whether buckets are full at first, else their contents are random.
     """
@@ -52,6 +57,7 @@
     credit: float
     window_s: float
     window_requests: int | None
+    low_demand_per_s: float
     min_demand_per_s: float
     starts_full: bool
 
@@ -79,6 +85,7 @@
             (RANDOM_BURST_SHARE if is_random else 1.0) * burst,
             BURST_WINDOW_S,
             tolerated if is_random and tolerated else None,
+            0.0,
             limit_per_s,
             starts_full=False,
         )
@@ -90,7 +97,7 @@
     If each router may send a request in any second, no router sends more than its equal part of
     the bound, so it holds whatever the demand and the leader do. If the routers are more, they
     admit at random, at most one request each, with a mean from which the bound is practically
-    never reached even if the demand doubles.
+    never reached even if the demand rises two and a half times.
 
     Args:
         rate_factor: Multiple of the rate that the endpoint may get in any one second.
@@ -104,7 +111,7 @@
         >>> plan.is_random, plan.window_requests
         (False, 4)
         >>> plan = bound.plan(3.5, 68)
-        >>> plan.is_random, plan.window_requests, 2.0 < plan.rate_per_s < 3.0
+        >>> plan.is_random, plan.window_requests, 1.5 < plan.rate_per_s < 2.0
         (True, 1, True)
     """
 
@@ -123,6 +130,11 @@
         bound = self.requests(limit_per_s)
         window_s = 1.0 + TRANSIT_SPREAD_S
         is_random = router_count > bound
+        part = int(bound / router_count)
+        low_demand_per_s = 0.0
+        if part < LOW_DEMAND_REQUESTS:
+            trials = LOW_DEMAND_REQUESTS * router_count
+            low_demand_per_s = largest_safe_mean(int(bound), trials) / DEMAND_RISE
         if is_random:
             safe_mean = largest_safe_mean(int(bound), router_count)
             rate_per_s = min(RANDOM_USE_SHARE * limit_per_s, safe_mean / DEMAND_RISE)
@@ -135,19 +147,20 @@
             rate_per_s,
             credit,
             window_s,
-            1 if is_random else int(bound / router_count),
+            max(1, part),
+            min(low_demand_per_s, rate_per_s),
             rate_per_s,
             starts_full=True,
         )
 
 
 @lru_cache(maxsize=256)
-def largest_safe_mean(bound, router_count):
+def largest_safe_mean(bound, trials):
     """Return the largest mean of a binomial distribution that practically never exceeds a bound.
 
     Args:
         bound: Largest number of requests.
-        router_count: Number of routers, each of which sends one request or none. It is larger
+        trials: Largest number of requests that the routers together send in a second; larger
             than ``bound``.
 
     References:
@@ -161,11 +174,11 @@
     low, high = 0.0, 1.0
     for _ in range(30):
         middle = (low + high) / 2
-        if exceedance(bound, router_count, middle) <= EXCESS_PROBABILITY:
+        if exceedance(bound, trials, middle) <= EXCESS_PROBABILITY:
             low = middle
         else:
             high = middle
-    return low * router_count
+    return low * trials
 
 
 def exceedance(bound, trials, probability):
--- a/greengagerock/routing/request_allowance.py
+++ b/greengagerock/routing/request_allowance.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from greengagerock.routing.burst_bounds import DeclaredBound
+from greengagerock.routing.burst_bounds import LOW_DEMAND_REQUESTS, DeclaredBound
 
 # Lower demand counts as this, so that a bound that allows nothing can be divided by it.
 MIN_DEMAND_PER_S = 1e-9
@@ -31,6 +31,7 @@
         capacity: Largest content of the bucket.
         probability: Probability with which each request is admitted, or ``None`` if the bucket
             decides.
+        window_requests: Largest number of requests in any window of the plan, or ``None``.
         less_urgent_share: Share of the less urgent requests that is admitted if a more urgent
             one would be.
         admitted_s: Times of the newest requests that were admitted while their number was bounded.
@@ -68,6 +69,7 @@
         "random",
         "rate_per_s",
         "updated_s",
+        "window_requests",
     )
 
     def __init__(self, random, now_s, bound=None):
@@ -77,6 +79,7 @@
         self.rate_per_s = 0.0
         self.capacity = 1.0
         self.probability = None
+        self.window_requests = None
         self.less_urgent_share = 1.0
         self.admitted_s = deque()
         # Buckets of several routers must not all fill at the same moment.
@@ -105,10 +108,15 @@
         self.credit = min(self.credit, self.capacity)
         if is_first and plan.starts_full:
             self.credit = self.capacity
+        self.window_requests = plan.window_requests
         self.probability = None
         self.less_urgent_share = 1.0
         if demand_per_s is None:
             return
+        if demand_per_s < plan.low_demand_per_s:
+            self.probability = 1.0
+            self.window_requests = max(LOW_DEMAND_REQUESTS, plan.window_requests)
+            return
         preferred_per_s = demand_per_s if urgent_per_s is None else urgent_per_s
         probability = min(
             1.0, plan.rate_per_s / max(preferred_per_s, plan.min_demand_per_s, MIN_DEMAND_PER_S)
@@ -144,7 +152,7 @@
             self.credit = 0.0
             if self._is_window_full(now_s) or self._draw(draw) >= share * probability:
                 return False
-        if self.plan is not None and self.plan.window_requests is not None:
+        if self.window_requests is not None:
             self.admitted_s.append(now_s)
         return True
 
@@ -153,11 +161,11 @@
 
     def _is_window_full(self, now_s):
         """Return whether this router's part of what the endpoint tolerates is used up."""
-        if self.plan is None or self.plan.window_requests is None:
+        if self.window_requests is None:
             return False
         while self.admitted_s and self.admitted_s[0] <= now_s - self.plan.window_s:
             self.admitted_s.popleft()
-        return len(self.admitted_s) >= self.plan.window_requests
+        return len(self.admitted_s) >= self.window_requests
 
     def retry_after_s(self, now_s):
         """Return when a caller that is refused now should come back, one caller after the other.
--- a/greengagerock/testing/fake_reporting_endpoint.py
+++ b/greengagerock/testing/fake_reporting_endpoint.py
@@ -26,6 +26,8 @@
         limit_per_s: Requests per second that it says it takes, or ``None``.
         arrivals: Tuples of time and router, for each request that reached it.
         notified_routers: Time at which each router first got a response that names the limit.
+        cold_until_s: Until when it is cold, as it says in its reports.
+        cold_reported_s: When it first reported the present cold phase, or ``None``.
     """
 
     def __init__(self, name, number, service="till", zone="zone-1", started_ms=1000):
@@ -47,6 +49,8 @@
         self.limit_per_s = None
         self.arrivals = []
         self.notified_routers = {}
+        self.cold_until_s = 0.0
+        self.cold_reported_s = None
         self._busy_until_s = [0.0] * SLOTS_PER_ENDPOINT
 
     def enqueue_request(self, now_s):
@@ -84,9 +88,16 @@
         counts = [sum(u - window_s < t <= u for t in times) for u in times if u >= since_s]
         return max(counts, default=0) - (1.5 * self.limit_per_s * window_s + 5)
 
-    def report(self):
+    def become_cold(self, until_s):
+        """Be cold until a time; nobody knows before the next report."""
+        self.cold_until_s = until_s
+        self.cold_reported_s = None
+
+    def report(self, now_s=0.0):
         """Return the endpoint's next report."""
         self.sequence += 1
+        if self.cold_until_s > now_s and self.cold_reported_s is None:
+            self.cold_reported_s = now_s
         return EndpointReport(
             self.name,
             self.started_ms,
@@ -96,7 +107,7 @@
             self.zone,
             SLOTS_PER_ENDPOINT,
             self.draining,
-            0.0,
+            max(0.0, self.cold_until_s - now_s),
             tuple(
                 HeldRange(u * KEYS_PER_UNIT, u * KEYS_PER_UNIT + KEYS_PER_UNIT - 1, fence)
                 for u, (fence, _) in self.holds.items()
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -187,7 +187,7 @@
             if host.disk is not None
             and (endpoint.reachable_controllers is None or name in endpoint.reachable_controllers)
         ]
-        report = endpoint.report()
+        report = endpoint.report(self.now_s)
         sent_s = self.now_s
         if not names:
             self.at(REPORT_INTERVAL_S, lambda: self._report(endpoint))
@@ -452,7 +452,13 @@
 
 
 def build_fake_site(
-    seed=1, controllers=3, routers=2, reporting_endpoints=6, hold_s=6.0, **options
+    seed=1,
+    controllers=3,
+    routers=2,
+    reporting_endpoints=6,
+    hold_s=6.0,
+    first_patch=None,
+    **options,
 ):
     """Return a settled site with a keyed service, an unkeyed one, and routes to both."""
     site = FakeSite(seed, hold_s=hold_s, **options)
@@ -464,7 +470,7 @@
         zone = f"zone-{(number - 1) % controllers + 1}"
         site.add_site_host(f"edge-{number}", zone, seeds, role="router")
     site.run_for(2.0)
-    result = site.patch_until_replied(build_first_patch())
+    result = site.patch_until_replied(first_patch or build_first_patch())
     assert result.code == "", result
     for number in range(1, reporting_endpoints + 1):
         site.add_reporting_endpoint(FakeReportingEndpoint(f"till-{number}", number))
--- a/greengagerock/testing/item_builders.py
+++ b/greengagerock/testing/item_builders.py
@@ -32,9 +32,10 @@
     )
 
 
-def build_service(name="till", version=1, keyed=True):
+def build_service(name="till", version=1, keyed=True, warm_up=None):
     """Return a service with or without keys."""
-    return ServiceItem(name, version, "/health", 100, KeyedRules(2.0) if keyed else None)
+    rules = KeyedRules(2.0) if keyed else None
+    return ServiceItem(name, version, "/health", 100, rules, warm_up=warm_up)
 
 
 def build_limits(version=1):
@@ -42,7 +43,7 @@
     return CallerLimits(version, 16_384, 1_048_576, 3.0, 15.0)
 
 
-def build_first_patch():
+def build_first_patch(warm_up=None):
     """Return a patch with a keyed service, an unkeyed service, and routes to both."""
     return Patch(
         routes=(
@@ -50,7 +51,10 @@
             build_route("charge", kind="unsafe"),
             build_route("prices", weighted_services=(("docs", 1),)),
         ),
-        services=(build_service(), build_service("docs", keyed=False)),
+        services=(
+            build_service(warm_up=warm_up),
+            build_service("docs", keyed=False, warm_up=warm_up),
+        ),
         limits=build_limits(),
     )
 
