--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -4,6 +4,7 @@
 from greengagerock.control.limit_shares import LimitShares
 from greengagerock.control.load_digest import LoadDigest
 from greengagerock.control.relay_directory import RelayDirectory
+from greengagerock.control.response_rates import ResponseRates
 from greengagerock.control.response_times import ResponseTimes
 from greengagerock.core import GreengageError
 from greengagerock.view import (
@@ -57,6 +58,7 @@
         response_times: The ``ResponseTimes`` over all routers.
         confirmations: The ``Confirmations`` of item changes.
         limit_shares: The ``LimitShares`` of this term.
+        response_rates: The ``ResponseRates`` of this term.
         relay_directory: The ``RelayDirectory`` of this term.
         load_digest: The ``LoadDigest`` of this term.
         subscribers: A ``Subscriber`` by link address.
@@ -85,7 +87,8 @@
         self.packed_endpoints = PackedDeltaCache(self.endpoints_history)
         self.confirmations = Confirmations(self.timers.now_s)
         self.response_times = ResponseTimes(self.voter.term)
-        self.limit_shares = LimitShares(self.timers.now_s)
+        self.limit_shares = LimitShares(self.timers.now_s, self.voter.term)
+        self.response_rates = ResponseRates(self.timers.now_s)
         self.relay_directory = RelayDirectory(lambda: len(self.endpoints_history.endpoints))
         self.load_digest = LoadDigest(self.voter.term)
         self.subscribers = {}
@@ -100,6 +103,8 @@
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
         self.subscribers[address] = Subscriber(poll, self.timers.now_s)
         has_new_limits = self.limit_shares.on_reports(address, poll.limits, self.timers.now_s)
+        self.limit_shares.cold.on_reports(address, poll.cold_requests, self.timers.now_s)
+        self.response_rates.add(poll.response_times)
         has_new_relays = self.relay_directory.note(address, poll.relay_address, poll.unreachable)
         if has_new_limits or has_new_relays:
             self.schedule_push()
@@ -197,18 +202,21 @@
             since = max(since, sent_revision)
         self.subscribers[address].sent_revision = self.endpoints_history.revision
         relays = self.relay_directory.relays_for(address)
+        router_count, now_s = len(self.subscribers), self.timers.now_s
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
             self.packed_endpoints.since(poll.epoch, since),
             self.controllers,
-            len(self.subscribers),
+            router_count,
             tuple(self.bans),
             self.response_times.packed
             if poll.response_times_number != self.response_times.number
             else None,
-            self.limit_shares.shares_for(address, len(self.subscribers), self.timers.now_s),
+            self.limit_shares.shares_for(address, router_count, now_s),
             relays if digest_relays(relays) != poll.relays_digest else None,
             loads,
+            self.limit_shares.cold_shares_for(address, router_count, poll.cold_number, now_s),
+            self.limit_shares.cold.number,
         )
         self.outbox.send(address, delta)
 
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -192,6 +192,8 @@
             settings.zone_preference,
             settings.relay,
             settings.evacuate_s,
+            settings.warm_up.rate_factor,
+            settings.warm_up.rate_slack,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/items/__init__.py
+++ b/greengagerock/items/__init__.py
@@ -2,6 +2,7 @@
 
 from greengagerock.items.item import (
     CallerLimits,
+    EndpointWarmUp,
     EvacuationOrder,
     Items,
     KeyedRules,
@@ -18,6 +19,7 @@
 __all__ = [
     "CallerLimits",
     "EvacuationOrder",
+    "EndpointWarmUp",
     "ItemStore",
     "Items",
     "KeyedRules",
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -29,6 +29,9 @@
         relay_address: Where a router takes requests of other routers, or empty.
         evacuate_s: Time from an acknowledged order until no request reaches an endpoint of an
             evacuated zone.
+        warm_up_rate_factor: Multiple of a service's warm-up rate that a cold endpoint may get in
+            any one second from all routers.
+        warm_up_rate_slack: Number of requests that it may get in addition.
     """
 
     host: str
@@ -47,3 +50,5 @@
     zone_preference: float = DEFAULT_ZONE_PREFERENCE
     relay_address: str = ""
     evacuate_s: float = DEFAULT_EVACUATE_S
+    warm_up_rate_factor: float = 1.5
+    warm_up_rate_slack: float = 8.0
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -9,6 +9,7 @@
     "endpoint-refused": 0.25,
     "endpoint-limited": 0.5,
     "zone-evacuated": 1.0,
+    "endpoint-cold": 1.0,
     "no-room": 0.35,
     "connect-failed": 0.3,
     "caller-gone": 0.3,
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -26,6 +26,18 @@
     window_s: Seconds = 10.0
 
 
+class WarmUpSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How many requests a cold endpoint may get in any one second, over all hosts.
+
+    Attributes:
+        rate_factor: Multiple of the rate that the service's item gives.
+        rate_slack: Number of requests allowed in addition.
+    """
+
+    rate_factor: Annotated[float, Meta(ge=0, le=100)] = 1.5
+    rate_slack: Annotated[float, Meta(ge=0)] = 8.0
+
+
 class SiteSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The settings of one daemon in a site.
 
@@ -55,6 +67,7 @@
         evacuate_s: Time from an acknowledged order until no request reaches an endpoint of an
             evacuated availability zone.
         retries: Limits on retries.
+        warm_up: Limits on requests to cold endpoints.
         limits: Limits of the HTTP servers and client.
         log: Settings of the log.
     """
@@ -79,6 +92,7 @@
     zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
     evacuate_s: Seconds = DEFAULT_EVACUATE_S
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
+    warm_up: WarmUpSettings = msgspec.field(default_factory=WarmUpSettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -156,6 +156,8 @@
             routers may have found the leader yet.
         demand_per_s: Requests per second that all routers have for the endpoint, or ``None`` if
             not all routers may have found the leader yet.
+        left_s: Time for which the endpoint stays cold, 0 if it is warm, or ``None`` if it names
+            the limit itself.
     """
 
     endpoint: str
@@ -164,6 +166,7 @@
     limit_per_s: float | None
     share: float | None
     demand_per_s: float | None
+    left_s: float | None = None
 
 
 class ViewPoll(msgspec.Struct, frozen=True, tag="view-poll", omit_defaults=True):
@@ -183,6 +186,8 @@
         relays_digest: Digest of the addresses of the relays that the router has.
         protocol: ``PROTOCOL_VERSION`` of the router, 0 for builds that do not send it.
         loads: Packed loads of endpoints that responded since the last poll, or ``None``.
+        cold_requests: Requests for cold endpoints since the last poll, by endpoint name.
+        cold_number: Number up to which the router has the leader's changes of cold endpoints.
     """
 
     items_revision: int
@@ -197,6 +202,8 @@
     relays_digest: int = 0
     protocol: int = 0
     loads: bytes | None = None
+    cold_requests: dict[str, LimitReport] = {}
+    cold_number: int = 0
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta", omit_defaults=True):
@@ -215,6 +222,8 @@
         relays: Addresses of other routers that forward requests of this one, or ``None`` if the
             router has the newest ones.
         loads: Packed loads of the busiest endpoints, or ``None`` if none is busy.
+        cold_limits: Changes of the limits of cold endpoints since the router's ``cold_number``.
+        cold_number: Number of the newest of these changes, or 0 from an older build.
     """
 
     items: bytes | None
@@ -226,6 +235,8 @@
     limits: tuple[LimitShare, ...] = ()
     relays: tuple[str, ...] | None = None
     loads: bytes | None = None
+    cold_limits: tuple[LimitShare, ...] = ()
+    cold_number: int = 0
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
--- a/greengagerock/view/replica.py
+++ b/greengagerock/view/replica.py
@@ -24,6 +24,7 @@
         relay_address: ``IP:PORT`` where this router takes requests of others, or empty.
         unreachable_count: Number of endpoints that this router cannot reach itself.
         evacuated_zones: Availability zones whose endpoints get nothing new.
+        cold_number: Number up to which the leader's changes of cold endpoints were applied.
     """
 
     def __init__(self):
@@ -42,13 +43,14 @@
         self.relay_address = ""
         self.unreachable_count = 0
         self.evacuated_zones = frozenset()
+        self.cold_number = 0
 
     @property
     def has_configuration(self):
         """Whether the configuration has been received."""
         return self.items_revision > 0
 
-    def poll(self, response_times, demand, limits=None, loads=None):
+    def poll(self, response_times, demand, limits=None, loads=None, cold_requests=None):
         """Return the message that requests the missing changes.
 
         Args:
@@ -57,6 +59,7 @@
             demand: Number of requests since the last poll, by service and block of keys.
             limits: ``LimitReport`` objects by endpoint name.
             loads: Packed loads of endpoints that responded since the last poll.
+            cold_requests: ``LimitReport`` objects of requests for cold endpoints, by name.
         """
         return ViewPoll(
             self.items_revision,
@@ -71,6 +74,8 @@
             digest_relays(self.relays),
             protocol=PROTOCOL_VERSION,
             loads=loads,
+            cold_requests=cold_requests or {},
+            cold_number=self.cold_number,
         )
 
     def shared_mean_s(self, endpoint):
