Evacuation of two of three zones: responses stay within 4 KiB

With 84 endpoints a response had up to 173 rows, above the 140 that fit; the new test, with 12 endpoints, saw 150. Targets without room for a further row now get only keys next to those that they hold, and rows of reserved keys count.

--- a/greengagerock/assignment/zone_handover.py
+++ b/greengagerock/assignment/zone_handover.py
@@ -148,16 +148,36 @@
         for units, rate in stripes:
             if count >= quota:
                 break
-            count += len(units)
             target = min(targets, key=HandoverTarget.level)
+            if target.rows < self.max_rows:
+                target.rows += 1
+            else:
+                # A stripe next to keys that the target holds needs no row of its own.
+                target = self._neighbour_of(units)
+                if target is None:
+                    continue
+            count += len(units)
             target.units += len(units)
-            target.rows += 1
             target.rate += rate
             units_by_target.setdefault(target.instance, []).extend(units)
             for unit in units:
                 self.settling_until_s[unit] = now_s + SETTLING_S
         return list(units_by_target.items())
 
+    def _neighbour_of(self, units):
+        """Return the emptiest target that holds keys next to a stripe, or ``None``."""
+        holders = [self._holder_of(unit) for unit in (units[0] - 1, units[-1] + 1)]
+        targets = [self.targets[holder] for holder in holders if holder in self.targets]
+        return min(targets, key=HandoverTarget.level, default=None)
+
+    def _holder_of(self, unit):
+        """Return the instance that holds a unit or that it is reserved for, or ``None``."""
+        reservation = self.assignments.free_units.reserved.get(unit)
+        if reservation is not None:
+            return reservation.target
+        owners = self.assignments.owners
+        return owners[unit] if 0 <= unit < len(owners) else None
+
     def _next_targets(self, now_s):
         """Return the targets that report next, and whether they do so within the window."""
         shortest_s, longest_s = self.handover_due_s
@@ -201,22 +221,21 @@
         assignments = self.assignments
         self.targets_s = now_s
         reserved = assignments.free_units.reserved
-        unit_counts = {i: len(assignments.held.get(i, ())) for i in available}
+        reserved_counts = dict.fromkeys(available, 0)
         for reservation in reserved.values():
-            if reservation.target in unit_counts:
-                unit_counts[reservation.target] += 1
+            if reservation.target in reserved_counts:
+                reserved_counts[reservation.target] += 1
         rates = dict.fromkeys(available, 0.0)
         for unit, rate in self._unit_rates(range(len(assignments.owners))).items():
-            owner = reserved[unit].target if unit in reserved else assignments.owners[unit]
-            if rate and owner in rates:
-                rates[owner] += rate
+            if rate and self._holder_of(unit) in rates:
+                rates[self._holder_of(unit)] += rate
         fair_counts = desired_counts(available, lambda i: assignments.weights.weight(i.name))
         total_rate = sum(rates.values())
         self.targets = {
             i: HandoverTarget(
                 i,
-                unit_counts[i],
-                assignments.count_rows(i),
+                len(assignments.held.get(i, ())) + reserved_counts[i],
+                assignments.count_rows(i) + -(-reserved_counts[i] // assignments.stripe_units),
                 rates[i],
                 fair_counts[i],
                 total_rate * fair_counts[i] / len(assignments.owners),
--- a/greengagerock/node/tests/test_evacuations.py
+++ b/greengagerock/node/tests/test_evacuations.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from greengagerock.assignment.key_assignments import MAX_ROWS
 from greengagerock.control import protocol_versions
 from greengagerock.control.relay_messages import EvacuationRelay
 from greengagerock.core.interface import MessageReceived, PatchArrived, SendMessage
@@ -223,3 +224,19 @@
     site.run_for(KEYS_LEFT_S)
     # 683 stripes change their holder twice, at four bytes each; the rest is for names.
     assert sum(sizes) < 8_000
+
+
+def test_two_of_three_zones_leave_without_overlong_responses():
+    """Guards against responses of more rows than 4 KiB hold, and keys that stay because of it."""
+    site = build_zoned_site(3, till_zones=(1, 2, 3) * 4)
+    leader = site.hosts[find_leader_name(site)].node.site_leader
+    assignments = leader.assignments_by_service["till"]
+    loads = [EvacuationLoad(site, zone) for zone in ("zone-1", "zone-2")]
+    ordered_s = site.now_s
+    for load in loads:
+        order(site, load.zone)
+    while site.now_s < ordered_s + KEYS_LEFT_S:
+        site.run_for(0.1)
+        rows = [assignments.count_rows(i) for i in leader.directory.of_service("till")]
+        assert max(rows) <= MAX_ROWS
+    assert [load.held_units() for load in loads] == [0, 0]
