--- a/greengagerock/testing/dispatcher_harness.py
+++ b/greengagerock/testing/dispatcher_harness.py
@@ -11,6 +11,7 @@
     WatchCaller,
 )
 from greengagerock.routing.dispatcher import Dispatcher
+from greengagerock.routing.relayed_calls import RelayedCalls
 from greengagerock.routing.retry_budget import SharedRetryBudget
 from greengagerock.testing.item_builders import build_first_patch
 from greengagerock.view import (
@@ -81,6 +82,25 @@
         self.watched_tokens += [e.token for e in drained if isinstance(e, WatchCaller)]
         return [e for e in drained if not isinstance(e, LogEvent | WatchCaller)]
 
+    def build_relayed_calls(self):
+        """Return the ``RelayedCalls`` of the same router."""
+        dispatcher = self.dispatcher
+        return RelayedCalls(
+            self.replica,
+            dispatcher.paths,
+            dispatcher.observations,
+            dispatcher.notices,
+            dispatcher.notice_handler,
+            dispatcher.stats,
+            self.timers,
+            self.outbox,
+            dispatcher.zone_evacuations,
+        )
+
+    def advance(self, seconds):
+        """Advance the time."""
+        self.timers.advance(self.timers.now_s + seconds)
+
     def remove_holder(self):
         """Remove the holder of all keys."""
         _, units = self.replica.apply_endpoints(
--- a/greengagerock/testing/evacuation_load.py
+++ b/greengagerock/testing/evacuation_load.py
@@ -1,6 +1,6 @@
 """Load on a simulated site one of whose availability zones is evacuated."""
 
-from greengagerock.core.interface import RespondWithError
+from greengagerock.core.interface import MessageReceived, RespondWithError
 from greengagerock.items import EvacuationOrder, Patch
 from greengagerock.testing.fake_reporting_endpoint import FakeReportingEndpoint
 from greengagerock.testing.fake_site import build_fake_site
@@ -21,21 +21,18 @@
         seed: Seed of the site.
         routers: Number of routers.
         till_zones: Number of the zone of each endpoint of the keyed service ``till``; the service
-            ``docs`` without keys has one endpoint in each of these zones.
+            ``docs`` without keys has endpoints in the same zones and in zone 1.
         **options: Options of ``FakeSite``.
     """
     site = build_fake_site(seed, routers=routers, reporting_endpoints=0, **options)
-    for name in ("docs-1", "docs-2"):
-        site.reporting_endpoints[name].is_up = False
     for number, zone in enumerate(till_zones, 1):
         endpoint = FakeReportingEndpoint(f"till-{number}", number, zone=f"zone-{zone}")
         site.add_reporting_endpoint(endpoint)
-    for zone in sorted(set(till_zones)):
+    for zone in sorted({*till_zones} - {1}):
         name = f"docs-z{zone}"
         endpoint = FakeReportingEndpoint(name, 200 + zone, "docs", f"zone-{zone}")
         site.add_reporting_endpoint(endpoint)
-    # The first endpoints of ``docs`` are silent and are forgotten after 20 s.
-    site.run_for(22.0)
+    site.run_for(6.0)
     return site
 
 
@@ -61,6 +58,20 @@
     raise AssertionError("the order was not acknowledged")
 
 
+def watch_view_sizes(site, router):
+    """Return a list to which the size of each delta of endpoints that a router gets is added."""
+    node = site.hosts[router].node
+    handle, sizes = node.handle, []
+
+    def watch(event, now_s):
+        if isinstance(event, MessageReceived) and event.message.endpoints:
+            sizes.append(len(event.message.endpoints))
+        return handle(event, now_s)
+
+    node.handle = watch
+    return sizes
+
+
 class EvacuationLoad:
     """Callers at all routers of a site, and a check of which endpoints their requests reach.
 
