Evacuation: a new leader keeps orders until it has heard the hosts

It refused them with not-ready for 0.8 s, and an operator who waits a second before the next attempt lost that time too.

--- a/greengagerock/control/evacuations.py
+++ b/greengagerock/control/evacuations.py
@@ -4,6 +4,7 @@
 from greengagerock.control.relay_messages import RelayReply
 from greengagerock.core.protocol import PROTOCOL_VERSION
 from greengagerock.items import PatchResult
+from greengagerock.items.store import encode_patch
 
 
 class Evacuations:
@@ -16,6 +17,7 @@
         voter: The local voter.
         store: The ``ItemStore``, whose items hold the evacuations.
         router_updater: The ``RouterUpdater``.
+        proposals: The ``PendingProposals``.
         timers: The timer service.
         outbox: Receives effects.
 
@@ -28,6 +30,7 @@
     __slots__ = (
         "moving_since_s",
         "outbox",
+        "proposals",
         "router_updater",
         "store",
         "timers",
@@ -35,10 +38,11 @@
         "voter",
     )
 
-    def __init__(self, voter, store, router_updater, timers, outbox):
+    def __init__(self, voter, store, router_updater, proposals, timers, outbox):
         self.voter = voter
         self.store = store
         self.router_updater = router_updater
+        self.proposals = proposals
         self.timers = timers
         self.outbox = outbox
         self.versions = ProtocolVersions(voter.identity, PROTOCOL_VERSION)
@@ -58,24 +62,30 @@
         """Return whether an ``EndpointInstance`` is in an evacuated zone."""
         return instance.report.zone in self.store.items.evacuations
 
-    def admit(self, relay, reply):
-        """Refuse orders that not all hosts support.
+    def process(self, relay, reply):
+        """Propose orders, or refuse them if not all hosts support them.
+
+        Early in a term, that is known only after a moment. The orders wait for it, since their
+        sender would lose more time by trying again.
 
         Args:
             relay: The ``EvacuationRelay``.
-            reply: Called with a ``RelayReply`` if the orders are refused.
-
-        Returns:
-            The callable that receives the ``RelayReply`` to admitted orders, or ``None`` if they
-            were refused.
+            reply: Called with a ``RelayReply``, immediately or later.
         """
+        if not self.router_updater.is_active():
+            reply(RelayReply(relay.token))
+            return
+        wait_s = self.versions.hearing_left_s(self.timers.now_s)
+        if wait_s > 0.0:
+            self.timers.subscribe(wait_s, lambda: self.process(relay, reply))
+            return
         zones = ",".join(order.zone for order in relay.patch.evacuations)
         version = self.common_protocol()
         if version < PROTOCOL_VERSION:
             detail = f"a host supports version {version} of messages, {PROTOCOL_VERSION} is needed"
             self.outbox.log("evacuation-refused", zones=zones, code="not-ready", detail=detail)
             reply(RelayReply(relay.token, result=PatchResult("not-ready", detail)))
-            return None
+            return
         arrived_s = self.timers.now_s
 
         def acknowledge(message):
@@ -88,7 +98,7 @@
             )
             reply(message)
 
-        return acknowledge
+        self.proposals.propose(encode_patch(relay.patch), acknowledge, RelayReply(relay.token))
 
     def note_progress(self, service, assignments, instances):
         """Log when a service's keys begin to leave evacuated zones, and when all have left.
--- a/greengagerock/control/protocol_versions.py
+++ b/greengagerock/control/protocol_versions.py
@@ -43,6 +43,10 @@
         """Record the version in a controller's hello."""
         self.by_identity[identity] = version
 
+    def hearing_left_s(self, now_s):
+        """Return for how long some hosts may not have been heard yet in this term, in seconds."""
+        return max(0.0, self.began_s + HEARING_WINDOW_S - now_s)
+
     def lowest(self, voters, router_versions, now_s):
         """Return the lowest version, 0 while some hosts may not have been heard yet.
 
@@ -51,7 +55,7 @@
             router_versions: Versions of the routers that poll.
             now_s: Monotonic time in seconds.
         """
-        if now_s - self.began_s < HEARING_WINDOW_S:
+        if self.hearing_left_s(now_s):
             return 0
         heard = [self.by_identity[voter] for voter in voters if voter in self.by_identity]
         return min((*heard, *router_versions))
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -73,7 +73,9 @@
         )
         self.crash_counter = CrashCounter()
         self.proposals = PendingProposals(voter, outbox)
-        self.evacuations = Evacuations(voter, store, self.router_updater, timers, outbox)
+        self.evacuations = Evacuations(
+            voter, store, self.router_updater, self.proposals, timers, outbox
+        )
         store.on_patch_result = self._on_patch_result
         store.on_leave = self._on_leave_committed
         self._reset()
@@ -130,10 +132,8 @@
                     reply(RelayReply(token, report=response))
             case PatchRelay(token, patch):
                 self.proposals.propose(encode_patch(patch), reply, RelayReply(token))
-            case EvacuationRelay(token, patch):
-                acknowledge = self.evacuations.admit(request, reply)
-                if acknowledge:
-                    self.proposals.propose(encode_patch(patch), acknowledge, RelayReply(token))
+            case EvacuationRelay():
+                self.evacuations.process(request, reply)
             case ItemsRelay(token):
                 reply(RelayReply(token, items=self.store.items))
 
