--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -14,11 +14,11 @@
 )
 from greengagerock.assignment.endpoint_weights import EndpointWeights
 from greengagerock.assignment.free_units import FreeUnits
-from greengagerock.assignment.grant_rows import build_rows
 from greengagerock.assignment.hot_units import HotUnitPlanner
 from greengagerock.assignment.units import (
     UNIT_COUNT,
     fences_by_unit,
+    grant_rows,
     stripe_width,
     tokens_by_unit,
 )
@@ -350,7 +350,6 @@
 
     def _release_evacuated(self, instance, instances, now_s):
         """Release a batch of the keys of an endpoint in an evacuated zone."""
-        self.hot_units.pop_due_chunks(instance)
         self.planned_moves.pop(instance, None)
         available = self._available(instances, now_s)
         for target, units in self.zone_handover.next_batch(instance, available, now_s):
@@ -458,4 +457,4 @@
         ]
 
     def _rows(self, instance):
-        return build_rows(self.held.get(instance, ()), self.fences, self.handover_tokens)
+        return grant_rows(self.held.get(instance, ()), self.fences, self.handover_tokens)
