--- a/greengagerock/cli/tests/test_explain.py
+++ b/greengagerock/cli/tests/test_explain.py
@@ -22,6 +22,20 @@
     assert [line.event for line in context_lines] == ["endpoint-leaving"]
 
 
+def test_load_that_was_believed_of_an_endpoint_is_shown():
+    """Without it nobody can say later why a call of one kind was refused."""
+    belief = "running 2, waiting 9, sent since 1, 2 slots, 160 ms of work, 340 ms ago"
+    texts = (
+        f'time=10:00:01.000 event=call-waits host=edge-1 request_id=r1 detail="{belief}"',
+        "time=10:00:02.000 event=bad-load host=edge-1 endpoint=i-1 detail=-1,0,2",
+        f'time=10:00:02.100 event=request-failed host=edge-1 request_id=r1 detail="{belief}"',
+    )
+    lines = [read_log_line(text) for text in texts]
+    request_lines, context_lines = explain_request("r1", lines)
+    assert [line.fields["detail"] for line in request_lines] == [belief, belief]
+    assert [line.event for line in context_lines] == ["bad-load"]
+
+
 def test_unknown_request_is_an_error():
     with pytest.raises(GreengageError):
         explain_request("r9", [])
--- a/greengagerock/routing/endpoint_loads.py
+++ b/greengagerock/routing/endpoint_loads.py
@@ -87,11 +87,13 @@
         pace: How long work took, relative to the usual time.
         observed_s: When it stated the load; infinitely long ago if it has not.
         is_reportable: Whether it was stated to this router and not reported to the leader yet.
+        had_free_slot: Whether it was stated to this router and a slot was free.
         is_malformed: Whether it has stated a load that cannot be read.
         sent_times_s: When this router sent its newest requests to the endpoint.
     """
 
     __slots__ = (
+        "had_free_slot",
         "is_malformed",
         "is_reportable",
         "observed_s",
@@ -109,6 +111,7 @@
         self.pace = 1.0
         self.observed_s = float("-inf")
         self.is_reportable = False
+        self.had_free_slot = False
         self.is_malformed = False
         self.sent_times_s = deque(maxlen=MAX_SENT_TIMES)
 
@@ -158,6 +161,7 @@
         if stated is not None:
             stated.update(load, now_s)
             stated.is_reportable = True
+            stated.had_free_slot = not load.waiting and load.running < load.slots
 
     def note_malformed(self, endpoint, started_ms):
         """Record an unreadable load; return whether it is the first one of the instance."""
@@ -174,12 +178,12 @@
             stated.sent_times_s.append(now_s)
 
     def note_response(self, endpoint, service, response_s):
-        """Learn how long work takes from a response at whose end no request waited.
+        """Learn how long work takes from a response at whose end a slot was free.
 
         Such a request can hardly have waited itself, since requests run in order of arrival.
         """
         stated = self.by_endpoint.get(endpoint)
-        if stated is None or not stated.is_reportable or stated.waiting:
+        if stated is None or not stated.had_free_slot:
             return
         work_s = min(max(response_s / stated.pace, MIN_WORK_S), MAX_WORK_S)
         mean_s = self.work_s_by_service.get(service, work_s)
@@ -204,7 +208,7 @@
             observed_s = now_s - report.age_ms / 1000
             if stated is not None and observed_s > stated.observed_s:
                 stated.update(report, observed_s)
-                stated.is_reportable = False
+                stated.is_reportable = stated.had_free_slot = False
 
     def collect(self, now_s):
         """Return ``LoadReport`` objects by endpoint for the leader: the busiest new values."""
--- a/greengagerock/routing/tests/test_endpoint_loads.py
+++ b/greengagerock/routing/tests/test_endpoint_loads.py
@@ -94,7 +94,7 @@
 def test_work_time_is_learnt_from_requests_that_did_not_wait():
     """Means that include waits would count the queue twice."""
     loads = EndpointLoads()
-    for response_s, waiting in ((0.2, 0), (3.0, 9)):
-        loads.note("e1", 1000, LoadNotice(2, waiting, 2, 200), 5.0)
+    for response_s, running, waiting in ((0.2, 1, 0), (3.0, 2, 9), (1.0, 2, 0)):
+        loads.note("e1", 1000, LoadNotice(running, waiting, 2, 200), 5.0)
         loads.note_response("e1", "docs", response_s)
     assert loads.work_s_by_service == {"docs": 0.1}
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -164,6 +164,7 @@
         yield from self._link_turns()
         yield from self._limits()
         yield from self._paths()
+        yield from self._loads()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
@@ -204,6 +205,31 @@
                 value=dispatcher.paths.relays.sent_count,
             )
 
+    def _loads(self):
+        """Yield what a router knows of the load of endpoints, and what it holds back for it."""
+        dispatcher = getattr(self.node, "dispatcher", None)
+        if dispatcher is None:
+            return
+        admission = dispatcher.sender.admission
+        ages_s = dispatcher.observations.loads.ages_s(self.node.timers.now_s)
+        for name, description, value in (
+            ("known_loads", "Endpoints whose load is known.", len(ages_s)),
+            ("load_age_seconds", "Mean age of known loads.", sum(ages_s) / max(1, len(ages_s))),
+            ("waiting_calls", "Calls that wait for a free slot.", len(admission.waiting)),
+        ):
+            yield GaugeMetricFamily(f"greengage_{name}", description, value=value)
+        for name, description, value in (
+            ("waits", "Calls that have waited for a free slot.", admission.wait_count),
+            ("wait_seconds", "Time that calls have waited.", admission.wait_sum_s),
+        ):
+            yield CounterMetricFamily(f"greengage_{name}", description, value=value)
+        refusals = CounterMetricFamily(
+            "greengage_load_refusals", "Calls refused for load, by cause.", labels=["cause"]
+        )
+        for cause, count in list(admission.refusals.items()):
+            refusals.add_metric([cause], count)
+        yield refusals
+
 
 def collect_link_metrics(stats):
     """Yield metric families of the ``LinkStats`` of a host."""
