Work times from the shorter responses

Waits and full links make responses longer than the work. A plain mean took that for work, so waits at endpoints were overestimated and calls refused that could be in time. Shorter response times now count five times as much.

--- a/greengagerock/routing/endpoint_loads.py
+++ b/greengagerock/routing/endpoint_loads.py
@@ -21,8 +21,10 @@
 MAX_COLLECTED = 32
 # Number of the newest requests of this router to one endpoint whose times are kept.
 MAX_SENT_TIMES = 16
-# Weight of the newest response in the mean work time of a service.
-NEWEST_WORK_WEIGHT = 0.1
+# Weight of the newest response in the work time of a service if it is shorter, and if it is longer.
+# Waits and full links make responses longer than the work, never shorter.
+SHORTER_WORK_WEIGHT = 0.1
+LONGER_WORK_WEIGHT = 0.02
 # Work times outside this range are not used: a response without any delay, or a faulty pace.
 MIN_WORK_S = 0.001
 MAX_WORK_S = 60.0
@@ -130,7 +132,7 @@
 
     Attributes:
         by_endpoint: ``StatedLoad`` objects by endpoint name.
-        work_s_by_service: Mean time for which a request occupies a slot at the usual pace.
+        work_s_by_service: Time for which a request occupies a slot at the usual pace, in seconds.
         last_number: Number of the newest ``EndpointLoadReports``.
 
     Examples:
@@ -180,14 +182,16 @@
     def note_response(self, endpoint, service, response_s):
         """Learn how long work takes from a response at whose end a slot was free.
 
-        Such a request can hardly have waited itself, since requests run in order of arrival.
+        Such a request can hardly have waited itself, since requests run in order of arrival. Short
+        response times count more, so that a full link is not taken for work.
         """
         stated = self.by_endpoint.get(endpoint)
         if stated is None or not stated.had_free_slot:
             return
         work_s = min(max(response_s / stated.pace, MIN_WORK_S), MAX_WORK_S)
-        mean_s = self.work_s_by_service.get(service, work_s)
-        self.work_s_by_service[service] = mean_s + NEWEST_WORK_WEIGHT * (work_s - mean_s)
+        known_s = self.work_s_by_service.get(service, work_s)
+        weight = SHORTER_WORK_WEIGHT if work_s < known_s else LONGER_WORK_WEIGHT
+        self.work_s_by_service[service] = known_s + weight * (work_s - known_s)
 
     def forget(self, endpoint):
         """Drop the load of an endpoint that has ended."""
--- a/greengagerock/routing/tests/test_endpoint_loads.py
+++ b/greengagerock/routing/tests/test_endpoint_loads.py
@@ -98,3 +98,12 @@
         loads.note("e1", 1000, LoadNotice(running, waiting, 2, 200), 5.0)
         loads.note_response("e1", "docs", response_s)
     assert loads.work_s_by_service == {"docs": 0.1}
+
+
+def test_full_link_of_the_router_is_not_taken_for_work():
+    """Waits at endpoints would be overestimated, and calls refused that could be in time."""
+    loads = EndpointLoads()
+    for number in range(200):
+        loads.note("e1", 1000, LoadNotice(1, 0, 2, 100), 5.0)
+        loads.note_response("e1", "docs", 0.1 if number % 4 == 0 else 0.5)
+    assert loads.work_s_by_service["docs"] < 0.3
