--- a/greengagerock/routing/endpoint_loads.py
+++ b/greengagerock/routing/endpoint_loads.py
@@ -21,7 +21,7 @@
 MAX_COLLECTED = 32
 # Number of the newest requests of this router to one endpoint whose times are kept.
 MAX_SENT_TIMES = 16
-# Weight of the newest response in the work time of a service if it is shorter, and if it is longer.
+# Weight of the newest response in the work time of a service, if it is shorter and if longer.
 # Waits and full links make responses longer than the work, never shorter.
 SHORTER_WORK_WEIGHT = 0.1
 LONGER_WORK_WEIGHT = 0.02
