Examine waiting calls once for each service or holder of keys

Waiting calls of a service without keys were grouped by the key that their callers sent, so a full queue cost 64 choices of an endpoint each 50 ms. test_full_queue_is_examined_with_one_choice failed before with 20 choices for 20 calls.

--- a/greengagerock/routing/call_admission.py
+++ b/greengagerock/routing/call_admission.py
@@ -35,7 +35,7 @@
     Args:
         observations: The ``EndpointObservations``.
         ranks: Callable that returns the rank of a call's priority in its service.
-        endpoint_count: Callable that returns the number of endpoints that may run a call.
+        replica: The ``ViewReplica``.
         random: Random number generator.
         timers: The timer service.
         outbox: Receives effects.
@@ -57,7 +57,7 @@
         self,
         observations,
         ranks,
-        endpoint_count,
+        replica,
         random,
         timers,
         outbox,
@@ -67,7 +67,7 @@
     ):
         self.observations = observations
         self.ranks = ranks
-        self.endpoint_count = endpoint_count
+        self.replica = replica
         self.random = random
         self.timers = timers
         self.outbox = outbox
@@ -116,6 +116,7 @@
 
     def _view(self, call, rank, now_s):
         ahead = self.waiting.count_ahead(call) if rank and len(self.waiting) else 0
+        endpoint_count = len(self.replica.by_service.get(call.service, ()))
         useful_until_s = min(call.deadline_s, call.event_s + MAX_DECISION_S)
         if call.route.objective_s is not None:
             useful_until_s = min(useful_until_s, call.arrived_s + call.route.objective_s)
@@ -125,7 +126,7 @@
             call.deadline_s,
             rank,
             self.shares.is_due(call.service, call.route.priority),
-            ahead / max(1, self.endpoint_count(call)),
+            ahead / max(1, endpoint_count),
             self.random.random(),
         )
 
@@ -204,15 +205,16 @@
     def _examine(self):
         """Send the waiting calls for which there is room, and refuse those that are too late.
 
-        If the first call for a service, or for a key of it, still has to wait, those after it have
-        to as well.
+        If the first call for a service without keys, or for a holder of keys, still has to wait,
+        those after it have to as well.
         """
         self._timer = None
         blocked = set()
         for call in self.waiting.in_order():
             if call.token not in self.waiting:
                 continue
-            group = (call.service, call.key)
+            holder = "" if call.key is None else self.replica.owner_of(call.service, call.key)
+            group = (call.service, holder)
             if self.waiting.until_s(call.token) <= self.timers.now_s:
                 self._refuse(call, CAUSE_LESS_URGENT, self._latest_retry_s(call))
             elif group not in blocked:
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -81,7 +81,7 @@
         self.admission = CallAdmission(
             observations,
             self._rank_of,
-            lambda call: len(replica.by_service.get(call.service, ())),
+            replica,
             limits.random,
             timers,
             outbox,
--- a/greengagerock/routing/tests/test_call_admission.py
+++ b/greengagerock/routing/tests/test_call_admission.py
@@ -113,6 +113,20 @@
     assert forwarded(harness) == tokens
 
 
+def test_full_queue_is_examined_with_one_choice_of_an_endpoint():
+    """A choice looks at all endpoints; one for each waiting call would occupy the router."""
+    harness = Harness()
+    harness.state_load(FULL)
+    for key in range(20):
+        harness.admission.shares.credits.clear()
+        harness.call(LESS_URGENT, key, 5.0)
+    sent, send = [], harness.admission.send
+    harness.admission.send = lambda call: (sent.append(call.token), send(call))
+    harness.admission.shares.credits.clear()
+    harness.advance(0.05, FULL)
+    assert sent == [1] and len(harness.admission.waiting) == 20
+
+
 def test_caller_that_disconnects_leaves_the_queue():
     harness = Harness()
     harness.state_load(FULL)
