--- a/greengagerock/routing/endpoint_loads.py
+++ b/greengagerock/routing/endpoint_loads.py
@@ -21,8 +21,10 @@
 MAX_COLLECTED = 32
 # Number of the newest requests of this router to one endpoint whose times are kept.
 MAX_SENT_TIMES = 16
-# Weight of the newest response in the mean work time of a service.
-NEWEST_WORK_WEIGHT = 0.1
+# Weight of the newest response in the work time of a service, if it is shorter and if longer.
+# Waits and full links make responses longer than the work, never shorter.
+SHORTER_WORK_WEIGHT = 0.1
+LONGER_WORK_WEIGHT = 0.02
 # Work times outside this range are not used: a response without any delay, or a faulty pace.
 MIN_WORK_S = 0.001
 MAX_WORK_S = 60.0
@@ -87,11 +89,13 @@
         pace: How long work took, relative to the usual time.
         observed_s: When it stated the load; infinitely long ago if it has not.
         is_reportable: Whether it was stated to this router and not reported to the leader yet.
+        had_free_slot: Whether it was stated to this router and a slot was free.
         is_malformed: Whether it has stated a load that cannot be read.
         sent_times_s: When this router sent its newest requests to the endpoint.
     """
 
     __slots__ = (
+        "had_free_slot",
         "is_malformed",
         "is_reportable",
         "observed_s",
@@ -109,6 +113,7 @@
         self.pace = 1.0
         self.observed_s = float("-inf")
         self.is_reportable = False
+        self.had_free_slot = False
         self.is_malformed = False
         self.sent_times_s = deque(maxlen=MAX_SENT_TIMES)
 
@@ -127,7 +132,7 @@
 
     Attributes:
         by_endpoint: ``StatedLoad`` objects by endpoint name.
-        work_s_by_service: Mean time for which a request occupies a slot at the usual pace.
+        work_s_by_service: Time for which a request occupies a slot at the usual pace, in seconds.
         last_number: Number of the newest ``EndpointLoadReports``.
 
     Examples:
@@ -158,6 +163,7 @@
         if stated is not None:
             stated.update(load, now_s)
             stated.is_reportable = True
+            stated.had_free_slot = not load.waiting and load.running < load.slots
 
     def note_malformed(self, endpoint, started_ms):
         """Record an unreadable load; return whether it is the first one of the instance."""
@@ -174,16 +180,18 @@
             stated.sent_times_s.append(now_s)
 
     def note_response(self, endpoint, service, response_s):
-        """Learn how long work takes from a response at whose end no request waited.
+        """Learn how long work takes from a response at whose end a slot was free.
 
-        Such a request can hardly have waited itself, since requests run in order of arrival.
+        Such a request can hardly have waited itself, since requests run in order of arrival. Short
+        response times count more, so that a full link is not taken for work.
         """
         stated = self.by_endpoint.get(endpoint)
-        if stated is None or not stated.is_reportable or stated.waiting:
+        if stated is None or not stated.had_free_slot:
             return
         work_s = min(max(response_s / stated.pace, MIN_WORK_S), MAX_WORK_S)
-        mean_s = self.work_s_by_service.get(service, work_s)
-        self.work_s_by_service[service] = mean_s + NEWEST_WORK_WEIGHT * (work_s - mean_s)
+        known_s = self.work_s_by_service.get(service, work_s)
+        weight = SHORTER_WORK_WEIGHT if work_s < known_s else LONGER_WORK_WEIGHT
+        self.work_s_by_service[service] = known_s + weight * (work_s - known_s)
 
     def forget(self, endpoint):
         """Drop the load of an endpoint that has ended."""
@@ -204,7 +212,7 @@
             observed_s = now_s - report.age_ms / 1000
             if stated is not None and observed_s > stated.observed_s:
                 stated.update(report, observed_s)
-                stated.is_reportable = False
+                stated.is_reportable = stated.had_free_slot = False
 
     def collect(self, now_s):
         """Return ``LoadReport`` objects by endpoint for the leader: the busiest new values."""
