Callers that leave before anything was sent get 503, not-run, with a time to come back

Cause: caller-gone had the status 502, also for a call that waited for a holder or a turn, and with an unknown outcome for an attempt that was cancelled while connecting or that the endpoint had refused. The router of named services answered 504 when the deadline passed before it sent anything.

Change: caller-gone is 503 and used only if the request was not run; caller-gone-unsure is 502 for the others. A deadline that passes before the first attempt is no-room.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -18,6 +18,7 @@
     REASON_REFUSED,
     REASON_RELAY,
     REASON_TIMEOUT,
+    abandoned_result,
 )
 from greengagerock.routing.health import EndpointHealth
 from greengagerock.routing.link_schedule import LinkSchedule
@@ -184,7 +185,7 @@
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
         self.error_responder.log_failed_attempt(call, event, endpoint, relay)
         if call.is_abandoned:
-            self._finish(call, "caller-gone", OUTCOME_UNKNOWN)
+            self._finish(call, *abandoned_result(call, event))
             return
         if event.reason == REASON_REFUSED:
             self._on_refused(call, endpoint, relay)
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -10,6 +10,7 @@
     "endpoint-limited": 0.5,
     "no-room": 0.35,
     "connect-failed": 0.3,
+    "caller-gone": 0.3,
     "no-endpoint": 0.5,
     "not-ready": 0.5,
     "stopping": 0.0,
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -1,5 +1,7 @@
 """Reasons for failed attempts, and whether the request may have run."""
 
+from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+
 # The endpoint refused or reset a new connection.
 REASON_CONNECT = "connect"
 # A new connection was not accepted in time: the endpoint is busy, or the path to it is lost.
@@ -45,3 +47,15 @@
         False
     """
     return event.reason in (REASON_REFUSED, REASON_NOT_OWNER) or not event.has_sent_bytes
+
+
+def abandoned_result(call, event):
+    """Return the error code and the outcome of a call whose caller has disconnected.
+
+    Args:
+        call: The ``Call``.
+        event: The ``AttemptFailed`` event of its last attempt.
+    """
+    if call.may_have_run or not is_certainly_not_run(event):
+        return "caller-gone-unsure", OUTCOME_UNKNOWN
+    return "caller-gone", OUTCOME_NOT_RUN
--- a/greengagerock/routing/router.py
+++ b/greengagerock/routing/router.py
@@ -44,6 +44,7 @@
     {
         "no-owner",
         "no-endpoint",
+        "no-room",
         "no-route-lease",
         "connect-failed",
         "endpoint-refused",
@@ -179,7 +180,8 @@
 
     def _send(self, request):
         if self.timers.now_s >= request.deadline_s:
-            raise GreengageError("deadline-exceeded", "the deadline passed before sending")
+            code = "deadline-exceeded" if request.tried_endpoints else "no-room"
+            raise GreengageError(code, "the deadline passed before sending")
         if request.unit is None:
             endpoint, fence = self._choose(request), 0
         else:
