--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -17,6 +17,7 @@
 # of a single request.
 _STATE_EVENTS = frozenset(
     {
+        "ban-ended",
         "disk-refused",
         "disk-regained",
         "ended",
--- a/greengagerock/routing/connection_losses.py
+++ b/greengagerock/routing/connection_losses.py
@@ -27,6 +27,9 @@
         report: Callable that sends a ``CrashReport`` to the leader.
         may_resend: Callable that returns whether a call may be sent again.
         finish: Callable that responds to a call with an error code and an outcome.
+
+    Attributes:
+        reset_count: Number of connections that endpoints reset.
     """
 
     __slots__ = (
@@ -37,6 +40,7 @@
         "recent_responses",
         "replica",
         "report",
+        "reset_count",
         "sender",
         "timers",
     )
@@ -62,12 +66,14 @@
         self.report = report
         self.may_resend = may_resend
         self.finish = finish
+        self.reset_count = 0
 
     def on_lost(self, call, event, endpoint):
         """Handle the loss of the connection of a request that may have run."""
         call.may_have_run = True
         is_reset = event.reason == REASON_RESET
         if is_reset:
+            self.reset_count += 1
             # An endpoint that is full still works, so other requests do not avoid it.
             self.observations.observation_of(endpoint).note_reset(self.timers.now_s)
         else:
--- a/greengagerock/routing/partition_detector.py
+++ b/greengagerock/routing/partition_detector.py
@@ -117,6 +117,11 @@
             if group in self.lost_by_group:
                 self._end(group)
 
+    def silent_s(self, record):
+        """Return the time since the newest response of an endpoint's groups; may be infinite."""
+        newest_s = max(self._responded_s(group) for group in groups_of(record))
+        return self.timers.now_s - newest_s
+
     def is_presumed_lost(self, record):
         """Return whether a group of an endpoint is lost."""
         return bool(self.lost_by_group) and any(self._is_lost(g) for g in groups_of(record))
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -26,10 +26,14 @@
         timers: The timer service.
         outbox: Receives effects.
         finish: Callable that responds to a call with an error code and an outcome.
+
+    Attributes:
+        late_count: Number of connect timeouts that were taken for signs of load.
     """
 
     __slots__ = (
         "finish",
+        "late_count",
         "notices",
         "observations",
         "outbox",
@@ -48,6 +52,7 @@
         self.timers = timers
         self.outbox = outbox
         self.finish = finish
+        self.late_count = 0
 
     def on_not_connected(self, call, event, endpoint):
         """Handle a failure to connect; return whether the endpoint counts as lost."""
@@ -78,6 +83,14 @@
         A relay would open one more connection to it. So the call goes to another endpoint, or is
         sent there once more if no other may run it.
         """
+        self.late_count += 1
+        self.outbox.log(
+            "connection-late",
+            request_id=call.request_id,
+            endpoint=record.name,
+            waited_ms=round(1000 * (self.timers.now_s - call.sent_s)),
+            group_silent_ms=round(1000 * self.paths.detector.silent_s(record)),
+        )
         self._note_not_delivered(call, record.name)
         has_time = call.deadline_s - self.timers.now_s >= MIN_TIME_LEFT_S
         if not self.sender.is_keyed(call):
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -198,6 +198,21 @@
                 "Endpoints to which the last attempt to connect failed.",
                 value=dispatcher.observations.unreachable_count(),
             )
+            yield GaugeMetricFamily(
+                "greengage_lost_groups",
+                "Services and zones whose endpoints count as lost.",
+                value=len(dispatcher.paths.detector.lost_groups),
+            )
+            yield CounterMetricFamily(
+                "greengage_late_connections",
+                "Connect timeouts of endpoints that count as busy, not as lost.",
+                value=dispatcher.path_failures.late_count,
+            )
+            yield CounterMetricFamily(
+                "greengage_reset_connections",
+                "Connections that endpoints reset before any byte of a response.",
+                value=dispatcher.connection_losses.reset_count,
+            )
             yield CounterMetricFamily(
                 "greengage_relayed",
                 "Requests sent to endpoints through other routers.",
