Small services are not lost after one connect timeout; suspicion needs a silence

Cause: a service with one or two endpoints counted as lost after one or two connect timeouts if it had not responded for 1.5 s, as is usual at a low rate. Two timeouts shortened the wait of other requests although the zone had just responded.

Change: a group of fewer than three endpoints needs three failures; suspicion needs 0.5 s without a response of the group.

--- a/greengagerock/routing/partition_detector.py
+++ b/greengagerock/routing/partition_detector.py
@@ -4,8 +4,11 @@
 of load as long as endpoints of the same service or availability zone respond.
 """
 
+from collections import Counter
+
 # Number of endpoints of a group that could not be connected to, without a response of any endpoint
-# of the group since, before the group counts as lost. A smaller group must be lost as a whole.
+# of the group since, before the group counts as lost. A smaller group must be lost as a whole,
+# with as many failures: one slow endpoint is not a partition.
 # An endpoint that sent no response to a request until its deadline counts as well if one could not
 # be connected to: requests on open connections hang longer than attempts to connect.
 MIN_LOST_ENDPOINTS = 3
@@ -14,8 +17,9 @@
 # ``test_late_connections.py``.
 LOSS_SPAN_S = 1.5
 # Number of endpoints that could not be connected to since the last response of their group from
-# which on the group is suspected to be lost.
+# which on the group is suspected to be lost, if it has not responded for the given time.
 MIN_SUSPECT_ENDPOINTS = 2
+SUSPECT_SPAN_S = 0.5
 # Number of consecutive connect timeouts of the only endpoint that may run a request, and the time
 # from the begin of the first one, after which it counts as lost although others of its groups
 # respond. A request is tried twice, so this takes four requests. With half of them, endpoints that
@@ -38,8 +42,8 @@
         on_partition: Callable that is called when a group counts as lost.
 
     Attributes:
-        lost_by_group: Names of the endpoints that could not be connected to since the last
-            response of their group, by group, a pair of kind and name.
+        lost_by_group: Numbers of failures to connect since the last response of a group, by group,
+            a pair of kind and name, and by endpoint.
         lost_groups: Groups that count as lost.
         responded_s: Time of the last response of each group over an own connection.
         silent_by_group: Names of endpoints that did not respond to a request until its deadline
@@ -73,7 +77,7 @@
     def note_failure(self, record):
         """Record that an endpoint could not be connected to."""
         for group in groups_of(record):
-            self.lost_by_group.setdefault(group, set()).add(record.name)
+            self.lost_by_group.setdefault(group, Counter())[record.name] += 1
         self.is_presumed_lost(record)
 
     def note_timeout(self, record, began_s, is_only_one=False):
@@ -129,7 +133,9 @@
     def is_suspect(self, record):
         """Return whether a group of an endpoint is lost, or may be."""
         return self.is_presumed_lost(record) or any(
-            self._lost_count(group) >= MIN_SUSPECT_ENDPOINTS for group in groups_of(record)
+            self._lost_count(group) >= MIN_SUSPECT_ENDPOINTS
+            and self.timers.now_s - self._responded_s(group) >= SUSPECT_SPAN_S
+            for group in groups_of(record)
         )
 
     def forget(self, endpoint):
@@ -138,7 +144,7 @@
         for silent in self.silent_by_group.values():
             silent.discard(endpoint)
         for group, lost in list(self.lost_by_group.items()):
-            lost.discard(endpoint)
+            lost.pop(endpoint, None)
             if not lost:
                 self._end(group)
 
@@ -147,7 +153,7 @@
         if group in self.lost_groups:
             return True
         count = self._lost_count(group)
-        if not count or count < self._needed(group):
+        if not count or count < self._needed(group) or not self._has_failures(group):
             return False
         silent_s = self.timers.now_s - self._responded_s(group)
         if silent_s < LOSS_SPAN_S:
@@ -165,7 +171,12 @@
     def _lost_count(self, group):
         """Return the number of endpoints that show a loss, 0 if none failed to connect."""
         lost = self.lost_by_group.get(group)
-        return len(lost | self.silent_by_group.get(group, set())) if lost else 0
+        return len(lost.keys() | self.silent_by_group.get(group, set())) if lost else 0
+
+    def _has_failures(self, group):
+        """Return whether a group failed as often as one must that counts as lost."""
+        silent = self.silent_by_group.get(group, ())
+        return self.lost_by_group[group].total() + len(silent) >= MIN_LOST_ENDPOINTS
 
     def _responded_s(self, group):
         return self.responded_s.get(group, float("-inf"))
