--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -3,22 +3,15 @@
 import select
 import socket
 import threading
-from http.client import HTTPException, HTTPResponse, RemoteDisconnected
+from http.client import HTTPException, HTTPResponse
 
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
-from urllib3.exceptions import TimeoutError as UrllibTimeoutError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
 from greengagerock.core.interface import AttemptFailed
-from greengagerock.routing.failures import (
-    REASON_CALLER,
-    REASON_CONNECT,
-    REASON_CONNECT_TIMEOUT,
-    REASON_CONNECTION_LOST,
-    REASON_RESET,
-    REASON_TIMEOUT,
-)
+from greengagerock.routing.failures import REASON_CALLER, REASON_CONNECTION_LOST
+from greengagerock.web.connection_errors import reason_of
 from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
 
 CONNECTIONS_PER_ENDPOINT = 32
@@ -309,27 +302,6 @@
         response.close()
 
 
-def is_reset(error):
-    """Return whether the other side reset a connection, rather than closed it.
-
-    Args:
-        error: An exception of urllib3, which has the cause as an argument.
-
-    Examples:
-        >>> from http.client import RemoteDisconnected
-        >>> from urllib3.exceptions import ProtocolError
-        >>> is_reset(ProtocolError("aborted", ConnectionResetError(104, "reset")))
-        True
-        >>> is_reset(ProtocolError("aborted", RemoteDisconnected("closed")))
-        False
-    """
-    return any(
-        isinstance(cause, ConnectionResetError | BrokenPipeError)
-        and not isinstance(cause, RemoteDisconnected)
-        for cause in (error, *error.args)
-    )
-
-
 class Upstream:
     """The connection pools of one host, one for each endpoint address.
 
@@ -419,15 +391,6 @@
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
     def _failure(self, forward, error, attempt, body):
-        if isinstance(error, NewConnectionError):
-            reason = REASON_CONNECT
-        elif isinstance(error, ConnectTimeoutError):
-            reason = REASON_CONNECT_TIMEOUT
-        elif isinstance(error, UrllibTimeoutError):
-            reason = REASON_TIMEOUT
-        elif is_reset(error) and not attempt.is_cancelled:
-            reason = REASON_RESET
-        else:
-            reason = REASON_CONNECTION_LOST
+        reason = reason_of(error, attempt.is_cancelled)
         is_consumed = bool(body and body.is_consumed)
         return AttemptFailed(forward.token, reason, attempt.has_sent_bytes, is_consumed)
