--- a/greengagerock/cli/explain.py
+++ b/greengagerock/cli/explain.py
@@ -18,6 +18,7 @@
 _STATE_EVENTS = frozenset(
     {
         "bad-load",
+        "ban-ended",
         "disk-refused",
         "disk-regained",
         "ended",
