--- a/greengagerock/cli/tests/test_explain.py
+++ b/greengagerock/cli/tests/test_explain.py
@@ -22,6 +22,16 @@
     assert [line.event for line in context_lines] == ["endpoint-leaving"]
 
 
+def test_cold_endpoint_that_the_router_knew_of_explains_a_refusal():
+    text = """\
+time=10:00:01.000 event=endpoint-cold host=edge-1 endpoint=i-3 left_ms=2900 per_s=3.5
+time=10:00:01.900 event=request-failed host=edge-1 request_id=r1 code=endpoint-cold tried=
+"""
+    lines = [read_log_line(line) for line in text.splitlines()]
+    _, context_lines = explain_request("r1", lines)
+    assert [line.event for line in context_lines] == ["endpoint-cold"]
+
+
 def test_unknown_request_is_an_error():
     with pytest.raises(GreengageError):
         explain_request("r9", [])
--- a/greengagerock/items/tests/test_store.py
+++ b/greengagerock/items/tests/test_store.py
@@ -1,16 +1,18 @@
 """Tests of the item store: patches are atomic, and the highest version of an item wins."""
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengagerock.items import ItemStore, Patch, Removal
+from greengagerock.items import EndpointWarmUp, ItemStore, Patch, Removal
 from greengagerock.items.store import LeaveRecord, encode_leave
 from greengagerock.replication import Entry
 from greengagerock.testing.item_builders import (
     build_first_patch,
     build_limits,
     build_route,
+    build_service,
 )
 
 
@@ -105,6 +107,29 @@
     assert restored.apply_patch(build_first_patch()).code == ""
 
 
+def test_entries_and_snapshots_of_builds_without_warm_up_are_decoded():
+    """Older builds encode a service as an array that ends before the warm-up."""
+    services = {"till": ["till", 1, "/health", 100, [2.0, None], None, None]}
+    snapshot = {
+        "items": {"routes": {}, "services": services, "limits": None},
+        "tombstones": {},
+        "accepted": [],
+        "leavers": {},
+    }
+    store = ItemStore()
+    store.load(msgspec.msgpack.encode(snapshot))
+    assert store.items.services["till"] == build_service()
+    patch = [[], [["docs", 1, "/health", 100, None, None, None]], None, [], []]
+    store.apply(Entry(7, 1, b"P" + msgspec.msgpack.encode(patch)))
+    assert store.items.services["docs"] == build_service("docs", keyed=False)
+
+
+@pytest.mark.parametrize("warm_up", [EndpointWarmUp(-1.0), EndpointWarmUp(3.0, -0.5)])
+def test_negative_warm_up_is_refused(warm_up):
+    result = build_store().apply_patch(Patch(services=(build_service("x", warm_up=warm_up),)))
+    assert result.code == "invalid-item"
+
+
 def test_leaving_endpoints_are_stored_in_snapshots():
     store = build_store()
     store.apply(Entry(2, 1, encode_leave(LeaveRecord("i-1", 1000))))
--- a/greengagerock/language/tests/test_items.py
+++ b/greengagerock/language/tests/test_items.py
@@ -3,9 +3,9 @@
 import pytest
 
 from greengagerock.core import StatementError
-from greengagerock.items import ItemStore
+from greengagerock.items import EndpointWarmUp, ItemStore
 from greengagerock.language.items import format_items, parse_items
-from greengagerock.testing.item_builders import build_first_patch, build_route
+from greengagerock.testing.item_builders import build_first_patch, build_route, build_service
 
 
 def test_formatted_items_parse_to_the_same_items():
@@ -13,6 +13,15 @@
     store.apply_patch(build_first_patch())
     split = build_route("split", weighted_services=(("docs", 90), ("till", 10)), is_split=True)
     store.items.routes["split"] = split
+    for number, warm_up in enumerate(
+        [
+            EndpointWarmUp(3.0, 3.5, "3s"),
+            EndpointWarmUp(None, 4),
+            EndpointWarmUp(0.5, 4.0, "500ms"),
+        ]
+    ):
+        name = f"cold-{number}"
+        store.items.services[name] = build_service(name, warm_up=warm_up)
     parsed = parse_items(format_items(store.items))
     assert {route.name: route for route in parsed.routes} == store.items.routes
     assert {service.name: service for service in parsed.services} == store.items.services
@@ -27,6 +36,7 @@
         "set route a version x",
         "set service till version 1 health /h connections 5 set",
         "drop service till",
+        "set service till version 1 health /h connections 5 warm_up",
     ],
 )
 def test_invalid_statement_is_a_syntax_error(text):
--- a/greengagerock/node/tests/test_cold_endpoints.py
+++ b/greengagerock/node/tests/test_cold_endpoints.py
@@ -12,6 +12,13 @@
 CONTROLLERS = ("core-1", "core-2", "core-3")
 
 
+def pin_keys(load):
+    """Keep the leader from moving the keys of the endpoint away."""
+    for other in load.site.reporting_endpoints.values():
+        if other is not load.endpoint and other.service == load.endpoint.service:
+            other.is_up = False
+
+
 def codes(load, since_s):
     """Return the error codes of the refusals since a time."""
     return {response.code for response, _ in load.refusals(since_s)}
@@ -185,6 +192,7 @@
 def test_smaller_of_a_declared_limit_and_the_cold_limit_holds(limit_per_s):
     load = build_cold_load(20, seed=7)
     load.offer(3 * USUAL_PER_S, 3.0)
+    pin_keys(load)
     load.endpoint.limit_per_s = limit_per_s
     load.offer(3 * USUAL_PER_S, 5.0)
     load.become_cold(4.5)
--- a/greengagerock/platform/tests/test_wire.py
+++ b/greengagerock/platform/tests/test_wire.py
@@ -127,6 +127,46 @@
     assert listed["limits"] == sent["limits"]
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"warmup": "3s", "warmup-per-s": 3.5},
+        {"warmup": "2500ms", "warmup-per-s": 4},
+        {"warmup": "0.5s"},
+        {"warmup-per-s": 0},
+        {},
+    ],
+)
+def test_warm_up_of_a_service_is_returned_exactly_as_it_was_sent(fields):
+    row = {"name": "s1", "health-path": "/health", "max-conns": 9, "version": 1} | fields
+    table = {"columns": list(row), "rows": [list(row.values())]}
+    store = ItemStore()
+    assert store.apply_patch(decode_patch(encode({"upsert": {"services": table}}))).code == ""
+    store.load(store.dump())
+    (listed,) = records(json.loads(encode_items(store.items))["services"])
+    assert listed == row
+    assert type(listed.get("warmup-per-s")) is type(row.get("warmup-per-s"))
+
+
+@pytest.mark.parametrize(
+    "fields", [{"warmup": 3}, {"warmup": "-3s"}, {"warmup-per-s": "3"}, {"warmup-per-s": 10**40}]
+)
+def test_malformed_warm_up_is_rejected(fields):
+    row = {"name": "s1", "health-path": "/health", "max-conns": 9, "version": 1} | fields
+    table = {"columns": list(row), "rows": [list(row.values())]}
+    with pytest.raises(GreengageError) as raised:
+        decode_patch(encode({"upsert": {"services": table}}))
+    assert raised.value.code == "invalid-item"
+
+
+def test_bounds_on_cold_endpoints_come_from_the_settings():
+    defaults = decode_settings(encode(SETTINGS), 9464).warm_up
+    assert (defaults.rate_factor, defaults.rate_slack) == (1.5, 8.0)
+    bounds = "warmup-overage=1.25,warmup-slack=4"
+    given = decode_settings(encode(SETTINGS | {"bounds": bounds}), 9464).warm_up
+    assert (given.rate_factor, given.rate_slack) == (1.25, 4.0)
+
+
 def test_route_is_decoded():
     route = decode_patch(encode(PATCH)).routes[0]
     assert (route.timeout_s, route.objective_s, route.kind) == (1.2, 0.2, "safe")
--- a/greengagerock/routing/burst_bounds.py
+++ b/greengagerock/routing/burst_bounds.py
@@ -141,7 +141,8 @@
             credit = safe_mean - rate_per_s
         else:
             rate_per_s = min(limit_per_s, bound)
-            credit = max(router_count, bound - rate_per_s * window_s)
+            # The window bounds the burst; the bucket keeps the mean.
+            credit = max(router_count, bound)
         return AdmissionPlan(
             is_random,
             rate_per_s,
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -188,6 +188,14 @@
                 "Endpoints that limit the requests that they take.",
                 value=len(dispatcher.limits.by_endpoint),
             )
+            cold = GaugeMetricFamily(
+                "greengage_cold_endpoints",
+                "Endpoints that are cold, so that their requests are limited.",
+                labels=["service"],
+            )
+            for service, count in self.node.cold_endpoints.count_by_service().items():
+                cold.add_metric([service], count)
+            yield cold
 
     def _paths(self):
         """Yield how many endpoints a router cannot reach, and what it sends through others."""
