--- a/greengagerock/control/cold_shares.py
+++ b/greengagerock/control/cold_shares.py
@@ -1,7 +1,7 @@
 """Limits of cold endpoints in one leader's term, and the demand for them."""
 
 from greengagerock.control.limit_state import DecayingRate, LimitState
-from greengagerock.view import LimitShare
+from greengagerock.view import LimitShare, encode_delta
 
 # Time after the beginning of a cold phase in which the demand measured before counts as well: the
 # reports of all routers show it within a second.
@@ -22,6 +22,9 @@
 # Shares by demand are sent with each message to at most this many routers. If they are more, all
 # get the same, and only after a change, so that the messages stay small.
 MAX_UNEQUAL_ROUTERS = 16
+# Time for which packed changes are sent to further routers; the times in them are too long
+# by so much.
+PACKED_VALIDITY_S = 0.1
 # Size of the range of numbers of each term; numbers of a term are below those of the next.
 NUMBERS_PER_TERM = 1 << 24
 
@@ -90,6 +93,8 @@
         states: ``ColdState`` objects by endpoint name, also of endpoints that have become warm
             in the last seconds.
         number: Number of the newest change.
+        packed: Packed changes by what a router has.
+        packed_s: When the first of them was packed.
 
     Examples:
         >>> shares = ColdShares()
@@ -102,11 +107,13 @@
         ()
     """
 
-    __slots__ = ("number", "states")
+    __slots__ = ("number", "packed", "packed_s", "states")
 
     def __init__(self, term=0):
         self.states = {}
         self.number = term * NUMBERS_PER_TERM + 1
+        self.packed = {}
+        self.packed_s = float("-inf")
 
     def is_cold(self, endpoint, started_ms):
         """Return whether an instance is recorded as cold."""
@@ -200,6 +207,26 @@
             if is_unequal or state.number > since
         )
 
+    def packed_for(self, router, router_count, since, is_settled, now_s):
+        """Return the packed shares of ``shares_for``, or ``None`` if there are none.
+
+        Routers that get the same shares get the same bytes, which are packed once.
+        """
+        if not self.states:
+            return None
+        if is_settled and router_count <= MAX_UNEQUAL_ROUTERS:
+            return self._pack(router, router_count, since, is_settled, now_s)
+        if now_s - self.packed_s > PACKED_VALIDITY_S:
+            self.packed, self.packed_s = {}, now_s
+        position = (since, self.number, is_settled)
+        if position not in self.packed:
+            self.packed[position] = self._pack("", router_count, since, is_settled, now_s)
+        return self.packed[position]
+
+    def _pack(self, router, router_count, since, is_settled, now_s):
+        shares = self.shares_for(router, router_count, since, is_settled, now_s)
+        return encode_delta(shares) if shares else None
+
     def _change(self, state):
         self.number += 1
         state.number = self.number
--- a/greengagerock/control/limit_shares.py
+++ b/greengagerock/control/limit_shares.py
@@ -65,7 +65,7 @@
         return self.cold.note_warm(endpoint, started_ms, now_s)
 
     def cold_shares_for(self, router, router_count, since, now_s):
-        """Return the changes of cold endpoints' limits that a router lacks.
+        """Return the packed changes of cold endpoints that a router lacks, or ``None``.
 
         Args:
             router: Link address of the router.
@@ -74,7 +74,7 @@
             now_s: Monotonic time in seconds.
         """
         is_settled = now_s - self.began_s >= SETTLING_S
-        return self.cold.shares_for(router, router_count, since, is_settled, now_s)
+        return self.cold.packed_for(router, router_count, since, is_settled, now_s)
 
     def on_reports(self, router, reports, now_s):
         """Process the ``LimitReport`` objects of a router's poll, by endpoint name.
--- a/greengagerock/control/tests/test_cold_shares.py
+++ b/greengagerock/control/tests/test_cold_shares.py
@@ -4,7 +4,9 @@
 from greengagerock.control.cold_shares import EXPECTATION_S, ColdShares
 from greengagerock.control.limit_shares import LimitShares
 from greengagerock.testing.item_builders import build_report
-from greengagerock.view import LimitReport
+from greengagerock.view import LimitReport, LimitShare, decode_delta
+
+SHARES = tuple[LimitShare, ...]
 
 
 def test_each_report_moves_the_end_of_the_cold_phase_up_or_down():
@@ -38,7 +40,7 @@
     for second in range(100):
         earlier.note_cold("e1", 1000, 3.5, 10.0 * second, float(second))
     later.note_cold("e1", 1000, 3.5, 3.0, 51.0)
-    assert len(later.cold_shares_for("r", 68, earlier.cold.number, 51.0)) == 1
+    assert len(later.cold.shares_for("r", 68, earlier.cold.number, False, 51.0)) == 1
 
 
 def test_expected_demand_counts_until_routers_have_reported_theirs():
@@ -66,7 +68,18 @@
 def test_new_leader_sends_no_demand_before_all_routers_have_found_it():
     shares = LimitShares(10.0, 1)
     shares.note_cold("e1", 1000, 3.5, 9.0, 10.1, expected_per_s=1.0)
-    (share,) = shares.cold_shares_for("r1", 68, 0, 10.5)
+    (share,) = decode_delta(shares.cold_shares_for("r1", 68, 0, 10.5), SHARES)
     assert share.demand_per_s is None
-    (share,) = shares.cold_shares_for("r1", 68, 0, 11.6)
+    (share,) = decode_delta(shares.cold_shares_for("r1", 68, 0, 11.6), SHARES)
     assert share.demand_per_s is not None
+
+
+def test_changes_are_packed_once_for_all_routers_and_anew_after_a_change():
+    shares = ColdShares()
+    shares.note_cold("e1", 1000, 3.5, 13.0, 10.0)
+    first = shares.packed_for("r1", 730, 0, True, 10.0)
+    assert shares.packed_for("r2", 730, 0, True, 10.05) is first
+    assert shares.packed_for("r2", 730, shares.number, True, 10.05) is None
+    shares.note_warm("e1", 1000, 10.06)
+    (share,) = decode_delta(shares.packed_for("r1", 730, 0, True, 10.06), SHARES)
+    assert share.left_s == 0.0
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -33,6 +33,7 @@
     EndpointResponseTimes,
     EndpointsDelta,
     ItemsDelta,
+    LimitShare,
     NotLeading,
     ViewDelta,
     ViewReplica,
@@ -234,6 +235,11 @@
                 if delta.response_times is None
                 else decode_delta(delta.response_times, EndpointResponseTimes)
             )
+            cold_limits = (
+                ()
+                if delta.cold_limits is None
+                else decode_delta(delta.cold_limits, tuple[LimitShare, ...])
+            )
         except GreengageError as error:
             self.outbox.log("bad-message", code=error.code, detail=error.detail)
             return
@@ -246,7 +252,7 @@
         self.dispatcher.limits.apply_shares(
             delta.limits, self.router_count.largest, self.timers.now_s
         )
-        self.cold_endpoints.on_view(delta, self.router_count.largest)
+        self.cold_endpoints.on_view(cold_limits, delta.cold_number, self.router_count.largest)
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
--- a/greengagerock/routing/cold_endpoints.py
+++ b/greengagerock/routing/cold_endpoints.py
@@ -25,17 +25,16 @@
         self.timers = timers
         self.outbox = outbox
 
-    def on_view(self, delta, router_count):
+    def on_view(self, shares, number, router_count):
         """Apply the shares of a ``ViewDelta``.
 
         Args:
-            delta: The ``ViewDelta``.
+            shares: The ``LimitShare`` objects of cold endpoints that have changed.
+            number: Number of the leader's newest change, or 0 if it does not send any.
             router_count: Number of routers.
         """
         cold = self.limits.cold
-        begun, ended = cold.apply_shares(
-            delta.cold_limits, delta.cold_number, router_count, self.timers.now_s
-        )
+        begun, ended = cold.apply_shares(shares, number, router_count, self.timers.now_s)
         self.replica.cold_number = cold.number
         for name in begun:
             self._log_cold(name, "leader")
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -214,7 +214,8 @@
         limits: Limits of endpoints, with the router's shares.
         relays: Addresses of other routers that forward requests of this one, or ``None`` if the
             router has the newest ones.
-        cold_limits: Changes of the limits of cold endpoints since the router's ``cold_number``.
+        cold_limits: Packed ``LimitShare`` objects of the changes of cold endpoints since the
+            router's ``cold_number``, or ``None`` if it has all of them.
         cold_number: Number of the newest of these changes, or 0 from an older build.
     """
 
@@ -226,7 +227,7 @@
     response_times: bytes | None = msgspec.field(default=None, name="times")
     limits: tuple[LimitShare, ...] = ()
     relays: tuple[str, ...] | None = None
-    cold_limits: tuple[LimitShare, ...] = ()
+    cold_limits: bytes | None = None
     cold_number: int = 0
 
 
