Changes of cold endpoints: a push carries only what the router was not sent

Each push repeated all changes since the router's last poll (49 cold endpoints at 68 routers: 10 KB a second for each router in a model). A router that lacks an earlier change ignores the push and gets both with its next poll.

--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -27,13 +27,15 @@
     Attributes:
         poll: Its newest ``ViewPoll``.
         last_poll_s: When that poll was received.
+        cold_sent: Number up to which it was sent the changes of cold endpoints.
     """
 
-    __slots__ = ("last_poll_s", "poll")
+    __slots__ = ("cold_sent", "last_poll_s", "poll")
 
     def __init__(self, poll, last_poll_s):
         self.poll = poll
         self.last_poll_s = last_poll_s
+        self.cold_sent = poll.cold_number
 
 
 class RouterUpdater:
@@ -165,6 +167,9 @@
     def _send_view(self, address, poll):
         relays = self.relay_directory.relays_for(address)
         router_count, now_s = len(self.subscribers), self.timers.now_s
+        subscriber = self.subscribers.get(address)
+        cold_since = poll.cold_number if subscriber is None else subscriber.cold_sent
+        cold_number = self.limit_shares.cold.number
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
             self.packed_endpoints.since(poll.epoch, poll.endpoints_revision),
@@ -176,9 +181,12 @@
             else None,
             self.limit_shares.shares_for(address, router_count, now_s),
             relays if digest_relays(relays) != poll.relays_digest else None,
-            self.limit_shares.cold_shares_for(address, router_count, poll.cold_number, now_s),
-            self.limit_shares.cold.number,
+            self.limit_shares.cold_shares_for(address, router_count, cold_since, now_s),
+            cold_number,
+            cold_since,
         )
+        if subscriber is not None:
+            subscriber.cold_sent = cold_number
         self.outbox.send(address, delta)
 
     def _is_nearly_current(self, poll):
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -252,7 +252,9 @@
         self.dispatcher.limits.apply_shares(
             delta.limits, self.router_count.largest, self.timers.now_s
         )
-        self.cold_endpoints.on_view(cold_limits, delta.cold_number, self.router_count.largest)
+        self.cold_endpoints.on_view(
+            cold_limits, delta.cold_since, delta.cold_number, self.router_count.largest
+        )
         if response_times is not None:
             self.replica.response_times = response_times
             self.dispatcher.observations.reduce_own_weights()
--- a/greengagerock/routing/cold_endpoints.py
+++ b/greengagerock/routing/cold_endpoints.py
@@ -25,16 +25,17 @@
         self.timers = timers
         self.outbox = outbox
 
-    def on_view(self, shares, number, router_count):
+    def on_view(self, shares, since, number, router_count):
         """Apply the shares of a ``ViewDelta``.
 
         Args:
             shares: The ``LimitShare`` objects of cold endpoints that have changed.
+            since: Number of the leader's change that these start from.
             number: Number of the leader's newest change, or 0 if it does not send any.
             router_count: Number of routers.
         """
         cold = self.limits.cold
-        begun, ended = cold.apply_shares(shares, number, router_count, self.timers.now_s)
+        begun, ended = cold.apply_shares(shares, since, number, router_count, self.timers.now_s)
         self.replica.cold_number = cold.number
         for name in begun:
             self._log_cold(name, "leader")
--- a/greengagerock/routing/cold_limits.py
+++ b/greengagerock/routing/cold_limits.py
@@ -227,11 +227,13 @@
             limit.requests = 0
         return reports
 
-    def apply_shares(self, shares, number, router_count, now_s):
+    def apply_shares(self, shares, since, number, router_count, now_s):
         """Apply the ``LimitShare`` objects of a leader, and drop limits that have ended.
 
         Args:
-            shares: The limits that have changed since ``number`` of the last poll.
+            shares: The limits that have changed since the change ``since``.
+            since: Number of a change. If this router lacks it, the message that brought it was
+                lost, and this one is ignored: the next poll gets both.
             number: Number of the leader's newest change, or 0 if it does not send any.
             router_count: Number of routers.
             now_s: Monotonic time in seconds.
@@ -244,7 +246,7 @@
         for name in ended:
             del self.by_endpoint[name]
         begun = []
-        if number and number >= self.number:
+        if number and since <= self.number <= number:
             self.number = number
             self.confirmed_s = now_s
             for share in shares:
--- a/greengagerock/routing/tests/test_cold_limits.py
+++ b/greengagerock/routing/tests/test_cold_limits.py
@@ -114,33 +114,41 @@
 
 def test_share_of_the_leader_moves_the_end_up_and_down():
     limits = ColdLimits(Random(1))
-    assert limits.apply_shares([build_share(3.0)], 1, 68, 10.0) == (["e1"], [])
-    limits.apply_shares([build_share(5.0)], 2, 68, 11.0)
+    assert limits.apply_shares([build_share(3.0)], 0, 1, 68, 10.0) == (["e1"], [])
+    limits.apply_shares([build_share(5.0)], 1, 2, 68, 11.0)
     assert limits.current(RECORD, 15.9) is not None
-    limits.apply_shares([build_share(1.0)], 3, 68, 12.0)
+    limits.apply_shares([build_share(1.0)], 2, 3, 68, 12.0)
     assert limits.current(RECORD, 13.0) is None
-    assert limits.apply_shares([build_share(0.0)], 4, 68, 12.5) == ([], ["e1"])
+    assert limits.apply_shares([build_share(0.0)], 3, 4, 68, 12.5) == ([], ["e1"])
 
 
 def test_message_that_is_overtaken_by_a_newer_one_changes_nothing():
     limits = ColdLimits(Random(1))
-    limits.apply_shares([build_share(3.0)], 5, 68, 10.0)
-    limits.apply_shares([build_share(0.0)], 4, 68, 10.1)
+    limits.apply_shares([build_share(3.0)], 0, 5, 68, 10.0)
+    limits.apply_shares([build_share(0.0)], 3, 4, 68, 10.1)
     assert limits.current(RECORD, 10.1) is not None
 
 
+def test_message_that_follows_a_lost_one_waits_for_the_next_poll():
+    limits = ColdLimits(Random(1))
+    limits.apply_shares([], 3, 4, 68, 10.0)
+    assert limits.number == 0
+    limits.apply_shares([build_share(3.0)], 0, 4, 68, 10.1)
+    assert (limits.number, limits.current(RECORD, 10.1) is not None) == (4, True)
+
+
 def test_limit_of_an_earlier_instance_does_not_hold_for_a_later_one():
     limits = ColdLimits(Random(1))
-    limits.apply_shares([build_share(3.0)], 1, 68, 10.0)
+    limits.apply_shares([build_share(3.0)], 0, 1, 68, 10.0)
     assert limits.current(LATER, 10.0) is None
     assert limits.note_cold(LATER, 3.5, 10.5)
-    limits.apply_shares([build_share(3.0)], 2, 68, 11.0)
+    limits.apply_shares([build_share(3.0)], 1, 2, 68, 11.0)
     assert limits.current(LATER, 11.0) is not None
 
 
 def test_demand_is_not_used_without_a_recent_message_of_the_leader():
     limits = ColdLimits(Random(1))
-    limits.apply_shares([build_share(9.0, demand_per_s=1.0)], 1, 68, 10.0)
+    limits.apply_shares([build_share(9.0, demand_per_s=1.0)], 0, 1, 68, 10.0)
     limit = limits.current(RECORD, 10.0)
     limits.prepare(limit, "till", 10.0)
     assert limit.allowance.probability == 1.0
@@ -152,7 +160,7 @@
     """With a random number for each, an endpoint with both would get a small part of either."""
     limits = EndpointLimits(Random(1))
     limits.apply_shares([LimitShare("e1", 1000, 0.0, 4.0, 0.01, 40.0)], 100, 10.0)
-    limits.cold.apply_shares([build_share(900.0, demand_per_s=40.0)], 1, 100, 10.0)
+    limits.cold.apply_shares([build_share(900.0, demand_per_s=40.0)], 0, 1, 100, 10.0)
     sent = 0
     for step in range(4000):
         now_s = 10.0 + 2.0 * step / 4000
@@ -167,7 +175,7 @@
     harness.dispatcher.limits.cold.bound = ColdBound(1.0, 0.0)
     record = harness.replica.endpoints["till-1"]
     share = LimitShare("till-1", record.started_ms, 0.0, 3.5, 1.0, None, 2.0)
-    harness.dispatcher.limits.cold.apply_shares([share], 1, 1, harness.timers.now_s)
+    harness.dispatcher.limits.cold.apply_shares([share], 0, 1, 1, harness.timers.now_s)
     for _ in range(5):
         harness.call()
     effects = harness.effects()
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -214,9 +214,11 @@
         limits: Limits of endpoints, with the router's shares.
         relays: Addresses of other routers that forward requests of this one, or ``None`` if the
             router has the newest ones.
-        cold_limits: Packed ``LimitShare`` objects of the changes of cold endpoints since the
-            router's ``cold_number``, or ``None`` if it has all of them.
+        cold_limits: Packed ``LimitShare`` objects of the changes of cold endpoints since
+            ``cold_since``, or ``None`` if there are none.
         cold_number: Number of the newest of these changes, or 0 from an older build.
+        cold_since: Number that the changes start from. Only a router that has all changes up to
+            this number may apply them.
     """
 
     items: bytes | None
@@ -229,6 +231,7 @@
     relays: tuple[str, ...] | None = None
     cold_limits: bytes | None = None
     cold_number: int = 0
+    cold_since: int = 0
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
