--- a/greengagerock/control/cold_shares.py
+++ b/greengagerock/control/cold_shares.py
@@ -15,7 +15,7 @@
 # Relative changes of the demand from which on it is sent again, and the shortest time between.
 # Random admission plans for a rise to two and a half times the demand.
 MAX_DEMAND_RISE = 1.25
-MAX_DEMAND_FALL = 0.6
+MAX_DEMAND_FALL = 0.5
 DEMAND_INTERVAL_S = 0.5
 # The end of a cold phase is sent to routers for this long.
 END_RETENTION_S = 5.0
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -195,8 +195,8 @@
     relay_address: str = ""
     unreachable: int = 0
     relays_digest: int = 0
-    cold_requests: dict[str, LimitReport] = {}
-    cold_number: int = 0
+    cold_requests: dict[str, LimitReport] = msgspec.field(default={}, name="cold")
+    cold_number: int = msgspec.field(default=0, name="cold_n")
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta"):
@@ -229,9 +229,9 @@
     response_times: bytes | None = msgspec.field(default=None, name="times")
     limits: tuple[LimitShare, ...] = ()
     relays: tuple[str, ...] | None = None
-    cold_limits: bytes | None = None
-    cold_number: int = 0
-    cold_since: int = 0
+    cold_limits: bytes | None = msgspec.field(default=None, name="cold")
+    cold_number: int = msgspec.field(default=0, name="cold_n")
+    cold_since: int = msgspec.field(default=0, name="cold_s")
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
