--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -30,14 +30,16 @@
         poll: Its newest ``ViewPoll``.
         last_poll_s: When that poll was received.
         sent_revision: Last revision of endpoints and owners that was sent to it.
+        cold_sent: Number up to which it was sent the changes of cold endpoints.
     """
 
-    __slots__ = ("last_poll_s", "poll", "sent_revision")
+    __slots__ = ("cold_sent", "last_poll_s", "poll", "sent_revision")
 
     def __init__(self, poll, last_poll_s):
         self.poll = poll
         self.last_poll_s = last_poll_s
         self.sent_revision = poll.endpoints_revision
+        self.cold_sent = poll.cold_number
 
 
 class RouterUpdater:
@@ -203,6 +205,9 @@
         self.subscribers[address].sent_revision = self.endpoints_history.revision
         relays = self.relay_directory.relays_for(address)
         router_count, now_s = len(self.subscribers), self.timers.now_s
+        subscriber = self.subscribers.get(address)
+        cold_since = poll.cold_number if subscriber is None else subscriber.cold_sent
+        cold_number = self.limit_shares.cold.number
         delta = ViewDelta(
             self.packed_items.since(poll.items_revision),
             self.packed_endpoints.since(poll.epoch, since),
@@ -215,9 +220,12 @@
             self.limit_shares.shares_for(address, router_count, now_s),
             relays if digest_relays(relays) != poll.relays_digest else None,
             loads,
-            self.limit_shares.cold_shares_for(address, router_count, poll.cold_number, now_s),
-            self.limit_shares.cold.number,
+            self.limit_shares.cold_shares_for(address, router_count, cold_since, now_s),
+            cold_number,
+            cold_since,
         )
+        if subscriber is not None:
+            subscriber.cold_sent = cold_number
         self.outbox.send(address, delta)
 
     def _is_nearly_current(self, poll):
--- a/greengagerock/view/messages.py
+++ b/greengagerock/view/messages.py
@@ -202,8 +202,8 @@
     relays_digest: int = 0
     protocol: int = 0
     loads: bytes | None = None
-    cold_requests: dict[str, LimitReport] = {}
-    cold_number: int = 0
+    cold_requests: dict[str, LimitReport] = msgspec.field(default={}, name="cold")
+    cold_number: int = msgspec.field(default=0, name="cold_n")
 
 
 class ViewDelta(msgspec.Struct, frozen=True, tag="view-delta", omit_defaults=True):
@@ -222,8 +222,11 @@
         relays: Addresses of other routers that forward requests of this one, or ``None`` if the
             router has the newest ones.
         loads: Packed loads of the busiest endpoints, or ``None`` if none is busy.
-        cold_limits: Changes of the limits of cold endpoints since the router's ``cold_number``.
+        cold_limits: Packed ``LimitShare`` objects of the changes of cold endpoints since
+            ``cold_since``, or ``None`` if there are none.
         cold_number: Number of the newest of these changes, or 0 from an older build.
+        cold_since: Number that the changes start from. Only a router that has all changes up to
+            this number may apply them.
     """
 
     items: bytes | None
@@ -235,8 +238,9 @@
     limits: tuple[LimitShare, ...] = ()
     relays: tuple[str, ...] | None = None
     loads: bytes | None = None
-    cold_limits: tuple[LimitShare, ...] = ()
-    cold_number: int = 0
+    cold_limits: bytes | None = msgspec.field(default=None, name="cold")
+    cold_number: int = msgspec.field(default=0, name="cold_n")
+    cold_since: int = msgspec.field(default=0, name="cold_s")
 
 
 class LeavingObserved(msgspec.Struct, frozen=True, tag="leaving-observed"):
