--- a/greengagerock/testing/fake_loaded_endpoint.py
+++ b/greengagerock/testing/fake_loaded_endpoint.py
@@ -71,6 +71,6 @@
         running, waiting = self.count_requests(now_s)
         return LoadNotice(running, waiting, self.slots, round(100 * self.pace))
 
-    def report(self):
+    def report(self, now_s=0.0):
         """Return the endpoint's next report."""
-        return msgspec.structs.replace(super().report(), slots=self.slots)
+        return msgspec.structs.replace(super().report(now_s), slots=self.slots)
