Hot units: decide when the holder reports, and isolate units no endpoint can serve

Cause: a key with more requests than any endpoint serves was moved between endpoints, which only interrupted its service, while the other units of its holder stayed there. Moves were planned up to a report interval before they were carried out, and counts that decay with 1.5 s showed a new hot range late.

Change: the moves of an endpoint are decided when it reports. A unit that needs most of an endpoint stays or moves once to an endpoint that is faster by a third; the other units leave and return 20 s after the key has cooled. The rate of a block that has become busy is derived from the time since then. What an endpoint can serve comes from work times without waits. The balance of units counts those in transit and those moved temporarily, so it neither waits for hot units nor undoes their moves.

--- a/greengagerock/assignment/endpoint_weights.py
+++ b/greengagerock/assignment/endpoint_weights.py
@@ -4,6 +4,8 @@
 slow ones would be overloaded while the fast ones are idle.
 """
 
+from greengagerock.assignment.work_times import WorkTimes
+
 # Shortest time between two changes of the weights.
 ADJUST_INTERVAL_S = 2.0
 # Number of responses from which a weight is adjusted; fewer are kept until there are more.
@@ -37,6 +39,8 @@
         adjusted_s: When the weights were last adjusted.
         caps: Largest weight of each endpoint that limits its requests, and when it was derived, by
             endpoint name.
+        work_times: The ``WorkTimes``. Responses of its paused endpoints, which wait for requests
+            of a hot key, do not change the weights.
 
     Examples:
         >>> weights = EndpointWeights()
@@ -48,7 +52,7 @@
         True
     """
 
-    __slots__ = ("adjusted_s", "caps", "mean_response_s", "responses", "weights")
+    __slots__ = ("adjusted_s", "caps", "mean_response_s", "responses", "weights", "work_times")
 
     def __init__(self):
         self.mean_response_s = 0.0
@@ -56,9 +60,13 @@
         self.responses = {}
         self.adjusted_s = 0.0
         self.caps = {}
+        self.work_times = WorkTimes()
 
     def add_responses(self, endpoint, count, mean_s):
         """Add the responses that a router received from an endpoint since its previous message."""
+        if endpoint in self.work_times.paused:
+            return
+        self.work_times.note(endpoint, mean_s)
         totals = self.responses.setdefault(endpoint, [0, 0.0])
         totals[0] += count
         totals[1] += count * mean_s
@@ -102,6 +110,7 @@
         """Drop the data of an endpoint that has ended."""
         self.weights.pop(endpoint, None)
         self.responses.pop(endpoint, None)
+        self.work_times.forget(endpoint)
         self.caps.pop(endpoint, None)
 
     def adjust(self, now_s):
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -15,11 +15,11 @@
 from greengagerock.assignment.endpoint_weights import EndpointWeights
 from greengagerock.assignment.free_units import FreeUnits
 from greengagerock.assignment.hot_units import HotUnitPlanner
-from greengagerock.assignment.reports import GrantRow
+from greengagerock.assignment.settled_holdings import settle_holdings
 from greengagerock.assignment.units import (
-    KEYS_PER_UNIT,
     UNIT_COUNT,
     fences_by_unit,
+    grant_rows,
     stripe_width,
     tokens_by_unit,
 )
@@ -191,16 +191,19 @@
             return
         if any(self.planned_moves.values()) and now_s < self.next_plan_s:
             return
-        if self.releasing or self.free_units.reserved:
+        reserved = self.free_units.reserved
+        if any(unit not in reserved for units in self.releasing.values() for unit in units):
             return
         self.next_plan_s = now_s + 2 * self.report_interval_s
         available = self._available(instances, now_s)
-        if not available:
+        counts, movable = settle_holdings(
+            available, self.held, reserved, self.hot_units, self.next_holder
+        )
+        if not counts:
             return
-        counts = {instance: len(self.held.get(instance, ())) for instance in available}
-        desired = desired_counts(available, self._weight_of)
+        desired = desired_counts(counts, self._weight_of)
         self.planned_moves = plan_moves(
-            counts, desired, self.held, self.stripe_units, self._is_aligned_or_overdue
+            counts, desired, movable, self.stripe_units, self._is_aligned_or_overdue
         )
         targets = {target for planned in self.planned_moves.values() for target, _ in planned}
         self.waiting_since_s = {
@@ -208,19 +211,15 @@
         }
 
     def plan_rebalancing(self, instances, now_s):
-        """Plan the spreading of hot units over more endpoints.
-
-        Args:
-            instances: All instances of the service.
-            now_s: Monotonic time in seconds.
-
-        Returns:
-            The new ``Chunk`` objects by source.
-        """
+        """Compare the loads of endpoints, so that hot units can be spread over more of them."""
         available = self._available(instances, now_s)
-        if not self.is_assigned or self.unreported_units or not available:
-            return {}
-        return self.hot_units.plan(available, self, self._is_aligned, now_s)
+        if self.is_assigned and not self.unreported_units and available:
+            self.hot_units.plan(available, self, now_s)
+
+    def next_holder(self, unit):
+        """Return the ``EndpointInstance`` that holds a unit or is about to get it, or ``None``."""
+        reservation = self.free_units.reserved.get(unit)
+        return self.owners[unit] if reservation is None else reservation.target
 
     def count_rows(self, instance):
         """Return the number of rows of a response to an instance."""
@@ -328,11 +327,12 @@
             self.on_owner_changed(unit, "")
             if target is not None:
                 self.free_units.reserve(unit, target, now_s + RESERVATION_S)
+                self.hot_units.note_release((unit,), now_s)
         self.moved_unit_count += len(units)
 
     def _release_moves(self, instance, now_s):
         held = self.held.get(instance, set())
-        for chunk in self.hot_units.pop_due_chunks(instance):
+        for chunk in self.hot_units.release(instance, self, self._is_aligned, now_s):
             if not chunk.target.is_leaving:
                 units = [unit for unit in chunk.units if unit in held]
                 self._release(instance, units, now_s, chunk.target)
@@ -359,7 +359,7 @@
             available = self._available(instances, now_s)
             desired = (
                 desired_counts(available, self._weight_of)[instance]
-                if instance in available
+                if instance in available and not self.hot_units.is_isolated(instance)
                 else 0
             )
             held = len(self.held.get(instance, ())) + len(granted)
@@ -428,16 +428,4 @@
         ]
 
     def _rows(self, instance):
-        rows = []
-        for unit in sorted(self.held.get(instance, ())):
-            fence = self.fences[unit]
-            handover_token = self.handover_tokens.get(unit, "")
-            first = unit * KEYS_PER_UNIT
-            last = first + KEYS_PER_UNIT - 1
-            if rows:
-                previous = rows[-1]
-                if (previous[1] + 1, previous[2], previous[3]) == (first, fence, handover_token):
-                    previous[1] = last
-                    continue
-            rows.append([first, last, fence, handover_token])
-        return tuple(GrantRow(*row) for row in rows)
+        return grant_rows(self.held.get(instance, ()), self.fences, self.handover_tokens)
--- a/greengagerock/assignment/rebalancing.py
+++ b/greengagerock/assignment/rebalancing.py
@@ -1,7 +1,8 @@
 """Rebalancing of hot units over more endpoints: pure functions.
 
 When neighbouring keys become hot, their holders refuse requests while other endpoints are idle.
-Hot units are few, so spreading them moves only a small share of all keys.
+Hot units are few, so spreading them moves only a small share of all keys. A unit that no
+endpoint can serve is not moved here; ``isolation.py`` decides about it.
 """
 
 import msgspec
@@ -12,6 +13,11 @@
 REBALANCED_FACTOR = 1.1
 # An endpoint that uses less than this share of its slots is no source, however uneven the load.
 BUSY_SHARE = 0.4
+# An endpoint that uses more than this share of its slots is a source even if the load is even
+# up to ``OVERLOAD_FACTOR``: requests wait at each short peak.
+HIGH_SHARE = 0.85
+# A unit that uses more than this share of its holder's slots can't be served beside others.
+OVERSIZED_SHARE = 0.8
 # Approximate load of a chunk of neighbouring units, as a share of the fair load level.
 CHUNK_SHARE = 0.15
 # Highest load level of a target after a move, as a share of the source's level before it.
@@ -28,15 +34,15 @@
     Attributes:
         instance: Its ``EndpointInstance``.
         rate: Requests per second for its keys.
-        weight: Its share of the load relative to an equal share.
-        rows: Number of rows of its response.
+        weight: What it can serve, relative to an endpoint of usual speed.
+        rows: Number of rows of its response, or ``None`` until a move needs it.
         hot_units: Its hot units with their rates, in order of the keys.
     """
 
     instance: object
     rate: float
     weight: float
-    rows: int
+    rows: int | None
     hot_units: list[tuple[int, float]] = []
 
     @property
@@ -57,46 +63,120 @@
     units: tuple[int, ...]
 
 
-def plan_rebalancing(endpoint_loads, mean_response_s, slots, is_aligned):
+class LoadLevels(msgspec.Struct, frozen=True):
+    """Load levels of a service that endpoints are compared with, in requests per second.
+
+    Attributes:
+        fair: Level of each endpoint if the load were even.
+        full: Level at which an endpoint uses all its slots.
+    """
+
+    fair: float
+    full: float
+
+    def is_overloaded(self, load):
+        """Return whether an endpoint should lose units."""
+        return load.level > max(OVERLOAD_FACTOR * self.fair, BUSY_SHARE * self.full) or (
+            load.level > max(REBALANCED_FACTOR * self.fair, HIGH_SHARE * self.full)
+        )
+
+    def is_oversized(self, rate, load):
+        """Return whether units with a rate are more than an endpoint can serve beside others."""
+        return rate > OVERSIZED_SHARE * self.full * load.weight
+
+
+def load_levels(endpoint_loads, mean_response_s, slots):
+    """Return the ``LoadLevels`` of a service.
+
+    Args:
+        endpoint_loads: An ``EndpointLoad`` for each endpoint that accepts work.
+        mean_response_s: Work time of an endpoint of usual speed, in seconds.
+        slots: Number of requests that an endpoint runs at once.
+
+    Examples:
+        >>> loads = [EndpointLoad("a", 30.0, 1.0, 0), EndpointLoad("b", 0.0, 1.0, 0)]
+        >>> load_levels(loads, 0.1, 3)
+        LoadLevels(fair=15.0, full=30.0)
+    """
+    total_weight = sum(load.weight for load in endpoint_loads)
+    fair = sum(load.rate for load in endpoint_loads) / (total_weight or 1.0)
+    return LoadLevels(fair, slots / mean_response_s if mean_response_s > 0 else float("inf"))
+
+
+def plan_rebalancing(endpoint_loads, mean_response_s, slots, is_aligned, max_chunks=MAX_CHUNKS):
     """Choose hot units that should move.
 
     Args:
         endpoint_loads: An ``EndpointLoad`` for each endpoint that accepts work; rates and rows
             are updated for each planned move.
-        mean_response_s: Mean response time in seconds.
+        mean_response_s: Work time of an endpoint of usual speed, in seconds.
         slots: Number of requests that an endpoint runs at once.
         is_aligned: Function that returns whether a target usually reports soon after a source,
             so that the keys are without a holder for a short time only.
+        max_chunks: Largest number of chunks.
 
     Returns:
         For each source's ``EndpointInstance``, a list of ``Chunk`` objects.
     """
-    total_weight = sum(load.weight for load in endpoint_loads)
-    if len(endpoint_loads) < 2 or not total_weight:
-        return {}
-    fair_level = sum(load.rate for load in endpoint_loads) / total_weight
-    plans, chunks = {}, 0
+    levels = load_levels(endpoint_loads, mean_response_s, slots)
+    plans, chunk_count = {}, 0
     for source in sorted(endpoint_loads, key=lambda load: load.level, reverse=True):
-        if source.level <= OVERLOAD_FACTOR * fair_level:
-            break
-        if source.rate * mean_response_s < BUSY_SHARE * slots:
-            continue
-        for units, rate in cut_chunks(source.hot_units, CHUNK_SHARE * fair_level):
-            is_full = source.rows >= MAX_ROWS_AFTER_REBALANCING or chunks >= MAX_CHUNKS
-            if is_full or source.level <= REBALANCED_FACTOR * fair_level:
-                break
-            target = choose_target(endpoint_loads, source, rate, is_aligned)
-            if target is None:
-                continue
-            target.rate += rate
-            target.rows += 1
-            source.rate -= rate
-            source.rows += 1
-            chunks += 1
-            plans.setdefault(source.instance, []).append(Chunk(target.instance, units))
+        remaining = max_chunks - chunk_count
+        chunks = plan_source(source, endpoint_loads, levels, is_aligned, remaining)
+        if chunks:
+            plans[source.instance] = chunks
+            chunk_count += len(chunks)
     return plans
 
 
+def plan_source(
+    source,
+    endpoint_loads,
+    levels,
+    is_aligned,
+    max_chunks=MAX_CHUNKS,
+    may_move=lambda unit: True,
+):
+    """Choose hot units of one endpoint that should move, those with the most load first.
+
+    Args:
+        source: The ``EndpointLoad`` of the endpoint.
+        endpoint_loads: As of ``plan_rebalancing``.
+        levels: The ``LoadLevels``.
+        is_aligned: As of ``plan_rebalancing``.
+        max_chunks: Largest number of chunks.
+        may_move: Function that returns whether a unit has stayed long enough to move again.
+
+    Returns:
+        A list of ``Chunk`` objects.
+    """
+    chunks = []
+    if len(endpoint_loads) < 2 or not levels.is_overloaded(source):
+        return chunks
+    movable = [
+        (unit, rate)
+        for unit, rate in source.hot_units
+        if may_move(unit) and not levels.is_oversized(rate, source)
+    ]
+    for units, rate in cut_chunks(movable, CHUNK_SHARE * levels.fair):
+        is_full = source.rows >= MAX_ROWS_AFTER_REBALANCING or len(chunks) >= max_chunks
+        if is_full or source.level <= REBALANCED_FACTOR * levels.fair:
+            break
+        target = choose_target(endpoint_loads, source, rate, is_aligned)
+        if target is not None:
+            move_rate(source, target, rate)
+            chunks.append(Chunk(target.instance, units))
+    return chunks
+
+
+def move_rate(source, target, rate):
+    """Update two ``EndpointLoad`` objects for a chunk that moves."""
+    target.rate += rate
+    target.rows += 1
+    source.rate -= rate
+    source.rows += 1
+
+
 def choose_target(endpoint_loads, source, rate, is_aligned):
     """Return the ``EndpointLoad`` with the lowest level after one more chunk, or ``None``.
 
--- a/greengagerock/assignment/units.py
+++ b/greengagerock/assignment/units.py
@@ -1,6 +1,6 @@
 """Units: groups of neighbouring keys that are always granted together."""
 
-from greengagerock.assignment.reports import KEY_COUNT
+from greengagerock.assignment.reports import KEY_COUNT, GrantRow
 
 KEYS_PER_UNIT = 8
 UNIT_COUNT = KEY_COUNT // KEYS_PER_UNIT
@@ -41,3 +41,31 @@
         ):
             tokens[unit] = freed_range.handover_token
     return tokens
+
+
+def grant_rows(units, fences, handover_tokens):
+    """Return the ``GrantRow`` objects for units; neighbours with equal values share a row.
+
+    Args:
+        units: The units.
+        fences: Fence of each unit.
+        handover_tokens: Token of the last holder, by unit.
+
+    Examples:
+        >>> rows = grant_rows({0, 1, 5}, [7] * 8, {})
+        >>> [(row.first, row.last, row.fence) for row in rows]
+        [(0, 15, 7), (40, 47, 7)]
+    """
+    rows = []
+    for unit in sorted(units):
+        fence = fences[unit]
+        handover_token = handover_tokens.get(unit, "")
+        first = unit * KEYS_PER_UNIT
+        last = first + KEYS_PER_UNIT - 1
+        if rows:
+            previous = rows[-1]
+            if (previous[1] + 1, previous[2], previous[3]) == (first, fence, handover_token):
+                previous[1] = last
+                continue
+        rows.append([first, last, fence, handover_token])
+    return tuple(GrantRow(*row) for row in rows)
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -9,6 +9,7 @@
 from greengagerock.assignment.key_assignments import lessor_hold_s
 from greengagerock.assignment.units import UNIT_COUNT
 from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
+from greengagerock.control.hot_key_log import log_hot_units
 from greengagerock.control.relay_messages import ItemsRelay, PatchRelay, RelayReply, ReportRelay
 from greengagerock.control.router_updater import RouterUpdater
 from greengagerock.core import GreengageError
@@ -306,7 +307,8 @@
             self._apply_limits(assignments, instances, now_s)
             assignments.advance(instances, now_s)
             assignments.plan_balance_moves(instances, now_s)
-            self._spread_hot_units(service, assignments, instances, now_s)
+            assignments.plan_rebalancing(instances, now_s)
+            log_hot_units(service, assignments.hot_units, self.outbox, now_s)
             self._log_missing_holders(
                 service, len(assignments.free_units.free) + len(assignments.unreported_units)
             )
@@ -337,17 +339,6 @@
                 now_s,
             )
 
-    def _spread_hot_units(self, service, assignments, instances, now_s):
-        plans = assignments.plan_rebalancing(instances, now_s)
-        for source, chunks in plans.items():
-            self.outbox.log(
-                "hot-keys-spread",
-                service=service,
-                endpoint=source.name,
-                units=sum(len(chunk.units) for chunk in chunks),
-                takers=",".join(sorted({chunk.target.name for chunk in chunks})),
-            )
-
     def _log_missing_holders(self, service, unit_count):
         """Log when the first units of a service lose their holder, and when all have one."""
         previous_count = self.units_without_holder.get(service, 0)
