--- a/greengagerock/assignment/free_units.py
+++ b/greengagerock/assignment/free_units.py
@@ -72,6 +72,10 @@
         """Return the free units that are reserved for a target, in order."""
         return sorted(self._units_by_target.get(target, set()) & self.free)
 
+    def count_reserved(self, target):
+        """Return the number of units that are reserved for a target, free or not yet."""
+        return len(self._units_by_target.get(target, ()))
+
     def expire(self, now_s, is_leaving):
         """Cancel reservations that have expired or whose target is leaving.
 
--- a/greengagerock/assignment/hot_units.py
+++ b/greengagerock/assignment/hot_units.py
@@ -312,8 +312,10 @@
         self.returns = {}
         for unit, move in list(self.temporary_moves.items()):
             holder = assignments.owners[unit]
-            if unit // UNITS_PER_BLOCK in self.hot_blocks or move.origin in self.isolations:
+            if unit // UNITS_PER_BLOCK in self.hot_blocks:
                 move.last_hot_s = now_s
+            elif move.origin in self.isolations:
+                continue
             elif holder is move.origin or move.origin not in available:
                 if self._may_move(unit):
                     del self.temporary_moves[unit]
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -15,7 +15,7 @@
 from greengagerock.assignment.endpoint_weights import EndpointWeights
 from greengagerock.assignment.free_units import FreeUnits
 from greengagerock.assignment.hot_units import HotUnitPlanner
-from greengagerock.assignment.settled_holdings import settle_holdings
+from greengagerock.assignment.settled_holdings import MovableUnits, settled_counts
 from greengagerock.assignment.units import (
     UNIT_COUNT,
     fences_by_unit,
@@ -196,12 +196,11 @@
             return
         self.next_plan_s = now_s + 2 * self.report_interval_s
         available = self._available(instances, now_s)
-        counts, movable = settle_holdings(
-            available, self.held, reserved, self.hot_units, self.next_holder
-        )
+        counts = settled_counts(available, self.held, reserved, self.hot_units, self.next_holder)
         if not counts:
             return
         desired = desired_counts(counts, self._weight_of)
+        movable = MovableUnits(self.held, self.hot_units)
         self.planned_moves = plan_moves(
             counts, desired, movable, self.stripe_units, self._is_aligned_or_overdue
         )
@@ -222,8 +221,8 @@
         return self.owners[unit] if reservation is None else reservation.target
 
     def count_rows(self, instance):
-        """Return the number of rows of a response to an instance."""
-        return len(self._rows(instance))
+        """Return the rows of a response to an instance, with one for each unit in transit."""
+        return len(self._rows(instance)) + self.free_units.count_reserved(instance)
 
     def _weight_of(self, instance):
         return self.weights.weight(instance.name)
--- a/greengagerock/testing/hot_load.py
+++ b/greengagerock/testing/hot_load.py
@@ -77,16 +77,6 @@
         """Return the number of grants of units since a time."""
         return sum(time_s >= since_s for time_s, _, _ in self.owner_changes)
 
-    def shortest_stay_s(self):
-        """Return the shortest time between two grants of a unit to different endpoints."""
-        last, shortest = {}, float("inf")
-        for time_s, unit, endpoint in self.owner_changes:
-            previous_s, previous = last.get(unit, (float("-inf"), endpoint))
-            if previous != endpoint:
-                shortest = min(shortest, time_s - previous_s)
-            last[unit] = (time_s, endpoint)
-        return shortest
-
     def holder(self, key):
         """Return the endpoint that holds a key, or ``None``."""
         return self.site.find_endpoint_holding("till", key)
