Demand of keys: count requests by the work of their route

Cause: an endpoint serves work, and requests of a service's routes may take different times.

Free keys do not go to endpoints that have given up units because of a hot key.

--- a/greengagerock/assignment/hot_units.py
+++ b/greengagerock/assignment/hot_units.py
@@ -181,6 +181,10 @@
         """Return whether an endpoint should not get more units because of its hot ones."""
         return instance in self.isolations
 
+    def without_isolated(self, instances):
+        """Return those instances that may get more units, or all if none of them may."""
+        return [i for i in instances if i not in self.isolations] or instances
+
     def pop_moved(self):
         """Return the moves since the last call: by source the targets' names and units."""
         moved, self.moved = self.moved, {}
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -355,15 +355,12 @@
         """Grant free units to an instance that has just reported."""
         granted = self.free_units.reserved_for(instance)
         if self.is_assigned and self.free_units.unreserved:
-            available = self._available(instances, now_s)
-            desired = (
-                desired_counts(available, self._weight_of)[instance]
-                if instance in available and not self.hot_units.is_isolated(instance)
-                else 0
-            )
-            held = len(self.held.get(instance, ())) + len(granted)
-            quota = max(desired - held, self._pool_quota(len(available)))
-            granted += self._choose_free(instance, self.free_units.unreserved, quota)
+            available = self.hot_units.without_isolated(self._available(instances, now_s))
+            if instance in available:
+                desired = desired_counts(available, self._weight_of)[instance]
+                held = len(self.held.get(instance, ())) + len(granted)
+                quota = max(desired - held, self._pool_quota(len(available)))
+                granted += self._choose_free(instance, self.free_units.unreserved, quota)
         if not granted:
             return
         fence = self.next_fence(self.highest_fence)
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -153,7 +153,7 @@
         deadline_s = now_s + min(event.budget_s, route.timeout_s)
         call = Call(event, route, self.service_picker.pick(route), now_s, deadline_s)
         if self.sender.is_keyed(call):
-            self.demand.count(call.service, call.key)
+            self.demand.count(call.service, call.key, call.route.name)
         call.fingerprint = fingerprint_call(event, route)
         self.calls[call.token] = call
         self.budget.count_request(call.service, now_s)
@@ -215,6 +215,8 @@
         endpoint = self._end_attempt(call)
         outcome = "answered" if event.complete else "cut-off"
         if event.response_time_s:
+            if self.sender.is_keyed(call):
+                self.demand.note_response(call.service, call.route.name, event.response_time_s)
             observation = self.observations.observation_of(endpoint)
             self._note_reached(endpoint, observation, relay, event.response_time_s)
             if observation.is_silent(self.timers.now_s):
