--- a/greengagerock/testing/hot_load.py
+++ b/greengagerock/testing/hot_load.py
@@ -23,6 +23,9 @@
 
     Attributes:
         calls: Tuples of time, key and token of the requests.
+        watched_key: A hot key, or ``None``.
+        tokens_beside: Tokens of requests for other keys of the endpoint that held the watched
+            key when they were sent.
         owner_changes: Tuples of time, unit and endpoint name of each grant of the leaders.
     """
 
@@ -30,6 +33,8 @@
         self.site = site
         self.routers = [f"edge-{number}" for number in range(1, routers + 1)]
         self.calls = []
+        self.watched_key = None
+        self.tokens_beside = set()
         self.owner_changes = []
 
     def offer(self, seconds, base_per_s, hot_keys=(), hot_per_s=0.0, base_keys=None):
@@ -64,12 +69,12 @@
     def served_share(self, since_s, until_s, keys):
         """Return which share of the requests for some keys in a period was served.
 
-        Call it once all of them have ended.
+        Requests for keys beside the watched one count as well. Call it once all have ended.
         """
         results = [
             self.site.request_results.get(token)
             for sent_s, key, token in self.calls
-            if since_s <= sent_s < until_s and key in keys
+            if since_s <= sent_s < until_s and (key in keys or token in self.tokens_beside)
         ]
         return results.count("ok") / len(results)
 
@@ -93,13 +98,19 @@
     def _call(self, key):
         token = self.site.call(self.site.random.choice(self.routers), key=key)
         self.calls.append((self.site.now_s, key, token))
+        if self.watched_key is not None and key != self.watched_key:
+            holder = self.holder(self.watched_key)
+            if holder is not None and holder.holds_key(key, self.site.now_s):
+                self.tokens_beside.add(token)
 
 
-def build_hot_load(seed=1, endpoints=40, routers=4, base_per_s=300.0, settle_s=SETTLE_S):
-    """Return a load on a site of fast and slow endpoints that has settled under base load."""
+def build_hot_load(
+    seed=1, endpoints=40, routers=4, base_per_s=300.0, settle_s=SETTLE_S, factors=SPEED_FACTORS
+):
+    """Return a load on a site of endpoints of some speeds that has settled under base load."""
     site = build_fake_site(seed=seed, routers=routers, reporting_endpoints=endpoints)
     for number, endpoint in enumerate(site.reporting_endpoints.values()):
-        endpoint.processing_time_s = WORK_S * SPEED_FACTORS[number % 2]
+        endpoint.processing_time_s = WORK_S * factors[number % len(factors)]
         endpoint.queue_limit = QUEUE_LIMIT
     load = HotLoad(site, routers)
     load.offer(settle_s, base_per_s)
