--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -164,6 +164,7 @@
         yield from self._link_turns()
         yield from self._limits()
         yield from self._paths()
+        yield from self._hot_keys()
         yield from collect_link_metrics(self.links.stats)
         yield GaugeMetricFamily("greengage_threads", "Threads.", value=threading.active_count())
 
@@ -204,6 +205,34 @@
                 value=dispatcher.paths.relays.sent_count,
             )
 
+    def _hot_keys(self):
+        """Yield what a leader has moved because of hot keys, by service."""
+        leader = getattr(self.node, "site_leader", None)
+        if leader is None:
+            return
+        families = [
+            GaugeMetricFamily(f"greengage_{name}", description, labels=["service"])
+            for name, description in (
+                ("hot_blocks", "Blocks of neighbouring keys that are hot."),
+                ("isolated_endpoints", "Endpoints that gave up keys because of a hot one."),
+                ("temporarily_moved_units", "Units that return after their keys have cooled."),
+            )
+        ]
+        moved = CounterMetricFamily(
+            "greengage_moved_units", "Units moved in this term.", labels=["service"]
+        )
+        for service, assignments in list(leader.assignments_by_service.items()):
+            planner = assignments.hot_units
+            for family, values in zip(
+                families,
+                (planner.hot_blocks, planner.isolations, planner.temporary_moves),
+                strict=True,
+            ):
+                family.add_metric([service], len(values))
+            moved.add_metric([service], assignments.moved_unit_count)
+        yield from families
+        yield moved
+
 
 def collect_link_metrics(stats):
     """Yield metric families of the ``LinkStats`` of a host."""
