Hot units: notice 8 requests per second within 0.6 s, and compare loads more cheaply

Cause: a block counted as hot at a decayed count of 6, which a unit of a range of 25 units reaches a second after its start. Loads were compared every second tick.

Change: the threshold is 4, loads are compared at each tick for 2 s after a block has become hot and every 0.3 s later, and their sums are taken without a call for each unit.

--- a/greengagerock/assignment/block_loads.py
+++ b/greengagerock/assignment/block_loads.py
@@ -88,6 +88,13 @@
         span_s = self.updated_s - since_s + MESSAGE_SPAN_S
         return count / (DECAY_S * (1.0 - math.exp(-span_s / DECAY_S)))
 
+    def rates(self):
+        """Return the requests per second of all blocks."""
+        rates = {block: count / DECAY_S for block, count in self.counts.items()}
+        for block in self.busy_since_s:
+            rates[block] = self.rate(block)
+        return rates
+
     def hot_blocks(self, min_count):
         """Return the blocks whose decayed count is at least ``min_count``."""
         return {block for block, count in self.counts.items() if count >= min_count}
--- a/greengagerock/assignment/hot_units.py
+++ b/greengagerock/assignment/hot_units.py
@@ -1,7 +1,7 @@
 """Moves hot units of one service from overloaded endpoints to others, and back later.
 
 Answers neighbouring or single keys that get much of the traffic for seconds. Loads are compared
-every ``PLAN_INTERVAL_S``; what an endpoint gives up is decided when it reports, so that the
+every tenth of a second; what an endpoint gives up is decided when it reports, so that the
 newest counts decide and targets that report next are preferred.
 """
 
@@ -17,11 +17,17 @@
 from greengagerock.assignment.units import KEYS_PER_BLOCK, KEYS_PER_UNIT, UNIT_COUNT
 
 # Shortest time between two comparisons of loads; a report uses counts that are at most this old.
-PLAN_INTERVAL_S = 0.15
-# Decayed number of requests from which a block counts as hot; equals four requests per second.
-MIN_HOT_COUNT = 6.0
+# A comparison takes some milliseconds, so they are rarer once blocks have been hot for a while.
+PLAN_INTERVAL_S = 0.1
+CALM_PLAN_INTERVAL_S = 0.3
+CHANGE_SPAN_S = 2.0
+# Ticks of the leader come at the same interval, some of them a little early.
+TICK_TOLERANCE_S = 0.01
+# Decayed number of requests from which a block counts as hot; reached within 0.6 s at 8 requests
+# per second, the rate of a unit in a range that needs about twenty endpoints.
+MIN_HOT_COUNT = 4.0
 # A hot block stays hot until its count is below this, so that noise does not end it.
-MIN_STILL_HOT_COUNT = 3.0
+MIN_STILL_HOT_COUNT = 2.0
 # Shortest time for which a unit stays with its holder. A hand-over takes up to a report interval
 # of about a second, and two further seconds show the new load.
 SETTLING_S = 3.1
@@ -92,6 +98,7 @@
         returns: Units that may return, by holder.
         settling_until_s: For each unit that has just moved, when it may move again.
         compared_s: When the loads were last compared.
+        changed_s: When a block last became hot.
         moved: By source, the names of targets and the number of units that moved since the last
             call of ``pop_moved``.
         begun_isolations: Pairs of instance and ``Isolation`` that began since the last call of
@@ -111,6 +118,7 @@
         self.returns = {}
         self.settling_until_s = {}
         self.compared_s = float("-inf")
+        self.changed_s = float("-inf")
         self.moved = {}
         self.begun_isolations = []
         self.ended_isolations = []
@@ -124,12 +132,17 @@
             assignments: The service's ``KeyAssignments``.
             now_s: Monotonic time in seconds.
         """
-        if now_s - self.compared_s < PLAN_INTERVAL_S:
+        is_changing = now_s - self.changed_s < CHANGE_SPAN_S
+        interval_s = PLAN_INTERVAL_S if is_changing else CALM_PLAN_INTERVAL_S
+        if now_s - self.compared_s < interval_s - TICK_TOLERANCE_S:
             return
         self.compared_s = now_s
         self.block_loads.decay(now_s)
+        hot_blocks = self.block_loads.hot_blocks(MIN_HOT_COUNT)
+        if hot_blocks - self.hot_blocks:
+            self.changed_s = now_s
         still_hot = self.block_loads.hot_blocks(MIN_STILL_HOT_COUNT) & self.hot_blocks
-        self.hot_blocks = self.block_loads.hot_blocks(MIN_HOT_COUNT) | still_hot
+        self.hot_blocks = hot_blocks | still_hot
         self.settling_until_s = {
             u: until_s for u, until_s in self.settling_until_s.items() if until_s > now_s
         }
@@ -222,22 +235,35 @@
             )
             for instance in available
         }
-        cold_rate = 0.0
-        for block in sorted(self.block_loads.counts):
-            rate = self.block_loads.rate(block) / UNITS_PER_BLOCK
-            is_hot = block in self.hot_blocks
+        rates = self.block_loads.rates()
+        totals = self._rates_by_holder(rates, assignments)
+        for instance, load in loads.items():
+            load.rate = totals.get(instance, 0.0)
+        for block in sorted(self.hot_blocks):
             for unit in units_of_block(block):
                 load = loads.get(assignments.next_holder(unit))
-                cold_rate += 0.0 if is_hot else rate
                 if load is not None:
-                    load.rate += rate
-                    if is_hot:
-                        load.hot_units.append((unit, rate))
-        self.unit_rate = cold_rate / UNIT_COUNT
+                    load.hot_units.append((unit, rates.get(block, 0.0) / UNITS_PER_BLOCK))
+        hot_rate = sum(rates.get(block, 0.0) for block in self.hot_blocks)
+        self.unit_rate = (sum(rates.values()) - hot_rate) / UNIT_COUNT
         work_s = weights.work_times.typical_s() or weights.mean_response_s
         self.levels = load_levels(loads.values(), work_s, slots)
         return loads
 
+    def _rates_by_holder(self, rates, assignments):
+        """Return the requests per second by instance that holds the keys or is about to."""
+        owners, reserved = assignments.owners, assignments.free_units.reserved
+        totals = {}
+        for block, rate in rates.items():
+            for unit in range(block * UNITS_PER_BLOCK, (block + 1) * UNITS_PER_BLOCK):
+                owner = owners[unit]
+                totals[owner] = totals.get(owner, 0.0) + rate / UNITS_PER_BLOCK
+        for unit, reservation in reserved.items():
+            rate = rates.get(unit // UNITS_PER_BLOCK, 0.0) / UNITS_PER_BLOCK
+            totals[owners[unit]] = totals.get(owners[unit], 0.0) - rate
+            totals[reservation.target] = totals.get(reservation.target, 0.0) + rate
+        return totals
+
     def _serving_weight(self, instance, weights, slots, now_s):
         """Return what an endpoint can serve, relative to one of usual speed."""
         work_s = weights.work_times.work_s(instance.name)
