--- a/greengagerock/assignment/hot_units.py
+++ b/greengagerock/assignment/hot_units.py
@@ -231,7 +231,12 @@
         slots = min(instance.report.slots for instance in available)
         loads = {
             instance: EndpointLoad(
-                instance, 0.0, self._serving_weight(instance, weights, slots, now_s), None, []
+                instance,
+                0.0,
+                self._serving_weight(instance, weights, slots, now_s),
+                None,
+                [],
+                weights.work_times.work_s(instance.name) is not None,
             )
             for instance in available
         }
--- a/greengagerock/assignment/isolation.py
+++ b/greengagerock/assignment/isolation.py
@@ -26,8 +26,8 @@
 def plan_oversized(source, endpoint_loads, levels, is_aligned, may_move):
     """Choose endpoints for units that one endpoint holds and can't serve.
 
-    The unit with the most load stays unless another endpoint is clearly faster. Further ones
-    leave it, as it can't serve even one.
+    The unit with the most load stays unless another endpoint is known to be clearly faster.
+    Further ones leave it, as it can't serve even one.
 
     Args:
         source: The ``EndpointLoad`` of the endpoint.
@@ -48,7 +48,11 @@
     for number, (unit, rate) in enumerate(oversized):
         is_last = number == len(oversized) - 1
         min_weight = source.weight * (MIN_SPEED_RATIO if is_last else 1 / MIN_SPEED_RATIO)
-        candidates = [load for load in endpoint_loads if load not in hosts]
+        candidates = [
+            load
+            for load in endpoint_loads
+            if load not in hosts and (load.is_known and source.is_known or not is_last)
+        ]
         target = _choose_host(source, candidates, levels, is_aligned, min_weight)
         if target is None or not may_move(unit):
             continue
--- a/greengagerock/assignment/rebalancing.py
+++ b/greengagerock/assignment/rebalancing.py
@@ -37,6 +37,7 @@
         weight: What it can serve, relative to an endpoint of usual speed.
         rows: Number of rows of its response, or ``None`` until a move needs it.
         hot_units: Its hot units with their rates, in order of the keys.
+        is_known: Whether the weight comes from enough responses.
     """
 
     instance: object
@@ -44,6 +45,7 @@
     weight: float
     rows: int | None
     hot_units: list[tuple[int, float]] = []
+    is_known: bool = True
 
     @property
     def level(self):
--- a/greengagerock/assignment/tests/test_isolation.py
+++ b/greengagerock/assignment/tests/test_isolation.py
@@ -60,16 +60,22 @@
     assert 1 not in {unit for chunk in isolated for unit in chunk.units}
 
 
-def test_key_that_no_endpoint_can_serve_moves_once_to_a_clearly_faster_one():
+def place_on_faster(is_known=True, was_placed=False):
+    """Return where a key goes that its slow holder can't serve."""
     loads = [
         EndpointLoad("slow", 100.0, 0.5, 60, [(1, 95.0)]),
-        EndpointLoad("fast", 5.0, 1.5, 60, []),
+        EndpointLoad("fast", 5.0, 1.5, 60, [], is_known),
         EndpointLoad("usual", 5.0, 0.6, 60, []),
     ]
     levels = load_levels(loads, WORK_S, SLOTS)
-    [chunk] = plan_oversized(loads[0], loads, levels, never_aligned, lambda unit: True)
-    assert (chunk.target, chunk.units) == ("fast", (1,))
-    assert plan_oversized(loads[0], loads, levels, never_aligned, lambda unit: False) == []
+    chunks = plan_oversized(loads[0], loads, levels, never_aligned, lambda unit: not was_placed)
+    return [(chunk.target, chunk.units) for chunk in chunks]
+
+
+def test_key_that_no_endpoint_can_serve_moves_once_to_one_known_to_be_clearly_faster():
+    assert place_on_faster() == [("fast", (1,))]
+    assert place_on_faster(was_placed=True) == []
+    assert place_on_faster(is_known=False) == []
 
 
 def test_two_keys_that_need_an_endpoint_each_are_separated():
