--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -15,6 +15,7 @@
 from greengagerock.assignment.endpoint_weights import EndpointWeights
 from greengagerock.assignment.free_units import FreeUnits
 from greengagerock.assignment.hot_units import HotUnitPlanner
+from greengagerock.assignment.settled_holdings import MovableUnits, settled_counts
 from greengagerock.assignment.units import (
     UNIT_COUNT,
     fences_by_unit,
@@ -206,16 +207,18 @@
             return
         if any(self.planned_moves.values()) and now_s < self.next_plan_s:
             return
-        if self.releasing or self.free_units.reserved:
+        reserved = self.free_units.reserved
+        if any(unit not in reserved for units in self.releasing.values() for unit in units):
             return
         self.next_plan_s = now_s + 2 * self.report_interval_s
         available = self._available(instances, now_s)
-        if not available:
+        counts = settled_counts(available, self.held, reserved, self.hot_units, self.next_holder)
+        if not counts:
             return
-        counts = {instance: len(self.held.get(instance, ())) for instance in available}
-        desired = desired_counts(available, self._weight_of)
+        desired = desired_counts(counts, self._weight_of)
+        movable = MovableUnits(self.held, self.hot_units)
         self.planned_moves = plan_moves(
-            counts, desired, self.held, self.stripe_units, self._is_aligned_or_overdue
+            counts, desired, movable, self.stripe_units, self._is_aligned_or_overdue
         )
         targets = {target for planned in self.planned_moves.values() for target, _ in planned}
         self.waiting_since_s = {
@@ -223,23 +226,19 @@
         }
 
     def plan_rebalancing(self, instances, now_s):
-        """Plan the spreading of hot units over more endpoints.
-
-        Args:
-            instances: All instances of the service.
-            now_s: Monotonic time in seconds.
-
-        Returns:
-            The new ``Chunk`` objects by source.
-        """
+        """Compare the loads of endpoints, so that hot units can be spread over more of them."""
         available = self._available(instances, now_s)
-        if not self.is_assigned or self.unreported_units or not available:
-            return {}
-        return self.hot_units.plan(available, self, self._is_aligned, now_s)
+        if self.is_assigned and not self.unreported_units and available:
+            self.hot_units.plan(available, self, now_s)
+
+    def next_holder(self, unit):
+        """Return the ``EndpointInstance`` that holds a unit or is about to get it, or ``None``."""
+        reservation = self.free_units.reserved.get(unit)
+        return self.owners[unit] if reservation is None else reservation.target
 
     def count_rows(self, instance):
-        """Return the number of rows of a response to an instance."""
-        return len(self._rows(instance))
+        """Return the rows of a response to an instance, with one for each unit in transit."""
+        return len(self._rows(instance)) + self.free_units.count_reserved(instance)
 
     def _accepts_units(self, instance):
         return not (instance.is_leaving or self.is_evacuated(instance))
@@ -346,6 +345,7 @@
             self.on_owner_changed(unit, "")
             if target is not None:
                 self.free_units.reserve(unit, target, now_s + RESERVATION_S)
+                self.hot_units.note_release((unit,), now_s)
         self.moved_unit_count += len(units)
 
     def _release_evacuated(self, instance, instances, now_s):
@@ -356,7 +356,7 @@
             self._release(instance, units, now_s, target)
 
     def _release_moves(self, instance, now_s):
-        for chunk in self.hot_units.pop_due_chunks(instance):
+        for chunk in self.hot_units.release(instance, self, self._is_aligned, now_s):
             if self._accepts_units(chunk.target):
                 units = self._movable_units(instance, chunk.units, now_s)
                 self._release(instance, units, now_s, chunk.target)
@@ -385,17 +385,13 @@
         """Grant free units to an instance that has just reported."""
         granted = self.free_units.reserved_for(instance)
         if self.is_assigned and self.free_units.unreserved:
-            available = self._available(instances, now_s)
-            desired = (
-                desired_counts(available, self._weight_of)[instance]
-                if instance in available
-                else 0
-            )
-            held = len(self.held.get(instance, ())) + len(granted)
-            quota = desired - held
-            if not self.weights.is_bounded_cold(instance.name):
-                quota = max(quota, self._pool_quota(len(available)))
-            granted += self._choose_free(instance, self.free_units.unreserved, quota)
+            available = self.hot_units.without_isolated(self._available(instances, now_s))
+            if instance in available:
+                desired = desired_counts(available, self._weight_of)[instance]
+                quota = desired - len(self.held.get(instance, ())) - len(granted)
+                if not self.weights.is_bounded_cold(instance.name):
+                    quota = max(quota, self._pool_quota(len(available)))
+                granted += self._choose_free(instance, self.free_units.unreserved, quota)
         if not granted:
             return
         fence = self.next_fence(self.highest_fence)
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -12,6 +12,7 @@
 from greengagerock.control.evacuations import Evacuations
 from greengagerock.control.fence_counter import FenceCounter
 from greengagerock.control.holder_gaps import HolderGaps
+from greengagerock.control.hot_key_log import log_hot_units
 from greengagerock.control.limited_weights import apply_cold_limit, apply_limits
 from greengagerock.control.pending_proposals import PendingProposals
 from greengagerock.control.relay_messages import (
@@ -333,7 +334,8 @@
             apply_limits(assignments, instances, self.router_updater.limit_shares, now_s)
             assignments.advance(instances, now_s)
             assignments.plan_balance_moves(instances, now_s)
-            self._spread_hot_units(service, assignments, instances, now_s)
+            assignments.plan_rebalancing(instances, now_s)
+            log_hot_units(service, assignments.hot_units, self.outbox, now_s)
             self.evacuations.note_progress(service, assignments, instances)
             self.holder_gaps.note(
                 service, len(assignments.free_units.free) + len(assignments.unreported_units)
@@ -344,17 +346,6 @@
             del self.router_updater.bans[fingerprint]
             self.crash_counter.forget(fingerprint)
 
-    def _spread_hot_units(self, service, assignments, instances, now_s):
-        plans = assignments.plan_rebalancing(instances, now_s)
-        for source, chunks in plans.items():
-            self.outbox.log(
-                "hot-keys-spread",
-                service=service,
-                endpoint=source.name,
-                units=sum(len(chunk.units) for chunk in chunks),
-                takers=",".join(sorted({chunk.target.name for chunk in chunks})),
-            )
-
     def _begin_takeover(self, now_s):
         """Compute until when endpoints may still hold keys granted by an earlier leader.
 
