A late holder that has lost the key gets no second attempt; timeouts count once

Cause: a call whose holder accepted its connection late was refused if the key had moved meanwhile, and a timeout that showed a loss counted twice towards the loss of its groups. Change: the call goes on to the new holder, or waits for one; one count.

--- a/greengagerock/routing/endpoint_paths.py
+++ b/greengagerock/routing/endpoint_paths.py
@@ -145,9 +145,8 @@
 
     def note_lost(self, record):
         """Record that connecting to an endpoint failed."""
-        self.observations.observation_of(record.name).note_unreachable(self.timers.now_s)
         self.detector.note_failure(record)
-        self.update_report()
+        self._note_unreachable(record)
 
     def note_timeout(self, record, began_s, is_only_one=False):
         """Record a connect timeout; return whether the endpoint counts as lost.
@@ -159,9 +158,13 @@
         """
         if self.detector.note_timeout(record, began_s, is_only_one):
             return False
-        self.note_lost(record)
+        self._note_unreachable(record)
         return True
 
+    def _note_unreachable(self, record):
+        self.observations.observation_of(record.name).note_unreachable(self.timers.now_s)
+        self.update_report()
+
     def note_no_response(self, record, sent_s):
         """Record a request that got no response over an own connection until its deadline."""
         self.detector.note_no_response(record, sent_s)
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -98,16 +98,13 @@
             self.observations.observation_of(record.name).last_shed_s = self.timers.now_s
             self.paths.health.note_failure(record.name, self.timers.now_s)
             self._send_elsewhere(call)
-        elif (
-            has_time
-            and call.connect_failures < MAX_CONNECT_FAILURES
-            and self.replica.owner_of(call.service, call.key) == record.name
-            and self._may_send_again(call, record)
-        ):
-            self.sender.forward(call, record)
-        else:
+        elif call.connect_failures >= MAX_CONNECT_FAILURES or not has_time:
             detail = f"endpoint {record.name} accepts connections late"
             self.finish(call, "connect-failed", OUTCOME_NOT_RUN, detail)
+        elif self._is_still_holder(call, record) and self._may_send_again(call, record):
+            self.sender.forward(call, record)
+        else:
+            self._send_elsewhere(call)
 
     def _on_lost(self, call, endpoint, record, is_first_failure):
         """Send a call whose endpoint counts as lost on another path or to another endpoint."""
@@ -156,6 +153,9 @@
             and not self.paths.pick_relay(call, record)
         )
 
+    def _is_still_holder(self, call, record):
+        return self.replica.owner_of(call.service, call.key) == record.name
+
     def _may_send_again(self, call, record):
         """Return whether a call may be sent again to the same endpoint."""
         return (
--- a/greengagerock/routing/tests/test_connection_losses.py
+++ b/greengagerock/routing/tests/test_connection_losses.py
@@ -95,3 +95,14 @@
         counter.add_report(make_report(endpoint, is_reset), 0.0)
         counter.note_alive(endpoint, "2" if is_reset else "1", 2.0)
     assert counter.add_report(make_report("c", is_reset), 3.0)
+
+
+def test_late_holder_that_has_lost_the_key_meanwhile_gets_no_second_attempt():
+    harness = DispatcherHarness()
+    harness.dispatcher.paths.note_reached(harness.replica.endpoints["till-1"])
+    token = harness.call()
+    harness.effects()
+    harness.remove_holder()
+    harness.fail(token, "connect-timeout", has_sent_bytes=False)
+    assert harness.effects() == []
+    assert harness.watched_tokens == [token]
