--- a/greengagerock/control/evacuations.py
+++ b/greengagerock/control/evacuations.py
@@ -89,10 +89,11 @@
         arrived_s = self.timers.now_s
 
         def acknowledge(message):
+            code = message.result.code if message.result else "no-leader"
             self.outbox.log(
-                "evacuation-acknowledged",
+                "evacuation-refused" if code else "evacuation-acknowledged",
                 zones=zones,
-                code=message.result.code if message.result else "no-leader",
+                code=code,
                 active=",".join(sorted(self.store.items.evacuations)),
                 after_ms=round(1000 * (self.timers.now_s - arrived_s)),
             )
--- a/greengagerock/control/protocol_versions.py
+++ b/greengagerock/control/protocol_versions.py
@@ -3,6 +3,9 @@
 # Voters send hellos and routers send polls every 0.5 s, and find a new leader within 0.2 s. From
 # then on, a host that has not been heard is down and does not hold up what needs all hosts.
 HEARING_WINDOW_S = 0.8
+# A rest of the window below this counts as none: a timer that ends with the window may be early by
+# a rounding error.
+MIN_HEARING_LEFT_S = 0.001
 
 
 class ProtocolVersions:
@@ -45,7 +48,8 @@
 
     def hearing_left_s(self, now_s):
         """Return for how long some hosts may not have been heard yet in this term, in seconds."""
-        return max(0.0, self.began_s + HEARING_WINDOW_S - now_s)
+        left_s = self.began_s + HEARING_WINDOW_S - now_s
+        return left_s if left_s > MIN_HEARING_LEFT_S else 0.0
 
     def lowest(self, voters, router_versions, now_s):
         """Return the lowest version, 0 while some hosts may not have been heard yet.
