--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -17,9 +17,11 @@
 _encoder = msgspec.msgpack.Encoder()
 _patch_decoder = msgspec.msgpack.Decoder(Patch)
 
-# Number of fields of a ``Patch`` before ``evacuations``. A patch without orders is encoded as
-# these alone, so that its digest equals that in snapshots of builds without evacuations.
+# Number of fields of a ``Patch`` before ``evacuations``, and of a ``ServiceItem`` before
+# ``warm_up``. Without orders and warm-ups, these alone are encoded, so that the digest of a patch
+# equals that in snapshots of older builds, and a resent patch is recognised after an upgrade.
 _ITEM_FIELD_COUNT = 5
+_SERVICE_FIELD_COUNT = 7
 
 # First byte of an entry's payload: the kind of the entry.
 _PATCH = b"P"
@@ -91,7 +93,14 @@
 
 def _encode_item_part(patch):
     """Return the encoding of a patch without its evacuation orders."""
-    return _encoder.encode(msgspec.structs.astuple(patch)[:_ITEM_FIELD_COUNT])
+    services = tuple(
+        msgspec.structs.astuple(service)[:_SERVICE_FIELD_COUNT]
+        if service.warm_up is None
+        else service
+        for service in patch.services
+    )
+    routes, _, *others = msgspec.structs.astuple(patch)[:_ITEM_FIELD_COUNT]
+    return _encoder.encode((routes, services, *others))
 
 
 class ItemStore:
