--- a/greengagerock/testing/launch_site.py
+++ b/greengagerock/testing/launch_site.py
@@ -69,7 +69,9 @@
         for number, ip in enumerate(self.controllers, 1):
             self.start_daemon(f"core-{number}", ip, "controller", ZONES[number - 1], True)
         for number, ip in enumerate(self.routers, 1):
-            self.start_daemon(f"edge-{number}", ip, "router", ZONES[number - 1], True)
+            self.start_daemon(
+                f"edge-{number}", ip, "router", ZONES[(number - 1) % len(ZONES)], True
+            )
         self.wait_until(lambda: self.apply_items(INITIAL_STATEMENTS))
         for number in range(1, till_count + 1):
             self.add_reporting_endpoint(f"till-{number}", "till", number)
@@ -115,9 +117,15 @@
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
         log_file = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
         command = [sys.executable, "-m", "greengagerock.daemon.main", str(path)]
-        self.processes[name] = subprocess.Popen(command, stdout=log_file, stderr=log_file)
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log_file, stderr=log_file, **self.process_options(name)
+        )
         log_file.close()
 
+    def process_options(self, name):
+        """Return further arguments of ``subprocess.Popen`` for a daemon."""
+        return {}
+
     def apply_items(self, text):
         """Send statements to the controllers in turn; returns whether one accepted them."""
         for ip in self.controllers:
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -17,6 +17,7 @@
     KEY_HEADER,
     LEAVING_HEADER,
     LIMIT_HEADER,
+    LOAD_HEADER,
     REFUSED_NOT_OWNER,
     REQUEST_ID_HEADER,
 )
@@ -53,6 +54,7 @@
         says_leaving: Whether its responses say that it leaves.
         endless_responses: Number of responses without end that it sends at the moment.
         limit: Value of the header that names how many requests a second it takes, or empty.
+        load: Value of the header that states its load, or empty.
         delay_s: Time that it takes to run a request.
         drain_acknowledged_s: Monotonic time of the first accepted report that announced draining,
             or ``None``.
@@ -82,6 +84,7 @@
         self.says_leaving = False
         self.endless_responses = 0
         self.limit = ""
+        self.load = ""
         self.delay_s = 0.0
         self.lock = threading.Lock()
         self.stop_requested = threading.Event()
@@ -332,6 +335,8 @@
             self.send_header(LEAVING_HEADER, "1")
         if self.server.endpoint.limit:
             self.send_header(LIMIT_HEADER, self.server.endpoint.limit)
+        if self.server.endpoint.load:
+            self.send_header(LOAD_HEADER, self.server.endpoint.load)
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(content) if length is None else length))
