--- a/greengagerock/testing/mixed_site.py
+++ b/greengagerock/testing/mixed_site.py
@@ -20,7 +20,7 @@
 NEW = "new"
 # Root folder of this checkout.
 NEW_CHECKOUT = Path(__file__).resolve().parents[2]
-# A planned stop takes up to 30 s (``StopSequence``).
+# A planned stop takes up to 6 s (``stop_grace_s``); a busy machine may take several times longer.
 STOP_LIMIT_S = 40.0
 # Bound ``evacuate`` of a router's settings, by default.
 EVACUATION_BOUND_S = 5.0
--- a/greengagerock/testing/ready_callers.py
+++ b/greengagerock/testing/ready_callers.py
@@ -10,11 +10,11 @@
 from greengagerock.testing.launch_site import CALLER_PORT, READY_PORT
 from greengagerock.testing.soak.traffic import SOCKET_TIMEOUT_S, send
 
-# Interval at which the readiness of routers is checked. A stopping router serves for one second
-# after it has reported itself unready.
+# Interval at which the readiness of routers is checked. A stopping router serves for 3.2 s after
+# it has reported itself unready.
 CHECK_INTERVAL_S = 0.1
 CHECK_TIMEOUT_S = 0.5
-# With eight callers, about 250 requests per second; the site then uses less than two cores.
+# With eight callers, about 200 requests per second; processes still start within seconds.
 REQUEST_PAUSE_S = 0.03
 
 
