--- a/greengagerock/control/cold_endpoints.py
+++ b/greengagerock/control/cold_endpoints.py
@@ -4,6 +4,8 @@
 more requests than they can take.
 """
 
+from greengagerock.assignment.endpoint_weights import LIMIT_USE_SHARE
+
 # Age from which an instance's own rate of responses is its demand. A younger one has not had its
 # share of the requests yet, so the mean of its service is expected.
 ESTABLISHED_S = 4.0
@@ -123,7 +125,7 @@
         if own_per_s is None or now_s - instance.first_report_s >= ESTABLISHED_S:
             return own_per_s
         if self.store.items.services[instance.report.service].keyed is not None:
-            return limit_per_s
+            return LIMIT_USE_SHARE * limit_per_s
         others = self.directory().of_service(instance.report.service)
         total_per_s = sum(rates.rate(other.name, now_s) for other in others)
         return max(total_per_s / len(others), limit_per_s)
--- a/greengagerock/control/cold_shares.py
+++ b/greengagerock/control/cold_shares.py
@@ -1,5 +1,7 @@
 """Limits of cold endpoints in one leader's term, and the demand for them."""
 
+import math
+
 from greengagerock.control.limit_state import DecayingRate, LimitState
 from greengagerock.view import LimitShare, encode_delta
 
@@ -12,6 +14,9 @@
 # Time constant of the mean of the demand that follows changes soon. With that of other limits,
 # half as long, the larger mean of 5 requests a second is too high by a half.
 FAST_DECAY_S = 1.5
+# Time constant with which a demand that was sent falls. A mean over 1.5 s of 5 requests a second
+# is a quarter of the demand by chance now and then; routers would send four times too much.
+SENT_DECAY_S = 3.0
 # Relative changes of the demand from which on it is sent again, and the shortest time between.
 # Random admission plans for a rise to three times the demand.
 MAX_DEMAND_RISE = 1.25
@@ -66,6 +71,9 @@
     def demand_per_s(self, now_s):
         """Return the requests per second of all routers, or ``None`` if that is not known yet."""
         measured_per_s = super().demand_per_s(now_s)
+        if self.sent_demand_per_s is not None:
+            factor = math.exp(-(now_s - self.demand_sent_s) / SENT_DECAY_S)
+            measured_per_s = max(measured_per_s or 0.0, factor * self.sent_demand_per_s)
         if self.expected_per_s is None or now_s - self.since_s >= EXPECTATION_S:
             return measured_per_s
         return max(self.expected_per_s, measured_per_s or 0.0)
--- a/greengagerock/control/tests/test_cold_shares.py
+++ b/greengagerock/control/tests/test_cold_shares.py
@@ -65,6 +65,15 @@
     assert shares.number == number + 1
 
 
+def test_lull_in_the_reports_does_not_make_routers_send_more():
+    """The mean over few reports was a sixth of the demand, just before the demand tripled."""
+    shares = ColdShares()
+    shares.note_cold("e1", 1000, 3.5, 30.0, 10.0, expected_per_s=6.0)
+    shares.publish_demands(10.1)
+    assert shares.states["e1"].demand_per_s(11.8) > 3.0
+    assert shares.states["e1"].demand_per_s(25.0) < 0.5
+
+
 def test_new_leader_sends_no_demand_before_all_routers_have_found_it():
     shares = LimitShares(10.0, 1)
     shares.note_cold("e1", 1000, 3.5, 9.0, 10.1, expected_per_s=1.0)
