mixed_builds: codes of refusals, elections, and pauses of the process of callers and endpoints

What paused was not recorded. Change: the report says when callers and endpoints themselves were not scheduled, and whether such a request reached an endpoint. The check is as strict as before.

--- a/greengagerock/testing/mixed_builds.py
+++ b/greengagerock/testing/mixed_builds.py
@@ -18,7 +18,7 @@
 
 from greengagerock.testing.mixed_checks import find_upgrade_violations, summarize
 from greengagerock.testing.mixed_site import NEW, OLD, MixedSite
-from greengagerock.testing.ready_callers import ReadyRouters, run_ready_caller
+from greengagerock.testing.ready_callers import PauseRecorder, ReadyRouters, run_ready_caller
 from greengagerock.testing.soak.traffic import Operator
 
 CALLER_COUNT = 8
@@ -76,24 +76,29 @@
         seed: Seed of the callers' requests.
 
     Attributes:
+        routers: The ``ReadyRouters``.
+        pauses: The ``PauseRecorder``.
         early_orders: Number of evacuation orders by code of the response and build of the leader,
             while an old build takes part; the code of an accepted order is empty.
         acceptance_s: Time from the last replacement to the acceptance of an order, or ``None``.
         late_runs: Number of requests that reached the evacuated zone after the bound.
         leaders: Pairs of the leader's build and whether the other build took part as well.
         failures: Descriptions of steps that failed.
+        election_count: Number of elections from the start of the site to the end of the upgrade.
     """
 
     def __init__(self, site, seed):
         self.site = site
         self.seed = seed
         self.routers = ReadyRouters(site.routers)
+        self.pauses = PauseRecorder()
         self.stop_event = threading.Event()
         self.early_orders = Counter()
         self.acceptance_s = None
         self.late_runs = 0
         self.leaders = set()
         self.failures = []
+        self.election_count = 0
 
     def run(self, first):
         """Replace all processes under traffic, then try an evacuation.
@@ -104,6 +109,7 @@
         operator = Operator(self.site.control_addresses, self.site.history)
         workers = [
             threading.Thread(target=self.routers.run, args=(self.stop_event,)),
+            threading.Thread(target=self.pauses.run, args=(self.stop_event,)),
             threading.Thread(target=operator.run, args=(self.stop_event,)),
         ]
         workers += [
@@ -129,6 +135,7 @@
             if not operator.read_back(number):
                 self.failures.append(f"controller {number} returned no items at the end")
         self.site.end_spans()
+        self.election_count = len(self.site.elections())
 
     def _replace_all(self, first):
         steps = [self._replace_controllers, self._replace_routers]
--- a/greengagerock/testing/mixed_checks.py
+++ b/greengagerock/testing/mixed_checks.py
@@ -1,5 +1,6 @@
 """Checks of an upgrade from one build to another, over what callers and endpoints observed."""
 
+import json
 from collections import Counter
 
 from greengagerock.testing.soak.checks import find_violations
@@ -27,7 +28,7 @@
     """
     history = upgrade.site.history
     violations = list(upgrade.failures) + find_violations(history)
-    violations += _check_attempts(history.attempts)
+    violations += _check_attempts(history, upgrade.pauses)
     violations += _check_evacuations(upgrade)
     for build in ("old", "new"):
         if (build, True) not in upgrade.leaders:
@@ -37,14 +38,26 @@
     return violations
 
 
-def _check_attempts(attempts):
+def _check_attempts(history, pauses):
+    attempts = history.attempts
+    run_by_id = {run.request_id: run for run in history.runs}
     for attempt in attempts:
-        if attempt.status == 200 and attempt.whole:
+        if (attempt.status == 200 and attempt.whole) or (
+            attempt.whole and attempt.outcome == "not-run"
+        ):
             continue
+        run = run_by_id.get(attempt.request_id)
+        reached = "reached no endpoint"
+        if run is not None:
+            reached = f"reached {run.endpoint} after {run.at_s - attempt.sent_s:.2f} s"
+        pause_s = pauses.longest_s(attempt.sent_s, attempt.ended_s)
+        got = f"got {attempt.status} {attempt.outcome}"
         if not attempt.whole:
-            yield f"{attempt.request_id} got no complete response (status {attempt.status})"
-        elif attempt.outcome != "not-run":
-            yield f"{attempt.request_id} got {attempt.status} {attempt.outcome}"
+            got = f"got no complete response (status {attempt.status})"
+        yield (
+            f"{attempt.request_id} {got} after {attempt.ended_s - attempt.sent_s:.2f} s, {reached};"
+            f" callers and endpoints paused for {pause_s:.2f} s meanwhile"
+        )
     refused_count = sum(attempt.outcome == "not-run" for attempt in attempts)
     if refused_count > MAX_REFUSED_SHARE * len(attempts):
         yield f"{refused_count} of {len(attempts)} requests were refused as not run"
@@ -65,10 +78,15 @@
         yield f"{upgrade.late_runs} requests reached the evacuated zone after the bound"
 
 
+def _code_of(attempt):
+    """Return the error code in the body of a refusal."""
+    return json.loads(attempt.content).get("code", "") if attempt.content else ""
+
+
 def summarize(upgrade, violations):
     """Return a line with the counts of an upgrade and its violations."""
     history = upgrade.site.history
-    refused = Counter(a.kind for a in history.attempts if a.outcome == "not-run")
+    refused = Counter(_code_of(a) for a in history.attempts if a.outcome == "not-run")
     orders = ", ".join(
         f"{count} {code or 'accepted'} ({build} leader)"
         for (code, build), count in sorted(upgrade.early_orders.items())
@@ -77,6 +95,7 @@
     return (
         f"{len(history.attempts)} requests, {history.served()} served, refused {dict(refused)},"
         f" {upgrade.routers.refused_connections} connections refused,"
-        f" {len(history.acknowledged)} changes; early orders: {orders}; accepted after"
-        f" {acceptance}; {len(violations)} violations"
+        f" {len(history.acknowledged)} changes, {upgrade.election_count} elections; early orders:"
+        f" {orders}; accepted after {acceptance}; longest pause of callers and endpoints"
+        f" {upgrade.pauses.longest_s():.2f} s; {len(violations)} violations"
     )
--- a/greengagerock/testing/mixed_site.py
+++ b/greengagerock/testing/mixed_site.py
@@ -124,13 +124,17 @@
         names = {e.name for e in self.reporting_endpoints.values() if e.zone == zone}
         return sum(run.endpoint in names for run in list(self.history.runs))
 
+    def elections(self):
+        """Return (term, host name) of each elected leader, in order, from the logs."""
+        return sorted(
+            (int(term), name)
+            for name in self.controller_names
+            for term in _ELECTED.findall((self.folder / f"{name}.log").read_text(errors="replace"))
+        )
+
     def leader(self):
         """Return the host name of the controller that was elected last."""
-        terms = {}
-        for name in self.controller_names:
-            log = (self.folder / f"{name}.log").read_text(errors="replace")
-            terms[name] = max((int(term) for term in _ELECTED.findall(log)), default=0)
-        return max(terms, key=terms.get)
+        return self.elections()[-1][1]
 
     def replace(self, name, build):
         """Stop a process with SIGTERM and start a build at its address and data folder.
--- a/greengagerock/testing/ready_callers.py
+++ b/greengagerock/testing/ready_callers.py
@@ -3,6 +3,7 @@
 import http.client
 import select
 import threading
+import time
 from random import Random
 
 import urllib3
@@ -16,6 +17,9 @@
 CHECK_TIMEOUT_S = 0.5
 # With eight callers, about 200 requests per second; processes still start within seconds.
 REQUEST_PAUSE_S = 0.03
+# Pauses from this length on are recorded; the interval is short against a request's time-out.
+MIN_PAUSE_S = 0.1
+PAUSE_CHECK_S = 0.05
 
 
 class ReadyRouters:
@@ -68,6 +72,45 @@
         return None
 
 
+class PauseRecorder:
+    """Records how long this process, with callers and endpoints, was not scheduled.
+
+    A failure that coincides with a long pause says little about the routers.
+
+    Attributes:
+        pauses: Pairs of the end of a pause, in monotonic seconds, and its length.
+
+    Examples:
+        >>> recorder = PauseRecorder()
+        >>> recorder.pauses += [(10.0, 0.5), (20.0, 0.7)]
+        >>> recorder.longest_s(), recorder.longest_s(9.0, 11.0), recorder.longest_s(30.0, 31.0)
+        (0.7, 0.5, 0.0)
+    """
+
+    def __init__(self):
+        self.pauses = []
+
+    def run(self, stop_event):
+        """Sleep for short times until an event is set, and record what exceeds them."""
+        expected_s = time.monotonic() + PAUSE_CHECK_S
+        while not stop_event.wait(PAUSE_CHECK_S):
+            now_s = time.monotonic()
+            if now_s - expected_s >= MIN_PAUSE_S:
+                self.pauses.append((now_s, now_s - expected_s))
+            expected_s = time.monotonic() + PAUSE_CHECK_S
+
+    def longest_s(self, from_s=0.0, until_s=float("inf")):
+        """Return the length of the longest pause that overlaps a time span."""
+        return max(
+            (
+                length_s
+                for end_s, length_s in list(self.pauses)
+                if end_s >= from_s and end_s - length_s <= until_s
+            ),
+            default=0.0,
+        )
+
+
 def run_ready_caller(seed, number, routers, history, stop_event):
     """Send requests one after the other until an event is set.
 
--- a/tests/test_mixed_checks.py
+++ b/tests/test_mixed_checks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from greengagerock.testing.mixed_checks import find_upgrade_violations, summarize
+from greengagerock.testing.ready_callers import PauseRecorder
 from greengagerock.testing.soak.history import AcknowledgedChange, Attempt, History, ReadBack, Run
 
 
@@ -26,10 +27,12 @@
     return SimpleNamespace(
         site=SimpleNamespace(history=history),
         routers=SimpleNamespace(refused_connections=0),
+        pauses=PauseRecorder(),
         failures=[],
         early_orders=Counter({("not-ready", "new"): 1, ("no-leader", "old"): 1}),
         acceptance_s=0.1,
         late_runs=0,
+        election_count=3,
         leaders={("old", True), ("new", True)},
     )
 
