--- a/greengagerock/testing/mixed_checks.py
+++ b/greengagerock/testing/mixed_checks.py
@@ -55,8 +55,8 @@
         if not attempt.whole:
             got = f"got no complete response (status {attempt.status})"
         yield (
-            f"{attempt.request_id} {got} after {attempt.ended_s - attempt.sent_s:.2f} s, {reached};"
-            f" callers and endpoints paused for {pause_s:.2f} s meanwhile"
+            f"{attempt.request_id} {got} after {attempt.ended_s - attempt.sent_s:.2f} s,"
+            f" {reached}; callers and endpoints paused for {pause_s:.2f} s meanwhile"
         )
     refused_count = sum(attempt.outcome == "not-run" for attempt in attempts)
     if refused_count > MAX_REFUSED_SHARE * len(attempts):
