--- a/greengagerock/assignment/isolation.py
+++ b/greengagerock/assignment/isolation.py
@@ -8,6 +8,7 @@
 
 from greengagerock.assignment.rebalancing import (
     MAX_ROWS_AFTER_REBALANCING,
+    MAX_TARGET_LEVEL_SHARE,
     REBALANCED_FACTOR,
     Chunk,
     move_rate,
@@ -52,7 +53,7 @@
             for load in endpoint_loads
             if load not in hosts and (load.is_known and source.is_known or not is_last)
         ]
-        target = _choose_host(source, candidates, levels, is_aligned, min_weight)
+        target = _choose_host(source, rate, candidates, levels, is_aligned, min_weight)
         if target is None or not may_move(unit):
             continue
         move_rate(source, target, rate)
@@ -61,7 +62,7 @@
     return chunks
 
 
-def _choose_host(source, endpoint_loads, levels, is_aligned, min_weight):
+def _choose_host(source, rate, endpoint_loads, levels, is_aligned, min_weight):
     """Return the fastest ``EndpointLoad`` without hot units that has room, or ``None``.
 
     Among endpoints of like speed, one that reports soon after the source is preferred.
@@ -74,6 +75,7 @@
         and not load.hot_units
         and load.weight >= min_weight
         and load.level <= limit
+        and (load.rate + rate) / load.weight < MAX_TARGET_LEVEL_SHARE * source.level
         and load.rows < MAX_ROWS_AFTER_REBALANCING
     ]
     if not candidates:
--- a/greengagerock/assignment/tests/test_isolation.py
+++ b/greengagerock/assignment/tests/test_isolation.py
@@ -1,6 +1,6 @@
 """Tests of units that need most of an endpoint, and of the units beside them."""
 
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from greengagerock.assignment.isolation import (
@@ -37,7 +37,14 @@
     assert len(units) == len(set(units))
 
 
+@settings(max_examples=300)
 @given(endpoint_loads())
+@example(
+    [
+        EndpointLoad("e0", 19.0, 0.75, 20, [(0, 19.0)]),
+        EndpointLoad("e1", 7.0, 1.0, 20, []),
+    ]
+)
 def test_load_is_not_more_uneven_after_the_moves(loads):
     levels_before = [load.level for load in loads]
     rate_before = sum(load.rate for load in loads)
