--- a/greengagerock/assignment/tests/test_hot_units.py
+++ b/greengagerock/assignment/tests/test_hot_units.py
@@ -5,6 +5,8 @@
 
 from greengagerock.assignment.hot_units import MAX_UNITS_PER_REPORT, RETURN_AFTER_S
 from greengagerock.assignment.key_assignments import MAX_ROWS
+from greengagerock.assignment.units import KEYS_PER_UNIT
+from greengagerock.control.hot_key_log import log_hot_units
 from greengagerock.testing.assignment_run import AssignmentRun, shortest_stay_s
 
 BASE_RATES = {block: 0.03 for block in range(0, 8192, 2)}
@@ -39,6 +41,16 @@
     assert run.largest_response <= MAX_ROWS
 
 
+class LogRecorder:
+    """Keeps the names of logged events."""
+
+    def __init__(self):
+        self.events = []
+
+    def log(self, event, **fields):
+        self.events.append((event, fields.get("key")))
+
+
 def test_units_of_a_hot_keys_holder_leave_in_time_and_return_once():
     run = build_run()
     holder = run.assignments.owners[4000]
@@ -46,9 +58,14 @@
     run.rates = BASE_RATES | {4000: 100.0}
     run.run_for(3.0)
     assert run.assignments.held[holder] == {4000}
+    log = LogRecorder()
+    log_hot_units("till", run.assignments.hot_units, log, run.now_s)
+    assert ("hot-key-isolated", 4000 * KEYS_PER_UNIT) in log.events
     run.rates = dict(BASE_RATES)
     run.run_for(RETURN_AFTER_S + 15.0)
     assert run.assignments.held[holder] == before
+    log_hot_units("till", run.assignments.hot_units, log, run.now_s)
+    assert log.events[-1] == ("hot-key-cooled", 4000 * KEYS_PER_UNIT)
     moved = [unit for _, unit, _ in run.grants]
     assert sorted(moved) == sorted([*(before - {4000}), *(before - {4000})])
 
