--- a/greengagerock/assignment/isolation.py
+++ b/greengagerock/assignment/isolation.py
@@ -7,8 +7,8 @@
 """
 
 from greengagerock.assignment.rebalancing import (
-    HIGH_SHARE,
     MAX_ROWS_AFTER_REBALANCING,
+    MAX_TARGET_LEVEL_SHARE,
     REBALANCED_FACTOR,
     Chunk,
     move_rate,
@@ -16,9 +16,11 @@
 
 # An oversized unit moves only to an endpoint that serves at least this multiple.
 MIN_SPEED_RATIO = 4 / 3
-# The other units of a holder leave until it uses less than this share of its slots. Together with
-# ``HIGH_SHARE``, from which they leave, it keeps noise in the counts from moving units.
-REST_SHARE = 0.7
+# The other units of a holder leave from the first share of its slots that it uses until it is
+# down to the second. They carry little load each, so below that the keys that change hands cost
+# more than the waits that they save, and noise in the counts would move them.
+ISOLATION_SHARE = 0.95
+REST_SHARE = 0.8
 # Largest number of units in a chunk that leaves a holder.
 MAX_CHUNK_UNITS = 16
 
@@ -53,7 +55,7 @@
             for load in endpoint_loads
             if load not in hosts and (load.is_known and source.is_known or not is_last)
         ]
-        target = _choose_host(source, candidates, levels, is_aligned, min_weight)
+        target = _choose_host(source, rate, candidates, levels, is_aligned, min_weight)
         if target is None or not may_move(unit):
             continue
         move_rate(source, target, rate)
@@ -62,7 +64,7 @@
     return chunks
 
 
-def _choose_host(source, endpoint_loads, levels, is_aligned, min_weight):
+def _choose_host(source, rate, endpoint_loads, levels, is_aligned, min_weight):
     """Return the fastest ``EndpointLoad`` without hot units that has room, or ``None``.
 
     Among endpoints of like speed, one that reports soon after the source is preferred.
@@ -75,6 +77,7 @@
         and not load.hot_units
         and load.weight >= min_weight
         and load.level <= limit
+        and (load.rate + rate) / load.weight < MAX_TARGET_LEVEL_SHARE * source.level
         and load.rows < MAX_ROWS_AFTER_REBALANCING
     ]
     if not candidates:
@@ -87,9 +90,8 @@
 
 def must_isolate(load, levels):
     """Return whether units without much load should leave an endpoint with hot units."""
-    return bool(load.hot_units) and load.level > max(
-        REBALANCED_FACTOR * levels.fair, HIGH_SHARE * levels.full
-    )
+    limit = max(REBALANCED_FACTOR * levels.fair, ISOLATION_SHARE * levels.full)
+    return bool(load.hot_units) and load.level > limit
 
 
 def plan_isolation(source, other_units, endpoint_loads, levels, is_aligned, max_units, max_rows):
