Hold back and refuse calls by load only where a setting says so

Cause: a router decides on values half a second old and more; endpoints that were full then are idle when less urgent calls still wait for them. Change: admits_by_load in the settings, off by default; the tests of the admission turn it on.

--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -194,6 +194,7 @@
             settings.evacuate_s,
             settings.warm_up.rate_factor,
             settings.warm_up.rate_slack,
+            settings.admits_by_load,
         )
         now_s = time.monotonic()
         if settings.role == "router":
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -99,6 +99,7 @@
             self.timers,
             self.outbox,
         )
+        self.dispatcher.sender.admission.is_enabled = config.admits_by_load
         self.stats = self.dispatcher.stats
         self.load_exchange = LoadExchange(self.replica, self.dispatcher.observations.loads)
         self.relayed_calls = RelayedCalls(
--- a/greengagerock/node/site_config.py
+++ b/greengagerock/node/site_config.py
@@ -32,6 +32,7 @@
         warm_up_rate_factor: Multiple of a service's warm-up rate that a cold endpoint may get in
             any one second from all routers.
         warm_up_rate_slack: Number of requests that it may get in addition.
+        admits_by_load: Whether a router holds back and refuses calls by the load of endpoints.
     """
 
     host: str
@@ -52,3 +53,4 @@
     evacuate_s: float = DEFAULT_EVACUATE_S
     warm_up_rate_factor: float = 1.5
     warm_up_rate_slack: float = 8.0
+    admits_by_load: bool = False
--- a/greengagerock/routing/call_admission.py
+++ b/greengagerock/routing/call_admission.py
@@ -45,6 +45,7 @@
             which the caller may return.
 
     Attributes:
+        is_enabled: Whether calls are held back and refused by load at all.
         waiting: The ``WaitingCalls``.
         shares: The ``LeastShares``.
         refusals: Number of refused calls by cause.
@@ -74,6 +75,7 @@
         self.send = send
         self.release_turn = release_turn
         self.refuse = refuse
+        self.is_enabled = False
         self.waiting = WaitingCalls()
         self.shares = LeastShares()
         self.refusals = Counter()
@@ -90,6 +92,8 @@
 
         If not, ``settle`` lets it wait or refuses it, unless another endpoint admits it.
         """
+        if not self.is_enabled:
+            return True
         now_s = self.timers.now_s
         mean_s = self.observations.observation_of(record.name).mean_response_s
         known = self.observations.loads.known_load(record, mean_s, now_s)
--- a/greengagerock/settings/site.py
+++ b/greengagerock/settings/site.py
@@ -64,6 +64,9 @@
         link_mbit_s: Speed of the host's network link in megabits per second.
         zone_preference: Share of a route's latency objective that an endpoint of another zone
             has to save to be preferred to those of the own zone; 0 treats all zones alike.
+        admits_by_load: Whether a router holds back less urgent calls while endpoints are busy, and
+            refuses calls that would be late. On a large site values are too old for it:
+            docs/design/endpoint-load.md.
         evacuate_s: Time from an acknowledged order until no request reaches an endpoint of an
             evacuated availability zone.
         retries: Limits on retries.
@@ -91,6 +94,7 @@
     link_mbit_s: Annotated[float, Meta(gt=0, le=1_000_000)] = 1000.0
     zone_preference: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_ZONE_PREFERENCE
     evacuate_s: Seconds = DEFAULT_EVACUATE_S
+    admits_by_load: bool = False
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     warm_up: WarmUpSettings = msgspec.field(default_factory=WarmUpSettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
--- a/greengagerock/testing/admission_harness.py
+++ b/greengagerock/testing/admission_harness.py
@@ -37,6 +37,7 @@
         )
         self.dispatcher.on_items()
         self.admission = self.dispatcher.sender.admission
+        self.admission.is_enabled = True
         self.loads = self.dispatcher.observations.loads
         self.loads.work_s_by_service["docs"] = 0.1
 
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -68,6 +68,7 @@
     Args:
         seed: Seed of delays and nodes.
         hold_s: Time that an endpoint holds keys after a report.
+        admits_by_load: Whether routers hold back and refuse calls by the load of endpoints.
         **options: Options of ``FakeSystem``.
 
     Attributes:
@@ -81,9 +82,10 @@
         relayed_count: Number of requests that were sent through relays.
     """
 
-    def __init__(self, seed=1, hold_s=6.0, **options):
+    def __init__(self, seed=1, hold_s=6.0, admits_by_load=False, **options):
         super().__init__(seed, **options)
         self.hold_s = hold_s
+        self.admits_by_load = admits_by_load
         self.reporting_endpoints = {}
         self.replies = {}
         self.double_holds = []
@@ -107,6 +109,7 @@
             may_bootstrap,
             hold_s=self.hold_s,
             relay_address=f"{name}:7001" if role == "router" else "",
+            admits_by_load=self.admits_by_load,
         )
         disk = FakeDisk(f"{name}#1") if role == "controller" else None
         host = FakeHost(SiteHostConfig(record, site), disk)
--- a/greengagerock/testing/loaded_site.py
+++ b/greengagerock/testing/loaded_site.py
@@ -41,7 +41,7 @@
 
 def build_loaded_site(seed=1, routers=7, states_load=True, **options):
     """Return a settled site of loaded endpoints, with routers in three zones."""
-    site = FakeSite(seed, **options)
+    site = FakeSite(seed, admits_by_load=True, **options)
     names = [f"core-{number}" for number in range(1, 4)]
     seeds = [site.address_of(name) for name in names]
     for number, name in enumerate(names, 1):
