--- a/greengagerock/control/cold_endpoints.py
+++ b/greengagerock/control/cold_endpoints.py
@@ -1,4 +1,4 @@
-"""Which endpoints are cold, according to their reports, and what routers are told of it.
+"""Which endpoints are cold, according to their reports, and what is sent to routers.
 
 It answers the load on endpoints that have just started: they work slowly, and crash if they get
 more requests than they can take.
@@ -9,7 +9,7 @@
 # Age from which an instance's own rate of responses is its demand. A younger one has not had its
 # share of the requests yet, so the mean of its service is expected.
 ESTABLISHED_S = 4.0
-# Shortest time between two pushes that only tell routers of a demand.
+# Shortest time between two pushes that only send routers a demand.
 DEMAND_PUSH_INTERVAL_S = 0.5
 
 
--- a/greengagerock/control/protocol_versions.py
+++ b/greengagerock/control/protocol_versions.py
@@ -1,7 +1,7 @@
 """Versions of the messages that voters and routers support, as the leader knows them."""
 
 # Voters send hellos and routers send polls every 0.5 s, and find a new leader within 0.2 s. From
-# then on, a host that has not been heard is down and does not hold up what needs all hosts.
+# then on, a host that has sent nothing is down and does not hold up what needs all hosts.
 HEARING_WINDOW_S = 0.8
 # A rest of the window below this counts as none: a timer that ends with the window may be early by
 # a rounding error.
@@ -11,7 +11,7 @@
 class ProtocolVersions:
     """The lowest version among all voters and all routers that poll.
 
-    A voter that was never heard, since it is down, does not count after ``HEARING_WINDOW_S``:
+    A voter that has sent no hello, since it is down, does not count after ``HEARING_WINDOW_S``:
     otherwise one lost host would prevent evacuations.
 
     Args:
@@ -47,12 +47,12 @@
         self.by_identity[identity] = version
 
     def hearing_left_s(self, now_s):
-        """Return for how long some hosts may not have been heard yet in this term, in seconds."""
+        """Return for how long some hosts may have sent no message in this term, in seconds."""
         left_s = self.began_s + HEARING_WINDOW_S - now_s
         return left_s if left_s > MIN_HEARING_LEFT_S else 0.0
 
     def lowest(self, voters, router_versions, now_s):
-        """Return the lowest version, 0 while some hosts may not have been heard yet.
+        """Return the lowest version, 0 while some hosts may not have sent a message yet.
 
         Args:
             voters: Identities of the voters.
--- a/greengagerock/control/tests/test_load_digest.py
+++ b/greengagerock/control/tests/test_load_digest.py
@@ -35,7 +35,7 @@
     assert digest.packed_for(68, 1.0) is None
     digest.on_reports({"e2": LoadReport(7, 2, 0, 100, 0)}, 2.0)
     digest.on_reports({"e2": LoadReport(7, 0, 0, 100, 0)}, 2.5)
-    # Routers would avoid it until the value expires if they did not hear that it is idle again.
+    # Routers would avoid it until the value expires if they got no value of the idle endpoint.
     assert digest.listed(68, 2.6).loads["e2"].running == 0
     assert digest.packed_for(68, 2.5 + MAX_AGE_S) is None
 
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -319,7 +319,7 @@
 
         Args:
             items: The ``ItemsDelta``.
-            contact_s: When a leader was last heard before the message with the delta.
+            contact_s: When a leader last sent something before the message with the delta.
         """
         limits = self.replica.limits
         zones = self.replica.evacuated_zones
--- a/greengagerock/routing/endpoint_loads.py
+++ b/greengagerock/routing/endpoint_loads.py
@@ -1,9 +1,9 @@
 """What a router knows of the load of endpoints, and how long a request would wait there.
 
 On large sites a router sends a given endpoint a request only every few seconds, so its own
-observations say little about the load. Endpoints that state their load in responses tell it to one
-router; the leader passes it on to the others. Values expire, since endpoints fill up and empty
-within a second.
+observations say little about the load. An endpoint that states its load in a response reports it
+to one router; the leader passes it on to the others. Values expire, since endpoints fill up and
+empty within a second.
 """
 
 import heapq
--- a/greengagerock/routing/tests/test_call_admission.py
+++ b/greengagerock/routing/tests/test_call_admission.py
@@ -149,7 +149,7 @@
 
 
 def test_stop_refuses_a_full_queue_as_not_run_at_once():
-    """Callers must hear before the process ends, and may use another host immediately."""
+    """Callers must get a response before the process ends, and may use another host."""
     harness = Harness()
     harness.admission.waiting.max_calls = 9
     harness.state_load(LoadNotice(3, 0, 3, 100))
--- a/greengagerock/routing/tests/test_cold_limits.py
+++ b/greengagerock/routing/tests/test_cold_limits.py
@@ -85,7 +85,7 @@
 
 @pytest.mark.parametrize("router_count", [20, 68, 730])
 def test_routers_without_a_share_keep_the_bound_at_any_demand(router_count):
-    """Each router has a request every 10 ms; nobody has told it of the others' requests."""
+    """Each router has a request every 10 ms; it has no count of the requests of the others."""
     random = Random(router_count)
     allowances = [RequestAllowance(random, 0.0, ColdBound()) for _ in range(router_count)]
     for allowance in allowances:
--- a/greengagerock/routing/zone_evacuations.py
+++ b/greengagerock/routing/zone_evacuations.py
@@ -6,7 +6,7 @@
 # Share of that time for which a router still uses endpoints for the keys that they hold. The rest
 # covers the time until the router has the order and the requests that are on their way.
 HANDOVER_SHARE = 0.7
-# A router that has not heard a leader for longer may learn of an order long after its
+# A router without a message of a leader for longer may learn of an order long after its
 # acknowledgement; routers poll every 0.5 s. With the default, 1 s and the time for held keys are
 # below the time in which a zone is evacuated.
 MAX_CONTACT_GAP_S = 1.0
@@ -76,7 +76,7 @@
     """Return the time from which a router counts that it has known of an order.
 
     Args:
-        contact_s: When it last heard a leader before this message, in monotonic seconds.
+        contact_s: When a leader last sent it something before this message, in monotonic seconds.
         now_s: Monotonic time in seconds.
 
     Examples:
