--- a/review/common/keyed.py
+++ b/review/common/keyed.py
@@ -29,7 +29,7 @@
         freed: Rows that it has released since its last acknowledged report.
         observer: Called with this instance, its keys' fences before and after a response.
         phase_s: Wait before its first report.
-        work_s: Time for which it works on a request.
+        draw_work_s: Callable that returns for how long it works on a request.
         working: Fence and number of requests that it works on, by key.
         promised_until_s: When the newest hold of each key that it was granted runs out.
     """
@@ -44,7 +44,7 @@
         self.observer = observer
         self.phase_s = 0.0
         self.handler = self.respond_if_held
-        self.work_s = 0.0
+        self.draw_work_s = lambda: 0.0
         self.working = {}
         self.promised_until_s = [0.0] * KEY_COUNT
         self.slots = threading.BoundedSemaphore(SLOTS)
@@ -176,8 +176,7 @@
             fence, count = self.working.get(key, (self.fences[key], 0))
             self.working[key] = (fence, count + 1)
         self.note_run(request)
-        if self.work_s:
-            time.sleep(self.work_s)
+        time.sleep(self.draw_work_s())
         with self.lock:
             fence, count = self.working.pop(key)
             if count > 1:
