--- a/review/2/case.py
+++ b/review/2/case.py
@@ -141,7 +141,7 @@
     ends.set()
     for instance in watch.instances:
         instance.stop()
-    note_both_ran(watch, record)
+    note_runs(watch, record)
     return watch.problems + watch.shared_problems()
 
 
@@ -214,7 +214,7 @@
     return http_call(address, "POST", f"/charge/{number}", b"sum=1", 2.0, headers)[0]
 
 
-def note_both_ran(watch, record):
+def note_runs(watch, record):
     """Record how many requests each instance ran."""
     for instance in watch.instances:
         record.add(f"{instance.name} ran {len(instance.runs)} requests")
--- a/review/common/instance.py
+++ b/review/common/instance.py
@@ -8,8 +8,6 @@
 from common.site import HEARTBEAT_S, ZONES, http_call
 
 MAC = "3e1b.07.5a2.600.0.c9f2a4d1"
-# Longest part of a kept row that is released before the next report.
-RELEASE_REPORT_S = 0.08
 MAX_HEAD_BYTES = 65536
 
 
@@ -51,7 +49,6 @@
             the response and returns whether the connection stays open.
         runs: Requests that it ran: pairs of time and ``Request``.
         acknowledged: Number of acknowledged reports.
-        holds: For each row, first and last key, fence and end of the hold.
     """
 
     def __init__(self, name, service, address, controllers, record, number=0):
--- a/review/common/keyed.py
+++ b/review/common/keyed.py
@@ -11,6 +11,7 @@
 from common.site import HEARTBEAT_S
 
 KEY_COUNT = 65536
+# An instance that has to release keys reports again within 100 ms.
 RELEASE_REPORT_S = 0.08
 ACK_TIMEOUT_S = 1.0
 SLOTS = 3
