--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import sys
 import time
 from pathlib import Path
 
@@ -115,5 +114,4 @@
 
 
 if __name__ == "__main__":
-    sys.stdout.flush()
     os._exit(run_case(Path(__file__).parent, check))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,7 +2,6 @@
 
 import itertools
 import os
-import sys
 import threading
 import time
 from pathlib import Path
@@ -221,5 +220,4 @@
 
 
 if __name__ == "__main__":
-    sys.stdout.flush()
     os._exit(run_case(Path(__file__).parent, check))
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -37,5 +37,5 @@
     for problem in problems:
         record.add(f"BROKEN: {problem}")
     record.add("result: " + ("broken" if problems else "held"))
-    print("\n".join(problems) or "held")
+    print("\n".join(problems) or "held", flush=True)
     return BROKEN if problems else HELD
