--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,7 +31,7 @@
 # Keys that each joining instance holds at least before the leader is killed.
 MIN_KEYS = 4096
 # Time for which the killed process is down, at most ``for_s`` of ``node_kill`` in the site file.
-DOWN_S = 3.5
+DOWN_S = 3.2
 # Bounds of the rule OWNER: ``thaw``, and how long two instances may hold the same keys.
 THAW_S = 0.3
 BOTH_HOLD_S = 0.5
