Refuse impossible values in reports and changes; an exception does not end the loop unseen

Cause: the follower's loop ended with OverflowError when it encoded the report for the leader, and its process stayed without a loop.

Change: readers refuse what no encoder behind them has, and addresses, names, durations, fences and nesting that no endpoint or operator sends. Links.send raises a typed error, which is logged and counted. One effect's exception leaves the other effects; what no event can be blamed for ends the process at once.

--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -7,6 +7,7 @@
     ReportResponse,
 )
 from greengagerock.assignment.key_assignments import lessor_hold_s
+from greengagerock.assignment.report_checks import check_report
 from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
 from greengagerock.control.cold_endpoints import ColdEndpoints
 from greengagerock.control.evacuations import Evacuations
@@ -23,6 +24,7 @@
     ReportRelay,
 )
 from greengagerock.control.router_updater import RouterUpdater
+from greengagerock.core import GreengageError
 from greengagerock.items.store import LeaveRecord, encode_leave, encode_patch
 from greengagerock.routing.crash_suspects import BAN_S, CrashCounter
 
@@ -127,6 +129,8 @@
             reply(RelayReply(request.token))
             return
         match request:
+            case ReportRelay(token, message) if not self._is_possible(message):
+                reply(RelayReply(token, report=ReportResponse("bad-report")))
             case ReportRelay(token, EndpointLeaving() as leaving):
                 self._on_leaving(token, leaving, reply)
             case ReportRelay(token, report):
@@ -143,6 +147,20 @@
             case ItemsRelay(token):
                 reply(RelayReply(token, items=self.store.items))
 
+    def _is_possible(self, message):
+        """Check a report again, which a controller of another build may have passed on."""
+        try:
+            check_report(message)
+            for held_range in getattr(message, "holds", ()):
+                if not self.fences.was_issued(held_range.fence):
+                    raise GreengageError("bad-report", f"fence {held_range.fence} is impossible")
+        except GreengageError as error:
+            self.outbox.log(
+                "report-refused", code=error.code, endpoint=message.endpoint, detail=error.detail
+            )
+            return False
+        return True
+
     def _reply_to_leave(self, token, leave, response, reply):
         """Reply once a quorum has stored the leave, so that every later leader has it."""
         if self.store.leaving_endpoints.get(leave.endpoint) == leave.started_ms:
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -6,7 +6,7 @@
 import traceback
 from collections import deque
 
-from greengagerock.core import OUTCOME_UNKNOWN
+from greengagerock.core import OUTCOME_UNKNOWN, GreengageError
 from greengagerock.core.interface import (
     ApplyCallerLimits,
     CallerDisconnected,
@@ -50,6 +50,7 @@
         end_s: When the loop ends at the latest, ``None`` before a ``StopProcess``.
         apply_limits: Callable that receives the limits of an ``ApplyCallerLimits`` effect.
         stop_code: Error code with which the loop ended; empty after a planned stop.
+        internal_error_count: Number of events and effects that raised an unexpected exception.
     """
 
     def __init__(self, node, links, bridge, writer, upstream, log):
@@ -61,6 +62,7 @@
         self._token_by_descriptor = {}
         self.log = log
         self.stop_code = ""
+        self.internal_error_count = 0
         self.is_running = True
         self.drain = None
         self.end_s = None
@@ -122,18 +124,29 @@
             return
 
     def run(self):
-        """Run until the node returns a ``StopProcess`` effect and the servers are drained."""
-        self._execute(self.node.start())
-        while self.is_running:
-            if self._wait():
-                self._handle_messages()
-            self._handle_events()
-            self._handle_due_timers()
-            if self.end_s is not None:
-                self._end_if_drained()
+        """Run until the node returns a ``StopProcess`` effect and the servers are drained.
+
+        An exception that no event can be blamed for ends the loop with ``stop_code``, so that the
+        process ends and is started again.
+        """
+        try:
+            self._execute(self.node.start())
+            while self.is_running:
+                self._iterate()
+        except Exception:
+            self.stop_code = "internal-error"
+            self.log("fatal", code="internal-error", detail=format_traceback())
         self._poll.close()
         os.close(self._wake_fd)
 
+    def _iterate(self):
+        if self._wait():
+            self._handle_messages()
+        self._handle_events()
+        self._handle_due_timers()
+        if self.end_s is not None:
+            self._end_if_drained()
+
     def _wait(self):
         """Wait for events, messages or the next timer; return whether messages have arrived."""
         self._is_polling = True
@@ -194,9 +207,7 @@
         self._execute(effects)
 
     def _handle_internal_error(self, event):
-        detail = traceback.format_exc().replace("\n", " | ")
-        kind = type(event).__name__
-        self.log("internal-error", code="internal-error", kind=kind, detail=detail)
+        self._log_internal_error(event)
         token = getattr(event, "token", None)
         if token is not None:
             error_response = RespondWithError(
@@ -204,32 +215,59 @@
             )
             self.bridge.deliver(token, error_response)
 
+    def _log_internal_error(self, cause):
+        self.internal_error_count += 1
+        kind = type(cause).__name__
+        self.log("internal-error", code="internal-error", kind=kind, detail=format_traceback())
+
     def _execute(self, effects):
         for effect in effects:
-            match effect:
-                case Forward(token) | RespondWithError(token):
-                    self.bridge.deliver(token, effect)
-                case SendMessage(address, message):
-                    sent_at = self.node.timeline.stamp()
-                    self.links.send(address, message, sent_at, time.monotonic())
-                case Persist():
-                    self.writer.submit(effect)
-                case Respond(token, value):
-                    self.bridge.deliver(token, value)
-                case ApplyCallerLimits(limits):
-                    self.apply_limits(limits)
-                case RespondToAnnouncement(token, reply) | RespondToOperator(token, reply):
-                    self.bridge.deliver(token, reply)
-                case RespondToReadiness(token, code):
-                    self.bridge.deliver(token, code)
-                case LogEvent(event, fields):
-                    self.log(event, **fields)
-                case CancelAttempt(token, only_reused, only_waiting):
-                    self.bridge.cancel(token, only_reused, only_waiting)
-                case WatchCaller(token):
-                    self._watch_caller(token)
-                case CloseIdleConnections(address):
-                    self.upstream.close_pool(address)
-                case StopProcess(code, _, wait_s) if self.end_s is None:
-                    self.stop_code = code
-                    self.end_s = time.monotonic() + (0.0 if code else wait_s)
+            try:
+                self._execute_one(effect)
+            except Exception:
+                if isinstance(effect, Persist):
+                    # Writes after this one would be taken for a confirmation of it.
+                    raise
+                # The other effects of the event are still due.
+                self._log_internal_error(effect)
+
+    def _execute_one(self, effect):
+        match effect:
+            case Forward(token) | RespondWithError(token):
+                self.bridge.deliver(token, effect)
+            case SendMessage(address, message):
+                self._send(address, message)
+            case Persist():
+                self.writer.submit(effect)
+            case Respond(token, value):
+                self.bridge.deliver(token, value)
+            case ApplyCallerLimits(limits):
+                self.apply_limits(limits)
+            case RespondToAnnouncement(token, reply) | RespondToOperator(token, reply):
+                self.bridge.deliver(token, reply)
+            case RespondToReadiness(token, code):
+                self.bridge.deliver(token, code)
+            case LogEvent(event, fields):
+                self.log(event, **fields)
+            case CancelAttempt(token, only_reused, only_waiting):
+                self.bridge.cancel(token, only_reused, only_waiting)
+            case WatchCaller(token):
+                self._watch_caller(token)
+            case CloseIdleConnections(address):
+                self.upstream.close_pool(address)
+            case StopProcess(code, _, wait_s) if self.end_s is None:
+                self.stop_code = code
+                self.end_s = time.monotonic() + (0.0 if code else wait_s)
+
+    def _send(self, address, message):
+        sent_at = self.node.timeline.stamp()
+        try:
+            self.links.send(address, message, sent_at, time.monotonic())
+        except GreengageError as error:
+            kind = type(message).__name__
+            self.log("message-not-sent", code=error.code, kind=kind, detail=error.detail)
+
+
+def format_traceback():
+    """Return the traceback of the current exception as one line."""
+    return traceback.format_exc().replace("\n", " | ")
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -15,7 +15,7 @@
 from greengagerock.daemon.bridge import Bridge
 from greengagerock.daemon.log_writer import EventRateLimiter, LineWriter
 from greengagerock.daemon.logs import format_pairs
-from greengagerock.daemon.loop import EventLoop
+from greengagerock.daemon.loop import EventLoop, format_traceback
 from greengagerock.daemon.record_writer import RecordWriter
 from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.node.router_node import RouterNode
@@ -122,7 +122,7 @@
         self.bridge.post = self.loop.post
         self.bridge.post_deferred = self.loop.post_deferred
         self.bridge.unwatch_caller = self.loop.unwatch_caller
-        self.metrics.registry.register(SiteCollector(self.node, self.links))
+        self.metrics.registry.register(SiteCollector(self.node, self.links, self.loop))
         dialect = dialect or NativeRouteDialect()
         self.caller_application = self._make_application(dialect)
         self.relay_application = self._make_application(RelayDialect(dialect))
@@ -240,7 +240,9 @@
             # As for the controller's node, routers do without it.
             from greengagerock.web.control_application import ControlApplication
 
-            application = ControlApplication(self.bridge, self.log, self.control_dialect)
+            application = ControlApplication(
+                self.bridge, self.log, self.control_dialect, self.metrics
+            )
             servers.append(self._make_server(settings.control, application, CONTROL_THREADS))
         if settings.metrics:
             servers.append(
@@ -374,7 +376,12 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: daemon.stop())
     signal.signal(signal.SIGHUP, lambda *_: settings_watcher.request_reload())
-    code = daemon.run()
+    try:
+        code = daemon.run()
+    except Exception:
+        # Other threads would keep a process alive that serves nothing.
+        code = "internal-error"
+        log("fatal", code=code, detail=format_traceback())
     line_writer.close()
     # Worker threads may be blocked on callers' idle connections. A normal exit of the interpreter
     # would wait for them until the process is killed.
--- a/greengagerock/language/items.py
+++ b/greengagerock/language/items.py
@@ -5,6 +5,7 @@
 from importlib.resources import files
 
 from lark import Lark, Token, Transformer, UnexpectedInput, v_args
+from lark.exceptions import VisitError
 
 from greengagerock.core import StatementError
 from greengagerock.items import (
@@ -177,6 +178,9 @@
     except UnexpectedInput as error:
         detail = f"unexpected word at line {error.line}, column {error.column}"
         raise StatementError("syntax-error", detail, max(error.column, 0)) from error
+    except VisitError as error:
+        # A number with more digits than the interpreter converts.
+        raise StatementError("syntax-error", str(error.orig_exc)) from error
     removals = [item for item in statements if type(item) is tuple]
     limits = [item for item in statements if isinstance(item, CallerLimits)]
     return Patch(
--- a/greengagerock/platform/durations.py
+++ b/greengagerock/platform/durations.py
@@ -3,8 +3,9 @@
 import re
 
 from greengagerock.core import GreengageError
+from greengagerock.core.decoding import MAX_DURATION_S
 
-_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0}
 
 
@@ -12,7 +13,8 @@
     """Parse a duration; return seconds.
 
     Raises:
-        GreengageError: ``invalid-value`` if the text is not a number followed by ``ms`` or ``s``.
+        GreengageError: ``invalid-value`` if the text is not a number followed by ``ms`` or ``s``,
+            or the duration is above ``MAX_DURATION_S``.
 
     Examples:
         >>> parse_duration("1500ms"), parse_duration("2.5s")
@@ -23,7 +25,10 @@
         raise GreengageError(
             "invalid-value", f"{text!r} is not a duration such as '1500ms' or '2s'"
         )
-    return round(float(match[1]) * _SECONDS_PER_UNIT[match[2]], 9)
+    seconds = float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+    if seconds > MAX_DURATION_S:
+        raise GreengageError("invalid-value", f"a duration is above {MAX_DURATION_S:g} s")
+    return round(seconds, 9)
 
 
 def format_duration(seconds):
--- a/greengagerock/platform/wire_items.py
+++ b/greengagerock/platform/wire_items.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from greengagerock.core import GreengageError
+from greengagerock.core.decoding import MALFORMED_INPUT, Integer
 from greengagerock.items import (
     CallerLimits,
     EndpointWarmUp,
@@ -14,6 +15,7 @@
     ServiceItem,
     WeightedService,
 )
+from greengagerock.items.value_checks import check_values
 from greengagerock.platform.durations import format_duration, parse_duration
 
 # Largest request rate of an item. JSON has integers of any length, the log those of 64 bits.
@@ -24,7 +26,7 @@
     """A service that receives a share of a route's requests."""
 
     service: str
-    weight: int | float
+    weight: Integer | float
 
 
 class WireRoute(msgspec.Struct, rename="kebab"):
@@ -49,10 +51,10 @@
     path_prefix: str
     type: RequestKind
     timeout: str
-    max_attempts: int
-    version: int
+    max_attempts: Integer
+    version: Integer
     target_latency: str | None = None
-    priority: int | None = None
+    priority: Integer | None = None
     service: str | None = None
     traffic_split: list[WireWeightedService] | None = None
 
@@ -77,8 +79,8 @@
 
     name: str
     health_path: str
-    max_conns: int
-    version: int
+    max_conns: Integer
+    version: Integer
     protocol: str | None = None
     tls: bool | None = None
     sharded: bool | None = None
@@ -91,11 +93,11 @@
 class WireLimits(msgspec.Struct, rename="kebab"):
     """Limits of callers' connections and requests."""
 
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: Integer
+    max_body_bytes: Integer
     header_timeout: str
     idle_timeout: str
-    version: int
+    version: Integer
 
 
 class WireTable(msgspec.Struct):
@@ -117,7 +119,7 @@
     """An item to remove."""
 
     name: str
-    version: int
+    version: Integer
 
 
 class WireRemovals(msgspec.Struct):
@@ -138,19 +140,21 @@
     """Decode the body of a ``Patch``.
 
     Raises:
-        GreengageError: ``invalid-item`` if any part of the body is malformed.
+        GreengageError: ``invalid-item`` if any part of the body is malformed or out of range.
     """
     try:
         wire = msgspec.json.decode(data, type=WirePatch)
-        return Patch(
+        patch = Patch(
             tuple(_read_route(r) for r in _read_records(wire.upsert.routes, WireRoute)),
             tuple(_read_service(r) for r in _read_records(wire.upsert.services, WireService)),
             _read_limits(wire.upsert.limits),
             tuple(Removal(r.name, r.version) for r in wire.remove.routes),
             tuple(Removal(r.name, r.version) for r in wire.remove.services),
         )
-    except (msgspec.MsgspecError, UnicodeDecodeError, GreengageError) as error:
+    except (*MALFORMED_INPUT, GreengageError) as error:
         raise GreengageError("invalid-item", str(error)) from error
+    check_values(patch)
+    return patch
 
 
 def encode_items(items):
--- a/greengagerock/platform/wire_reports.py
+++ b/greengagerock/platform/wire_reports.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from greengagerock.assignment import EndpointLeaving, EndpointReport, FreedRange, HeldRange
-from greengagerock.assignment.reports import KEY_COUNT
+from greengagerock.assignment.report_checks import check_report
 from greengagerock.core import GreengageError
+from greengagerock.core.decoding import MALFORMED_INPUT
 from greengagerock.platform.durations import format_duration, parse_duration
 
 
@@ -95,17 +96,9 @@
     try:
         wire = msgspec.json.decode(data, type=WireReport)
         cold_s = parse_duration(wire.status.warmup_left)
-    except (msgspec.MsgspecError, UnicodeDecodeError, GreengageError) as error:
+    except (*MALFORMED_INPUT, GreengageError) as error:
         raise GreengageError("bad-report", str(error)) from error
-    ip, colon, port = wire.address.rpartition(":")
-    if not (ip and colon and port.isdigit()):
-        raise GreengageError("bad-report", f"address {wire.address!r} is not IP:PORT")
-    if wire.info.max_concurrency < 1:
-        raise GreengageError("bad-report", "max-concurrency is below 1")
-    for first, last, _ in (*wire.holds, *wire.freed):
-        if not 0 <= first <= last < KEY_COUNT:
-            raise GreengageError("bad-report", f"{first} to {last} is not a valid range of keys")
-    return EndpointReport(
+    report = EndpointReport(
         endpoint,
         wire.born,
         wire.status.sequence,
@@ -118,6 +111,8 @@
         tuple(HeldRange(*row) for row in wire.holds),
         tuple(FreedRange(*row) for row in wire.freed),
     )
+    check_report(report)
+    return report
 
 
 def decode_leaving(endpoint, data):
@@ -128,15 +123,16 @@
         data: The body.
 
     Raises:
-        GreengageError: ``bad-report`` if the body is malformed.
+        GreengageError: ``bad-report`` if the body is malformed or a value is out of range.
     """
-    if not data:
-        return EndpointLeaving(endpoint)
-    try:
-        wire = msgspec.json.decode(data, type=WireLeaving)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise GreengageError("bad-report", str(error)) from error
-    return EndpointLeaving(endpoint, wire.born)
+    leaving = EndpointLeaving(endpoint)
+    if data:
+        try:
+            leaving = EndpointLeaving(endpoint, msgspec.json.decode(data, type=WireLeaving).born)
+        except MALFORMED_INPUT as error:
+            raise GreengageError("bad-report", str(error)) from error
+    check_report(leaving)
+    return leaving
 
 
 def encode_report_response(response):
--- a/greengagerock/platform/wire_settings.py
+++ b/greengagerock/platform/wire_settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from greengagerock.core import GreengageError
+from greengagerock.core.decoding import MALFORMED_INPUT
 from greengagerock.platform.durations import parse_duration
 from greengagerock.routing.zone_evacuations import DEFAULT_EVACUATE_S
 from greengagerock.settings.schema import LimitSettings
@@ -87,7 +88,7 @@
     """
     try:
         wire = msgspec.json.decode(data, type=WireSettings)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         raise GreengageError("bad-settings", str(error)) from error
     try:
         return _convert(wire, metrics_port)
--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -4,12 +4,16 @@
 import urllib3
 
 from greengagerock.assignment import EndpointReport, HeldRange
+from greengagerock.control.relay_messages import ReportRelay
 from greengagerock.core import GreengageError, Timestamp
-from greengagerock.language.items import parse_items
+from greengagerock.items import ItemStore
+from greengagerock.items.store import encode_patch
+from greengagerock.language.items import format_items
 from greengagerock.platform.samples import PATCH, REPORT, SETTINGS
-from greengagerock.platform.wire_items import decode_patch
+from greengagerock.platform.wire_items import decode_patch, encode_items
 from greengagerock.platform.wire_reports import decode_leaving, decode_report
 from greengagerock.platform.wire_settings import decode_settings
+from greengagerock.replication import Entry
 from greengagerock.routing.endpoint_notices import MAX_PAUSE_S, EndpointNotices
 from greengagerock.settings.checker import parse_settings
 from greengagerock.storage.frames import encode_frame, scan_frames
@@ -84,6 +88,11 @@
     )
 
 
+def _relay(message):
+    """Encode a report as a follower relays it to the leader."""
+    return _envelope(ReportRelay(1, message))
+
+
 class DecoderTarget:
     """Fuzz target for a function that decodes bytes.
 
@@ -91,10 +100,12 @@
         samples: Valid inputs.
         tokens: Byte strings with a meaning in the input format.
         decode: The function; it may raise only a ``GreengageError``.
+        encode: Function that encodes what was decoded, as the next host or the log gets it.
     """
 
-    def __init__(self, decode, samples, tokens):
+    def __init__(self, decode, samples, tokens, encode=lambda value: None):
         self.decode = decode
+        self.encode = encode
         self.samples = samples
         self.tokens = tokens
 
@@ -105,10 +116,11 @@
             Exception: Any other exception than a ``GreengageError`` is a fault of the decoder.
         """
         try:
-            self.decode(data)
+            value = self.decode(data)
         except GreengageError as error:
             assert error.code
             return True
+        self.encode(value)
         return False
 
 
@@ -187,16 +199,32 @@
         raise GreengageError("relay-unavailable", text)
 
 
-_JSON_TOKENS = (b"[", b"{", b"null", b"-1", b'"', b"1e999", b"\xff", b"true", b"[[[[")
+def encode_accepted(patch):
+    """Encode a patch for the log, and the items that it leads to as they are read back."""
+    store = ItemStore()
+    store.apply(Entry(1, 1, encode_patch(patch)))
+    encode_items(store.items)
+    format_items(store.items)
+    store.dump()
+
+
+_JSON_TOKENS = (
+    *(b"[", b"{", b"null", b"-1", b'"', b"1e999", b"\xff", b"true", b"[[[["),
+    b"18446744073709551616",
+    b"9" * 400,
+    b'{"a":' * 2000,
+)
 _MSGPACK_TOKENS = (b"\xc0", b"\x93", b"\xdf\xff\xff\xff\xff", b"\xc6\x7f\xff\xff\xff", b"\xcf")
 _TEXT_TOKENS = (b";", b"\n", b"'", b'"', b": ", b"- ", b"&a", b"*a", b"{", b"!!", b"\x00", b"\xc3")
 
 DECODERS = {
-    "report": DecoderTarget(lambda data: decode_report("e", data), [_json(REPORT)], _JSON_TOKENS),
+    "report": DecoderTarget(
+        lambda data: decode_report("e", data), [_json(REPORT)], _JSON_TOKENS, _relay
+    ),
     "leaving": DecoderTarget(
-        lambda data: decode_leaving("e", data), [_json({"born": 5})], _JSON_TOKENS
+        lambda data: decode_leaving("e", data), [_json({"born": 5})], _JSON_TOKENS, _relay
     ),
-    "patch": DecoderTarget(decode_patch, [_json(PATCH)], _JSON_TOKENS),
+    "patch": DecoderTarget(decode_patch, [_json(PATCH)], _JSON_TOKENS, encode_accepted),
     "settings": DecoderTarget(
         lambda data: decode_settings(data, 1), [_json(SETTINGS)], _JSON_TOKENS
     ),
@@ -204,11 +232,13 @@
         lambda data: NativeControlDialect().decode_report("e", data),
         [_json(NATIVE_REPORT)],
         _JSON_TOKENS,
+        _relay,
     ),
     "own-items": DecoderTarget(
-        lambda data: parse_items(data.decode(errors="replace")),
+        NativeControlDialect().decode_patch,
         [INITIAL_STATEMENTS.encode()],
-        _TEXT_TOKENS,
+        (*_TEXT_TOKENS, b"9" * 400),
+        encode_accepted,
     ),
     "own-settings": DecoderTarget(
         lambda data: parse_settings(data.decode(errors="replace")),
--- a/greengagerock/testing/log_recorder.py
+++ b/greengagerock/testing/log_recorder.py
@@ -1,8 +1,23 @@
-"""Log lines of the hosts of a simulated site."""
+"""Recorded log lines."""
 
 from greengagerock.core.interface import LogEvent
 
 
+class LogRecorder:
+    """A log function that keeps its lines.
+
+    Attributes:
+        lines: Pairs of the event and its fields.
+    """
+
+    def __init__(self):
+        self.lines = []
+
+    def __call__(self, event, **fields):
+        """Record a line."""
+        self.lines.append((event, fields))
+
+
 def record_log_lines(site, events):
     """Return a list to which the site adds the log lines with some names from now on.
 
--- a/greengagerock/transport/codec.py
+++ b/greengagerock/transport/codec.py
@@ -11,6 +11,7 @@
     ReportRelay,
 )
 from greengagerock.core import GreengageError, Timestamp
+from greengagerock.core.decoding import MALFORMED_INPUT
 from greengagerock.discovery import ControllerHello, ControllerHelloReply
 from greengagerock.membership import (
     AnnouncementRelay,
@@ -112,8 +113,15 @@
 
 
 def encode_envelope(envelope):
-    """Return an envelope encoded as MessagePack."""
-    return _encoder.encode(envelope)
+    """Return an envelope encoded as MessagePack.
+
+    Raises:
+        GreengageError: ``bad-message`` if a value has no encoding.
+    """
+    try:
+        return _encoder.encode(envelope)
+    except (OverflowError, RecursionError, TypeError, ValueError) as error:
+        raise GreengageError("bad-message", str(error)) from error
 
 
 def decode_envelope(data):
@@ -124,5 +132,5 @@
     """
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         raise GreengageError("bad-message", str(error)) from error
--- a/greengagerock/transport/links.py
+++ b/greengagerock/transport/links.py
@@ -27,6 +27,7 @@
         dropped: Messages dropped because the link was full or not connected.
         redialled: Links that were dialled again because sent messages were not acknowledged.
         undecodable: Received messages that could not be decoded.
+        unencodable: Messages that could not be encoded, and were not sent.
         sent_bytes_by_kind: Size of the sent messages in bytes, by tag of the message.
     """
 
@@ -38,6 +39,7 @@
         "sent_bytes",
         "sent_messages",
         "undecodable",
+        "unencodable",
     )
     __slots__ = (*COUNTERS, "sent_bytes_by_kind")
 
@@ -102,11 +104,18 @@
             message: The message.
             sent_at: Hybrid logical timestamp of the message.
             now_s: Monotonic time in seconds.
+
+        Raises:
+            GreengageError: ``bad-message`` if the message cannot be encoded; nothing is sent.
         """
         if self.monitor.is_suspect(address, now_s):
             self._redial(address)
         sequence = self.monitor.record_sent(address, now_s)
-        data = encode_envelope(Envelope(self.host, self.address, sent_at, message, sequence))
+        try:
+            data = encode_envelope(Envelope(self.host, self.address, sent_at, message, sequence))
+        except GreengageError:
+            self.stats.unencodable += 1
+            raise
         try:
             # Dialling also fails if the process has no free file descriptor.
             socket = self.sockets_by_address.get(address) or self._dial(address)
--- a/greengagerock/transport/tests/test_links.py
+++ b/greengagerock/transport/tests/test_links.py
@@ -3,15 +3,17 @@
 import select
 
 import pynng
+import pytest
 
 from greengagerock.core import GreengageError, Timestamp
 from greengagerock.membership import LeaseManagerStarted
-from greengagerock.transport import Links
-from greengagerock.transport.monitor import LINK_SILENCE_LIMIT_S
+from greengagerock.transport import Envelope, Links, encode_envelope
+from greengagerock.transport.monitor import LINK_SILENCE_LIMIT_S, MessageSequence
 
 A = "127.7.0.1:9301"
 B = "127.7.0.2:9301"
 WAIT_S = 10.0
+SEQUENCE = MessageSequence(1, 1)
 
 
 def receive(links):
@@ -47,6 +49,29 @@
     b.close()
 
 
+def test_message_that_cannot_be_encoded_is_a_typed_error_and_the_link_still_works():
+    """An integer of over 64 bits has no encoding; ``OverflowError`` reached the event loop."""
+    a, b = Links("a", A), Links("b", B)
+    with pytest.raises(GreengageError, match="bad-message"):
+        a.send(B, LeaseManagerStarted(1 << 64), Timestamp(1), 0.0)
+    assert a.stats.unencodable == 1
+    a.send(B, LeaseManagerStarted(1), Timestamp(1), 0.0)
+    assert receive(b)[0].message == LeaseManagerStarted(1)
+    a.close()
+    b.close()
+
+
+def test_message_that_is_nested_too_deeply_is_reported():
+    b = Links("b", B)
+    envelope = encode_envelope(Envelope("a", A, Timestamp(1), LeaseManagerStarted(3), SEQUENCE))
+    nested = envelope[:-1] + b"\x91" * 100_000
+    with pynng.Push0(dial=f"tcp://{B}", block_on_dial=True) as socket:
+        socket.send(nested)
+        (error,) = receive(b)
+    assert error.code == "bad-message"
+    b.close()
+
+
 def test_link_without_acknowledgements_is_dialled_again_and_works():
     a, b = Links("a", A), Links("b", B)
     a.send(B, LeaseManagerStarted(1), Timestamp(1), 0.0)
--- a/greengagerock/view/packing.py
+++ b/greengagerock/view/packing.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from greengagerock.core import GreengageError
+from greengagerock.core.decoding import MALFORMED_INPUT
 
 # Shorter deltas fit into a few packets without compression.
 COMPRESS_FROM_BYTES = 2048
@@ -48,7 +49,7 @@
         elif format_byte != _PLAIN:
             raise GreengageError("bad-message", f"delta has unknown format byte {format_byte!r}")
         return msgspec.msgpack.decode(body, type=kind)
-    except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (zlib.error, *MALFORMED_INPUT) as error:
         raise GreengageError("bad-message", str(error)) from error
 
 
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -7,9 +7,12 @@
 import msgspec
 
 from greengagerock.assignment import EndpointLeaving, EndpointReport
+from greengagerock.assignment.report_checks import check_report
 from greengagerock.core import ERROR_KINDS, GreengageError
+from greengagerock.core.decoding import MALFORMED_INPUT
 from greengagerock.core.interface import EndpointReportArrived, ItemsRequested, PatchArrived
 from greengagerock.items import EvacuationOrder, Patch
+from greengagerock.items.value_checks import check_values
 from greengagerock.language.items import format_items, parse_items
 from greengagerock.web.control_calls import (
     END_EVACUATION_CALL,
@@ -18,6 +21,7 @@
     REPORT_CALL,
     START_EVACUATION_CALL,
 )
+from greengagerock.web.metrics import Metrics
 
 DECISION_TIMEOUT_S = 1.5
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -56,7 +60,7 @@
         """Decode the body of an ``EndpointReport``.
 
         Raises:
-            GreengageError: ``bad-report`` if the body is malformed.
+            GreengageError: ``bad-report`` if the body is malformed or a value is out of range.
         """
         return self._decode(data, EndpointReport)
 
@@ -64,7 +68,7 @@
         """Decode the body of an ``EndpointLeaving``, which may be empty.
 
         Raises:
-            GreengageError: ``bad-report`` if the body is malformed.
+            GreengageError: ``bad-report`` if the body is malformed or a value is out of range.
         """
         return self._decode(data, EndpointLeaving) if data else EndpointLeaving(endpoint)
 
@@ -73,12 +77,14 @@
 
         Raises:
             GreengageError: ``syntax-error`` if they cannot be parsed, ``bad-request`` if the
-                body is not UTF-8.
+                body is not UTF-8, ``invalid-item`` if a value is out of range.
         """
         try:
-            return parse_items(data.decode())
+            patch = parse_items(data.decode())
         except UnicodeDecodeError as error:
             raise GreengageError("bad-request", str(error)) from error
+        check_values(patch)
+        return patch
 
     def encode_report_response(self, response):
         """Return the body of the response to a report."""
@@ -90,9 +96,11 @@
 
     def _decode(self, data, message_type):
         try:
-            return msgspec.json.decode(data, type=message_type)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            message = msgspec.json.decode(data, type=message_type)
+        except MALFORMED_INPUT as error:
             raise GreengageError("bad-report", str(error)) from error
+        check_report(message)
+        return message
 
 
 class ControlApplication:
@@ -102,9 +110,11 @@
         bridge: The ``Bridge`` to the loop.
         log: Callable that writes one log line.
         dialect: Translates paths and bodies; ``NativeControlDialect`` by default.
+        metrics: The ``Metrics``.
     """
 
-    def __init__(self, bridge, log, dialect=None):
+    def __init__(self, bridge, log, dialect=None, metrics=None):
+        self.metrics = metrics or Metrics()
         self.bridge = bridge
         self.log = log
         self.dialect = dialect or NativeControlDialect()
@@ -121,6 +131,7 @@
                 path=environ["PATH_INFO"],
                 detail=error.detail[:300],
             )
+            self.metrics.control_refusals.labels(error.code).inc()
             status = ERROR_KINDS[error.code].http_status
             body = msgspec.json.encode({"code": error.code, "detail": error.detail})
         headers = [
--- a/greengagerock/web/json_bodies.py
+++ b/greengagerock/web/json_bodies.py
@@ -3,6 +3,8 @@
 import cherrypy
 import msgspec
 
+from greengagerock.core.decoding import MALFORMED_INPUT
+
 
 def read_json(message_type):
     """Decode the body of the current request.
@@ -15,7 +17,7 @@
     """
     try:
         return msgspec.json.decode(cherrypy.request.body.read(), type=message_type), ""
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         return None, str(error)
 
 
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from prometheus_client import CollectorRegistry, Gauge, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
@@ -28,6 +28,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.control_refusals = Counter(
+            "greengage_control_refusals",
+            "Calls of endpoints and operators that were refused, by code.",
+            ["code"],
+            registry=self.registry,
+        )
         self.up = Gauge("greengage_up", "1 while the daemon runs.", registry=self.registry)
         self.up.set(1)
         self._histograms = {}
@@ -144,14 +150,21 @@
     Args:
         node: A ``RouterNode`` or ``ControllerNode``.
         links: The ``Links`` of its host.
+        loop: The ``EventLoop`` of its host.
     """
 
-    def __init__(self, node, links):
+    def __init__(self, node, links, loop):
         self.node = node
         self.links = links
+        self.loop = loop
 
     def collect(self):
         """Yield metric families."""
+        yield CounterMetricFamily(
+            "greengage_internal_errors",
+            "Events and effects that raised an unexpected exception.",
+            value=self.loop.internal_error_count,
+        )
         outcomes = CounterMetricFamily(
             "greengage_requests", "Finished requests.", labels=["service", "outcome"]
         )
--- a/greengagerock/web/tests/test_load_metrics.py
+++ b/greengagerock/web/tests/test_load_metrics.py
@@ -22,7 +22,11 @@
         cold_endpoints=SimpleNamespace(count_by_service=dict),
     )
     registry = CollectorRegistry()
-    registry.register(SiteCollector(node, SimpleNamespace(stats=LinkStats())))
+    registry.register(
+        SiteCollector(
+            node, SimpleNamespace(stats=LinkStats()), SimpleNamespace(internal_error_count=0)
+        )
+    )
     lines = generate_latest(registry).decode().splitlines()
     assert "greengage_waiting_calls 2.0" in lines
     assert "greengage_known_loads 1.0" in lines
