Keys at work keep the hold of an earlier leader

Cause: the first report to a new leader released keys with the end of a hold that was not set yet, so that the next tick freed them although the endpoint still listed them.

Change: such a hold ends at the earliest when all holds of earlier leaders end.

--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -343,9 +343,11 @@
 
     def _release(self, instance, units, now_s, target=None):
         """Leave units out of the response; they become free once a report no longer lists them."""
+        # The hold may be one of an earlier leader.
+        until_s = max(instance.hold_until_s, self.earlier_holds_end_s)
         for unit in units:
             self._remove_held(instance, unit)
-            self.releasing.setdefault(instance, {})[unit] = instance.hold_until_s
+            self.releasing.setdefault(instance, {})[unit] = until_s
             self.on_owner_changed(unit, "")
             if target is not None:
                 self.free_units.reserve(unit, target, now_s + RESERVATION_S)
