A new leader moves no key on the word of a late report

Instances and callers: a status report that arrived seconds late was the first that a new leader got from its endpoint.

Cause: the leader took a first report for the present state, and never dropped what a newer report of the same endpoint does not list.

Change: listed keys are claims until a report is proven to have been sent in the term. Claims that a newer report does not list end; no claimed key moves or becomes free before all earlier holds have expired. The proof is one unit that the endpoint gets with a new fence, so keys of draining and evacuated endpoints still move within seconds.

--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -2,7 +2,8 @@
 
 Keys are granted in units of ``KEYS_PER_UNIT`` neighbouring keys. They are not stored: each
 report lists all keys that its endpoint holds. A new leader reconstructs the holders from the
-reports and grants the remaining keys after all holds of earlier leaders have expired.
+reports and grants the remaining keys after all holds of earlier leaders have expired. Until then
+it relies on a report only as far as that was certainly sent in its own term.
 """
 
 from greengagerock.assignment.balance import (
@@ -16,6 +17,7 @@
 from greengagerock.assignment.free_units import FreeUnits
 from greengagerock.assignment.hot_units import HotUnitPlanner
 from greengagerock.assignment.settled_holdings import MovableUnits, settled_counts
+from greengagerock.assignment.takeover_claims import TakeoverClaims
 from greengagerock.assignment.units import (
     UNIT_COUNT,
     fences_by_unit,
@@ -80,6 +82,7 @@
         free_units: The ``FreeUnits``.
         unreported_units: Units that may be held by an endpoint that has not reported to this
             leader yet.
+        claims: The ``TakeoverClaims``.
         releasing: For each instance, the units that it has to release, with the time at which
             its hold on them expires.
         handover_tokens: Token of the last holder, by unit.
@@ -117,6 +120,7 @@
         self.held = {}
         self.free_units = FreeUnits()
         self.unreported_units = set(range(UNIT_COUNT))
+        self.claims = TakeoverClaims()
         self.releasing = {}
         self.handover_tokens = {}
         self.planned_moves = {}
@@ -148,10 +152,16 @@
         if self.first_report_s is None:
             self.first_report_s = now_s
         reported = fences_by_unit(instance.report.holds)
+        is_proven = self.claims.is_proven(instance, reported, self.held.get(instance, ()))
+        self._drop_unlisted_claims(instance, reported, now_s)
         self._adopt_reported(instance, reported)
+        if is_proven:
+            self._confirm_claims(instance, reported)
         self._drop_confirmed_tokens(instance, reported)
-        self._collect_released(instance, reported)
-        if instance.is_leaving:
+        self._collect_released(instance, reported, now_s)
+        if self._has_open_claims(instance, now_s):
+            self._probe(instance, now_s)
+        elif instance.is_leaving:
             self._release(instance, list(self.held.get(instance, ())), now_s)
         elif self.is_evacuated(instance):
             self._release_evacuated(instance, instances, now_s)
@@ -162,13 +172,16 @@
         instance.hold_until_s = now_s + lessor_hold_s(hold_s)
         return self._rows(instance)
 
-    def end(self, instance):
-        """Free the units of an instance that has ended for certain."""
-        for unit in list(self.held.get(instance, ())):
-            self._free_unit(unit)
-        for unit in list(self.releasing.get(instance, ())):
-            self._free_unit(unit)
+    def end(self, instance, now_s):
+        """Free the units of an instance that has ended for certain.
+
+        Units that it only claimed may be held by another instance.
+        """
+        units = [*self.held.get(instance, ()), *self.releasing.get(instance, ())]
+        for unit in units:
+            self._give_up(unit, now_s)
         self.held.pop(instance, None)
+        self.claims.probes.pop(instance, None)
         self.planned_moves.pop(instance, None)
         self.weights.forget(instance.name)
         self.hot_units.forget(instance)
@@ -191,9 +204,10 @@
                 self.free_units.add(unit)
                 self.on_owner_changed(unit, "")
             self.unreported_units = set()
+            self.claims.probes = {}
         for instance in [instance for instance in self.held if instance.hold_until_s <= now_s]:
             for unit in list(self.held[instance]):
-                self._free_unit(unit)
+                self._give_up(unit, now_s)
         releasing = [pair for units in self.releasing.values() for pair in units.items()]
         for unit in [unit for unit, until_s in releasing if until_s <= now_s]:
             self._free_unit(unit)
@@ -288,13 +302,26 @@
         self._end_release(previous, unit)
         self.on_owner_changed(unit, instance.name)
 
-    def _free_unit(self, unit, handover_token=""):
+    def _give_up(self, unit, now_s, handover_token=""):
+        """Free a unit, unless it was only claimed and another instance may hold it."""
+        if unit in self.claims.units and now_s < self.earlier_holds_end_s:
+            self._remove_owner(unit)
+            self.unreported_units.add(unit)
+            self.on_owner_changed(unit, "")
+        else:
+            self._free_unit(unit, handover_token)
+
+    def _remove_owner(self, unit):
         holder = self.owners[unit]
         if holder is not None:
             self._remove_held(holder, unit)
         self.owners[unit] = None
         self._end_release(holder, unit)
         self.handover_tokens.pop(unit, None)
+        self.claims.discard(unit)
+
+    def _free_unit(self, unit, handover_token=""):
+        self._remove_owner(unit)
         if handover_token:
             self.handover_tokens[unit] = handover_token
         self.free_units.add(unit)
@@ -327,8 +354,53 @@
             elif holder is None and fence >= self.fences[unit]:
                 if unit not in self.free_units.reserved:
                     self._set_owner(instance, unit, fence)
+                    self.claims.add(unit)
             elif holder is not None and fence > self.fences[unit]:
                 self._set_owner(instance, unit, fence)
+                self.claims.add(unit)
+
+    def _drop_unlisted_claims(self, instance, reported, now_s):
+        """Drop units that an older report of the instance claimed and this one does not list."""
+        if not self.claims.units:
+            return
+        held = self.held.get(instance, ())
+        for unit in [u for u in held if u in self.claims.units and u not in reported]:
+            self._give_up(unit, now_s)
+
+    def _confirm_claims(self, instance, reported):
+        """Note that a report which was sent in this term lists units.
+
+        The response with the probe answered a report that listed the units which it left out.
+        """
+        held = self.held.get(instance, ())
+        self.claims.units.difference_update(unit for unit in reported if unit in held)
+        self.claims.units.difference_update(self.releasing.get(instance, ()))
+        probe = self.claims.probes.pop(instance, None)
+        if probe is not None and probe.unit in held:
+            self.claims.note_granted(probe.unit, probe.fence)
+
+    def _has_open_claims(self, instance, now_s):
+        """Return whether no unit of the instance may move yet, since others may hold them."""
+        if now_s >= self.earlier_holds_end_s:
+            return False
+        return not self.claims.units.isdisjoint(self.held.get(instance, ()))
+
+    def _probe(self, instance, now_s):
+        """Choose a unit that the instance gets with a new fence in the response.
+
+        One unit is left out if the others are to leave soon, since the instance then reports again
+        at once.
+        """
+        probe = self.claims.probes.get(instance)
+        held = self.held[instance]
+        if probe is None or probe.unit not in held:
+            # The instance may accept this fence and end before it reports it.
+            self.highest_fence = self.next_fence(self.highest_fence)
+            self.claims.set_probe(instance, min(held), self.highest_fence)
+        is_urgent = not self._accepts_units(instance)
+        if is_urgent and len(held) > 1 and instance not in self.releasing:
+            unit = max(held - {self.claims.probes[instance].unit})
+            self._release(instance, [unit], now_s)
 
     def _drop_confirmed_tokens(self, instance, reported):
         """Drop handover tokens that the new holder has received."""
@@ -336,10 +408,10 @@
             if unit in self.handover_tokens and unit in reported:
                 del self.handover_tokens[unit]
 
-    def _collect_released(self, instance, reported):
+    def _collect_released(self, instance, reported, now_s):
         tokens = tokens_by_unit(instance.report.freed)
         for unit in [u for u in self.releasing.get(instance, ()) if u not in reported]:
-            self._free_unit(unit, tokens.get(unit, ""))
+            self._give_up(unit, now_s, tokens.get(unit, ""))
 
     def _release(self, instance, units, now_s, target=None):
         """Leave units out of the response; they become free once a report no longer lists them."""
@@ -403,9 +475,13 @@
         fence = self.next_fence(self.highest_fence)
         for unit in granted:
             self._set_owner(instance, unit, fence)
-        if len(self._rows(instance)) > MAX_ROWS:
+            self.claims.note_granted(unit, fence)
+        if len(self._rows(instance)) > MAX_ROWS and self.claims.units.isdisjoint(
+            self.held[instance]
+        ):
             for unit in self.held[instance]:
                 self.fences[unit] = fence
+                self.claims.note_granted(unit, fence)
                 self.handover_tokens.pop(unit, None)
         if not self.free_units.free:
             self.peak_free_count = 0
@@ -461,4 +537,9 @@
         ]
 
     def _rows(self, instance):
-        return grant_rows(self.held.get(instance, ()), self.fences, self.handover_tokens)
+        probe = self.claims.probes.get(instance)
+        fences = self.fences
+        if probe is not None:
+            fences = fences.copy()
+            fences[probe.unit] = max(fences[probe.unit], probe.fence)
+        return grant_rows(self.held.get(instance, ()), fences, self.handover_tokens)
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -404,7 +404,7 @@
     def _end_instance(self, instance, reason):
         assignments = self.assignments_by_service.get(instance.report.service)
         if assignments is not None:
-            assignments.end(instance)
+            assignments.end(instance, self.timers.now_s)
         self.withdrawn_endpoints.discard(instance.name)
         if self.directory.instances.get(instance.name) is None:
             self.router_updater.remove_endpoint(instance.name)
