Responses that belong to no request, or whose end is unknown, reach no caller

Callers: an instance that wrote a refusal once more on a kept connection, without an id, made the router say 'not run' of a request that was running; a head with a line that is no header lost its Content-Length, so that a short body looked whole.

Cause: a response without an id counted as that of the present request. The HTTP library takes lines after a malformed one for a part of the body, ignores a length beside chunks, and skips interim responses with status 100 only.

Change: on a kept connection a response needs the id of the request. A refused request is not sent again on the same connection. Malformed and contradictory heads are errors; all interim responses are skipped.

--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -49,7 +49,9 @@
         response_fault: Fault of the following responses. ``whole``: none; ``torn``: the body
             ends early; ``extra``: a second response follows; ``late-extra``: a response with
             the id of the previous request comes before the next response; ``close``: the
-            connection is closed without a response; ``full``: the request is refused.
+            connection is closed without a response; ``full``: the request is refused;
+            ``refused-again``: a refusal without an id comes before each response but the first
+            of a connection; ``torn-head``: the connection is closed within the head.
         retry_after: Value of the header with which refused requests are to come back, or empty.
         says_leaving: Whether its responses say that it leaves.
         endless_responses: Number of responses without end that it sends at the moment.
@@ -238,6 +240,7 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     delayed_request_id = ""
+    has_responded = False
 
     def log_message(self, format, *args):
         """Disable the access log."""
@@ -267,6 +270,11 @@
             self._send_response(503, b"", {REFUSED_HEADER: "full", **pause})
             return
         request_id = self.headers.get(REQUEST_ID_HEADER, "")
+        if endpoint.response_fault == "refused-again" and self.has_responded:
+            self.wfile.write(
+                b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" + REFUSED_LINE + b"\r\n"
+            )
+        self.has_responded = True
         with endpoint.lock:
             endpoint.runs[request_id] += 1
             endpoint.bodies[request_id] = body
@@ -283,6 +291,11 @@
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
             return
+        if endpoint.response_fault == "torn-head":
+            head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {request_id}\r\nContent-Le"
+            self.wfile.write(head.encode())
+            self.close_connection = True
+            return
         content = f"{endpoint.name} ran {self.command} {self.path}\n".encode() + body
         if endpoint.response_fault == "slow-body":
             self._send_response(200, b"", {}, len(content))
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -94,6 +94,7 @@
         "app",
         "body",
         "body_attempt",
+        "current_attempt",
         "endpoint",
         "environ",
         "headers",
@@ -114,6 +115,7 @@
         self.sent_at_s = 0.0
         self.is_endpoint_limited = False
         self.body_attempt = None
+        self.current_attempt = None
         self.target = app.dialect.target(environ)
         self.headers = read_headers(environ)
         self.body = make_body_reader(environ)
@@ -233,7 +235,8 @@
         Returns:
             A response whose body is unread, or an ``AttemptFailed`` event.
         """
-        attempt = Attempt(self._watchable_descriptor())
+        attempt = Attempt(self._watchable_descriptor(), self.request_id)
+        self.current_attempt = attempt
         self.app.bridge.register_attempt(self.token, attempt)
         self.sent_at_s = time.monotonic()
         self.is_endpoint_limited = forward.is_limited
@@ -245,7 +248,7 @@
                 self._headers_for(forward) | extra_headers,
                 self.body,
                 attempt,
-                self._inspect_response,
+                self._inspect_relayed if forward.relay else self._inspect_response,
             )
         finally:
             self._end_attempt(attempt)
@@ -268,6 +271,29 @@
             self.app.bridge.unregister_attempt(self.token)
 
     def _inspect_response(self, response):
+        """Inspect the response of an endpoint, on a connection that may have served others.
+
+        Without an id, a response on a kept connection may be an earlier one that a faulty endpoint
+        sends again.
+
+        Returns:
+            A reason, or ``None`` if the response can be sent to the caller.
+        """
+        dialect = self.app.dialect
+        is_identified = self.current_attempt.is_new or dialect.is_identified(
+            response, self.headers
+        )
+        if not is_identified:
+            self.app.log(
+                "response-without-id",
+                request_id=self.request_id,
+                status=response.status,
+                code="answer-lost",
+            )
+            return REASON_CONNECTION_LOST
+        return self._inspect_relayed(response)
+
+    def _inspect_relayed(self, response):
         """Pass on what the endpoint says about itself; return why the response is unusable.
 
         Returns:
--- a/greengagerock/web/native_dialect.py
+++ b/greengagerock/web/native_dialect.py
@@ -93,6 +93,10 @@
         """Return why a response cannot be sent to the caller, or ``None`` if it can."""
         return REASON_REFUSED if REFUSED_HEADER in response.headers else None
 
+    def is_identified(self, response, headers):
+        """Return whether a response may belong to the request; these endpoints need send no id."""
+        return True
+
     def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         return None
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -90,6 +90,10 @@
         reason = self.dialect.failure_reason(response, request_id)
         return reason if reason == REASON_CONNECTION_LOST else None
 
+    def is_identified(self, response, headers):
+        """Return whether a response says which request it belongs to."""
+        return self.dialect.is_identified(response, headers)
+
     def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         return self.dialect.read_notice(token, response, request_id, was_limited)
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -29,12 +29,15 @@
         key_header: Lower-case name of the header with the key.
         timeout_header: Lower-case name of the header with the caller's remaining time, in
             milliseconds.
+        request_id_header: Lower-case name of the header with the id of the request, which an
+            endpoint sends back.
         buffers_short_bodies: Whether short request bodies are read before the request is routed,
             and short response bodies before any of the response is sent to the caller.
     """
 
     key_header = ""
     timeout_header = ""
+    request_id_header = ""
     buffers_short_bodies = True
 
     def target(self, environ):
@@ -66,6 +69,15 @@
             0 if data is None else len(data),
         )
 
+    def is_identified(self, response, headers):
+        """Return whether a response says which request it belongs to.
+
+        Args:
+            response: The response of an endpoint.
+            headers: The caller's headers by lower-case name.
+        """
+        return self.request_id_header in response.headers
+
     def service_label(self, event):
         """Return the ``service`` label of the request in the latency metric.
 
@@ -79,6 +91,7 @@
 
     key_header = KEY_HEADER
     timeout_header = TIMEOUT_HEADER
+    request_id_header = REQUEST_ID_HEADER
 
     def outgoing_headers(self, headers, forward, request_id):
         """Return the headers to send to an endpoint, without ``Transfer-Encoding``."""
--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -111,6 +111,12 @@
         b"HTTP/1.1 100 Continue\r\n\r\n" * 20_000,
         b"x" * 200_000,
         b"",
+        b"HTTP/1.1 2",
+        b"HTTP/1.1 200\r\n",
+        b"HTTP/1.1 200 OK\r\nSeal: 1\r",
+        b"HTTP/1.1 200 OK\r\nSeal: 1\r\n\r",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1",
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nConte",
     ],
 )
 def test_truncated_or_endless_head_is_not_taken_for_a_response(data):
@@ -121,6 +127,38 @@
     assert result == AttemptFailed(1, "lost", True, False)
 
 
+def test_interim_responses_are_not_taken_for_the_response():
+    """The library skips those with status 100 only."""
+    data = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + SUCCESS
+    forward = Forward(1, "e", serve_once(data), {}, 5.0)
+    response = Upstream(LimitSettings()).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: None
+    )
+    assert (response.status, response.read()) == (200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Seal: 1\r\nContent-Length\r\n\r\nhello",
+        b"Seal: 1\r\ngarbage\r\nContent-Length: 9\r\n\r\nhello",
+        b"Content-Length: 5\r\nContent-Length: 2\r\n\r\nhello",
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"Content-Length: abc\r\n\r\nhello",
+        b"Content-Length: -1\r\n\r\nhello",
+        b"Transfer-Encoding: gzip\r\n\r\nhello",
+        b"Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ],
+)
+def test_head_that_does_not_tell_the_end_of_the_body_is_refused(head):
+    """A body whose length was lost with the rest of the head looked complete at the close."""
+    forward = Forward(1, "e", serve_once(b"HTTP/1.1 200 OK\r\n" + head), {}, 5.0)
+    result = Upstream(LimitSettings()).send(
+        forward, "GET", "/", {}, None, Attempt(), lambda response: None
+    )
+    assert result == AttemptFailed(1, "lost", True, False)
+
+
 @pytest.mark.parametrize("chunk", [b"", b"5\r\nhello\r\n0", b"0" * 100_000, b"5\r\nhello\r\n"])
 def test_truncated_chunk_size_does_not_end_a_response(chunk):
     data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
@@ -132,6 +170,56 @@
         list(response.stream(65_536, decode_content=False))
 
 
+def serve_responses(*responses):
+    """Start an endpoint that answers the requests of any connections with bytes, in order.
+
+    Returns:
+        Its address and a list of the numbers of the connections that the requests came on.
+    """
+    server = socket.create_server(("127.37.0.6", 0))
+    left, connections = list(responses), []
+
+    def serve():
+        number = 0
+        while left:
+            sock, _ = server.accept()
+            with sock:
+                while left and sock.recv(65_536):
+                    connections.append(number)
+                    sock.sendall(left.pop(0))
+            number += 1
+        server.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    return f"127.37.0.6:{server.getsockname()[1]}", connections
+
+
+REFUSAL = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Refused: 1\r\n\r\n"
+SUCCESS = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(("second_id", "expected"), [("r-1", [0, 1]), ("r-2", [0, 0])])
+def test_refused_request_is_not_sent_again_on_the_same_connection(second_id, expected):
+    """If the endpoint repeats the refusal, it has the id of the second attempt as well."""
+    address, connections = serve_responses(REFUSAL, SUCCESS)
+    upstream = Upstream(LimitSettings())
+
+    def send(request_id):
+        return upstream.send(
+            Forward(1, "e", address, {}, 5.0),
+            "POST",
+            "/",
+            {},
+            None,
+            Attempt(request_id=request_id),
+            lambda response: "refused" if "X-Refused" in response.headers else None,
+        )
+
+    assert send("r-1") == AttemptFailed(1, "refused", False, False)
+    assert send(second_id).status == 200
+    assert connections == expected
+
+
 def test_refusal_with_a_long_body_is_not_read_to_its_end():
     server = socket.create_server(("127.37.0.5", 8604))
     closed = threading.Event()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -3,7 +3,8 @@
 import select
 import socket
 import threading
-from http.client import HTTPException, HTTPResponse
+from collections import deque
+from http.client import SWITCHING_PROTOCOLS, HTTPException, HTTPResponse
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -22,6 +23,9 @@
 # Largest body of a refusal that is read; the bytes of a longer one may have no end.
 MAX_DISCARDED_BYTES = 4096
 BODY_CHUNK_BYTES = 64 * 1024
+# Number of refused requests that a connection remembers. An endpoint repeats a refusal soon, if
+# it does so at all.
+MAX_REFUSED_IDS = 32
 # urllib3 rejects a timeout of 0, which a request at its deadline would have.
 MIN_TIMEOUT_S = 0.001
 
@@ -58,8 +62,10 @@
 
     Args:
         caller_descriptor: Descriptor of the caller's socket, or ``None`` if it is not watched.
+        request_id: Id of the request, as the endpoint echoes it.
 
     Attributes:
+        connection: The ``TrackedConnection`` in use, or ``None``.
         has_head: Whether the head of the response has arrived.
         has_sent_bytes: Whether any byte may have left this host.
         sock: The socket in use, or ``None``. The library's connection drops it when a response
@@ -73,15 +79,19 @@
         "_caller_descriptor",
         "_lock",
         "_is_watched",
+        "connection",
         "has_head",
         "has_sent_bytes",
         "is_cancelled",
+        "request_id",
         "sock",
         "is_new",
         "target",
     )
 
-    def __init__(self, caller_descriptor=None):
+    def __init__(self, caller_descriptor=None, request_id=""):
+        self.connection = None
+        self.request_id = request_id
         self._caller_descriptor = caller_descriptor
         self._lock = threading.Lock()
         self._is_watched = False
@@ -166,22 +176,76 @@
     """A response of the standard library that is read through a ``LineReader``."""
 
     def begin(self):
-        """Read the head."""
+        """Read the head.
+
+        Raises:
+            HTTPException: If the head is truncated, too long, malformed, or does not tell where
+                the body ends.
+        """
         reader = self.fp = LineReader(self.fp)
         super().begin()
         reader.left_head_bytes = None
+        check_framing(self.headers)
+
+    def _read_status(self):
+        """Read the status line of the final response.
+
+        The library skips interim responses with status 100 only.
+        """
+        while True:
+            version, status, reason = super()._read_status()
+            if status == SWITCHING_PROTOCOLS or not 100 < status < 200:
+                return version, status, reason
+            while self.fp.readline() not in (b"\r\n", b"\n"):
+                pass
+
+
+def check_framing(headers):
+    """Refuse headers from which servers and clients conclude different ends of the body.
+
+    Args:
+        headers: The ``http.client.HTTPMessage`` of a response.
+
+    Raises:
+        HTTPException: If a line is no header, or the headers of the length contradict each other.
+
+    References:
+        RFC 9112, HTTP/1.1, section 6.3.
+    """
+    if headers.defects:
+        # The parser takes the lines after a malformed one for a part of the body.
+        raise HTTPException(f"malformed head: {type(headers.defects[0]).__name__}")
+    lengths = set(headers.get_all("Content-Length", ()))
+    encodings = headers.get_all("Transfer-Encoding", ())
+    if len(lengths) > 1 or not all(text.isascii() and text.isdigit() for text in lengths):
+        raise HTTPException("malformed or contradictory Content-Length")
+    if encodings and (lengths or [text.lower() for text in encodings] != ["chunked"]):
+        raise HTTPException("Transfer-Encoding is not chunked, or comes with a Content-Length")
 
 
 class TrackedConnection(HTTPConnection):
-    """A connection that records in the current ``Attempt`` whether bytes were sent."""
+    """A connection that records in the current ``Attempt`` whether bytes were sent.
+
+    Attributes:
+        refused_ids: Ids of requests that were refused on this connection, newest last.
+    """
 
     response_class = StrictResponse
 
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.refused_ids = deque(maxlen=MAX_REFUSED_IDS)
+
     def request(self, method, url, *arguments, **options):
         """Send a request with the unchanged target of the attempt, not normalised by urllib3."""
         attempt = getattr(_thread_state, "attempt", None)
-        if attempt is not None and attempt.target:
-            url = attempt.target
+        if attempt is not None:
+            attempt.connection = self
+            url = attempt.target or url
+            if attempt.request_id in self.refused_ids:
+                # A refusal that the endpoint repeats would have the id of this attempt, too.
+                self.close()
+                self.refused_ids.clear()
         return super().request(method, url, *arguments, **options)
 
     def send(self, data):
@@ -387,6 +451,8 @@
             # Further data on this connection cannot be assigned to a request.
             response.close()
             return AttemptFailed(forward.token, reason, True, bool(body and body.is_consumed))
+        if attempt.connection is not None and attempt.request_id:
+            attempt.connection.refused_ids.append(attempt.request_id)
         discard_body(response)
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -230,6 +230,20 @@
     assert site.call("/prices/torn").status == 502
 
 
+def test_response_with_a_truncated_head_reaches_no_caller(site):
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "torn-head"
+    charge = site.call("/charge/torn", 9, method="POST", body=b"1")
+    assert charge.status == 502
+    for number in range(6):
+        # An endpoint that has failed may be left out for a moment.
+        assert site.call(f"/prices/torn-{number}").status in (502, 503)
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "whole"
+    site.wait_until(lambda: all(site.call(f"/prices/{n}").status == 200 for n in range(4)))
+    site.wait_until(site.serves_all_keys)
+
+
 def test_unsafe_request_runs_once_when_its_response_is_lost(site):
     holder = find_endpoint_holding(site, 77)
     holder.response_fault = "close"
@@ -249,6 +263,19 @@
     assert sum(holder.runs.values()) == runs_before
 
 
+def test_refusal_that_is_sent_again_does_not_answer_a_later_request(site):
+    """Callers were told that requests have not run, which ran after the stray refusal."""
+    holder = find_endpoint_holding(site, 77)
+    holder.response_fault = "refused-again"
+    for number in range(12):
+        request_id = f"again-{number}"
+        headers = {"Greengage-Request-Id": request_id}
+        response = site.call(f"/charge/{number}", 77, method="POST", body=b"1", headers=headers)
+        assert response.status != 503 or holder.runs[request_id] == 0
+        assert holder.runs[request_id] <= 1
+    assert sum(holder.runs[f"again-{number}"] for number in range(12)) > 6
+
+
 @pytest.mark.parametrize(
     "framing",
     [
