A 421 for a request without a key; an exception leaves no call behind

Callers of services without keys got 500 for a 421 of an instance, and each of these calls stayed in flight, with its slot and the planned stop of the router.

Cause: the holder of the key was looked up although the call had none, and nobody ended the call of an event that raised.

Change: such a call goes to another endpoint or is refused as not run. The event loop lets the node drop the call of a failed event with all that it uses; worker threads report unexpected exceptions as failed attempts.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -458,6 +458,10 @@
         """Append a ``LogEvent`` effect."""
         self.effects.append(LogEvent(event, fields))
 
+    def discard(self, token):
+        """Remove the effects for one request."""
+        self.effects = [e for e in self.effects if getattr(e, "token", None) != token]
+
     def drain(self):
         """Return the collected effects and clear the outbox."""
         effects, self.effects = self.effects, []
--- a/greengagerock/daemon/bridge.py
+++ b/greengagerock/daemon/bridge.py
@@ -44,7 +44,7 @@
         self._result_queues[token] = result_queue
         self.post(event)
         try:
-            return result_queue.get(timeout=timeout_s)
+            return self._wait_for(token, result_queue, timeout_s)
         except queue.Empty:
             # A late result may still be put into this queue, so later requests of this thread
             # need a new one.
@@ -57,7 +57,14 @@
         """Pass a result to the waiting thread; called from the loop thread."""
         result_queue = self._result_queues.get(token)
         if result_queue is not None:
-            result_queue.put(result)
+            result_queue.put((token, result))
+
+    def _wait_for(self, token, result_queue, timeout_s):
+        """Return the result for a token; a second one for an earlier token is dropped."""
+        while True:
+            result_token, result = result_queue.get(timeout=timeout_s)
+            if result_token == token:
+                return result
 
     def register_attempt(self, token, attempt):
         """Make an attempt cancellable by the loop."""
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -214,6 +214,10 @@
                 token, "internal-error", OUTCOME_UNKNOWN, "see the log", True
             )
             self.bridge.deliver(token, error_response)
+        try:
+            self.node.abandon(event)
+        except Exception:
+            self._log_internal_error(event)
 
     def _log_internal_error(self, cause):
         self.internal_error_count += 1
--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -130,6 +130,9 @@
         """Return the effects of the node's creation."""
         return self._finish()
 
+    def abandon(self, event):
+        """Do nothing after an exception: the events of this node hold nothing that others need."""
+
     def handle(self, event, now_s):
         """Handle one event and return the effects to carry out, in order."""
         self.timers.advance(now_s)
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -177,6 +177,24 @@
                 self._begin_stop()
         return self.outbox.drain()
 
+    def abandon(self, event):
+        """Drop what an event has left behind whose handling raised an unexpected exception.
+
+        Other events of a request, such as a notice, leave it as it was.
+        """
+        match event:
+            case (
+                CallArrived(token)
+                | RelayArrived(token)
+                | AttemptFailed(token)
+                | ResponseInterrupted(token)
+                | RequestEnded(token)
+            ):
+                self.outbox.discard(token)
+                self.dispatcher.abandon(token)
+                self.relayed_calls.abandon(token)
+                self._stop_if_idle()
+
     def _handle_relayed(self, event):
         """Handle an event of a request that is forwarded for another router."""
         match event:
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -229,7 +229,7 @@
 
     def on_ended(self, event):
         """Process a ``RequestEnded``."""
-        call = self.calls.pop(event.token, None)
+        call = self.calls.get(event.token)
         if call is None:
             return
         call.cancel_timer()
@@ -251,8 +251,23 @@
             self.health.note_success(endpoint)
             self.recent_responses.note(call.fingerprint)
         self.stats.count(call.service, outcome)
+        del self.calls[event.token]
         self.sender.end_turn(call, event.complete)
 
+    def abandon(self, token):
+        """Drop a call while whose event an unexpected exception was raised, with all that it uses.
+
+        Its caller gets an error from the event loop.
+        """
+        call = self.calls.pop(token, None)
+        if call is None:
+            return
+        call.cancel_timer()
+        self._end_attempt(call)
+        self.sender.stop_waiting_for_holder(call)
+        self.stats.count(call.service, "internal-error")
+        self.sender.end_turn(call, False)
+
     def on_caller_disconnected(self, event):
         """End the wait of a caller that has disconnected, or its attempt if that is idempotent."""
         call = self.calls.get(event.token)
@@ -391,11 +406,15 @@
 
     def _on_not_owner(self, call, endpoint):
         """Handle a refusal by an endpoint that lacks the key or has another endpoint's address."""
+        if not self.sender.is_keyed(call):
+            # Another endpoint listens at the address.
+            self.health.note_failure(endpoint, self.timers.now_s)
+            self._resend_or_finish(call, "endpoint-refused", OUTCOME_NOT_RUN)
+            return
         if not self._may_resend(call):
             self._finish(call, "key-moving", OUTCOME_NOT_RUN)
             return
-        owner = self.replica.owner_of(call.service, call.key)
-        if self.sender.is_keyed(call) and owner == endpoint:
+        if self.replica.owner_of(call.service, call.key) == endpoint:
             self.sender.wait_for_holder(call)
         else:
             self.sender.send(call)
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -134,6 +134,11 @@
             observation.note_alive(self.timers.now_s)
         self.stats.count(call.service, "relayed" if event.complete else "relay-failed")
 
+    def abandon(self, token):
+        """Drop a request while whose event an unexpected exception was raised."""
+        if token in self.by_token:
+            self._end(token)
+
     def on_caller_disconnected(self, token):
         """Cancel a request whose router has closed the connection."""
         if token in self.by_token:
--- a/greengagerock/routing/tests/test_dispatcher.py
+++ b/greengagerock/routing/tests/test_dispatcher.py
@@ -351,3 +351,32 @@
             assert isinstance(harness.effects()[0], Forward)
         harness.dispatcher.on_ended(RequestEnded(token, True, 0.05))
     assert 10 <= attempts <= 20
+
+
+@pytest.mark.parametrize("endpoints", [1, 2])
+def test_call_without_a_key_goes_to_another_endpoint_after_a_wrong_address(endpoints):
+    """Another endpoint has the address; the call had no key to look its holder up by."""
+    harness = DispatcherHarness(endpoints=endpoints)
+    token = harness.call(route="prices", key=None)
+    (first,) = [e for e in harness.effects() if isinstance(e, Forward)]
+    harness.fail(token, "not-owner")
+    (second,) = harness.effects()
+    if endpoints == 2:
+        assert isinstance(second, Forward)
+        assert second.endpoint != first.endpoint
+    else:
+        assert isinstance(second, Forward | RespondWithError)
+        harness.fail(token, "not-owner")
+        assert harness.dispatcher.calls == {}
+
+
+def test_call_without_a_key_that_no_endpoint_runs_is_refused_as_not_run():
+    harness = DispatcherHarness(endpoints=3)
+    token = harness.call(route="prices", key=None)
+    responses = []
+    while not responses:
+        responses = [e for e in harness.effects() if isinstance(e, RespondWithError)]
+        if not responses:
+            harness.fail(token, "not-owner")
+    assert (responses[0].outcome, responses[0].code) == ("not-run", "endpoint-refused")
+    assert harness.dispatcher.calls == {}
--- a/greengagerock/testing/scripted_node.py
+++ b/greengagerock/testing/scripted_node.py
@@ -14,6 +14,7 @@
 
     def __init__(self, *script):
         self.script = list(script)
+        self.abandoned = []
         self.timeline = SimpleNamespace(stamp=lambda: Timestamp(1))
 
     def start(self):
@@ -27,6 +28,10 @@
             raise step
         return step
 
+    def abandon(self, event):
+        """Note an event whose handling has failed."""
+        self.abandoned.append(event)
+
     def next_due_s(self):
         """Return that no timer is due."""
         return None
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -250,6 +250,18 @@
                 attempt,
                 self._inspect_relayed if forward.relay else self._inspect_response,
             )
+        except Exception as error:
+            # Without an event, the call and its slot would stay in use for ever.
+            self.app.log(
+                "internal-error",
+                code="internal-error",
+                request_id=self.request_id,
+                detail=f"{type(error).__name__}: {error}",
+            )
+            is_consumed = bool(self.body and self.body.is_consumed)
+            result = AttemptFailed(
+                self.token, REASON_CONNECTION_LOST, attempt.has_sent_bytes, is_consumed
+            )
         finally:
             self._end_attempt(attempt)
         if not isinstance(result, AttemptFailed):
