--- a/greengagerock/web/tests/test_failed_attempts.py
+++ b/greengagerock/web/tests/test_failed_attempts.py
@@ -52,15 +52,33 @@
         """Do nothing."""
 
 
-@pytest.mark.parametrize("address", ["127.37.0.9:99999", "127.37.0.9:-1", "127.37.0.9"])
-def test_address_out_of_range_fails_the_attempt(address):
-    """The worker thread raised, so that the call stayed in flight for ever."""
+def send_once(address, upstream):
+    """Send a request; return the second event of the loop, the status and the log."""
     bridge, log = ScriptedBridge(address), LogRecorder()
     application = CallerApplication(
-        "edge-1", bridge, Upstream(LimitSettings()), Metrics(), log, NativeRouteDialect()
+        "edge-1", bridge, upstream, Metrics(), log, NativeRouteDialect()
     )
     statuses = []
     application(ENVIRON, lambda status, headers: statuses.append(status))
-    assert isinstance(bridge.events[1], AttemptFailed)
-    assert not bridge.events[1].has_sent_bytes
-    assert statuses[0].startswith("503")
+    return bridge.events[1], statuses[0], log
+
+
+@pytest.mark.parametrize("address", ["127.37.0.9:99999", "127.37.0.9:-1", "127.37.0.9"])
+def test_address_out_of_range_fails_the_attempt(address):
+    event, status, _ = send_once(address, Upstream(LimitSettings()))
+    assert isinstance(event, AttemptFailed)
+    assert not event.has_sent_bytes
+    assert status.startswith("503")
+
+
+def test_unexpected_exception_fails_the_attempt():
+    """The worker thread ended the request without an event, so that its call stayed in flight."""
+
+    class FailingUpstream:
+        def send(self, *arguments):
+            raise RuntimeError("unexpected")
+
+    event, status, log = send_once("127.37.0.9:80", FailingUpstream())
+    assert event == AttemptFailed(1, "lost", False, False)
+    assert status.startswith("503")
+    assert [name for name, _ in log.lines] == ["internal-error"]
