--- a/greengagerock/replication/tests/test_voter.py
+++ b/greengagerock/replication/tests/test_voter.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from greengagerock.core import TimerService
 from greengagerock.core.interface import Outbox, Persist, SendMessage
 from greengagerock.replication import (
@@ -14,6 +16,7 @@
     Member,
     Membership,
     Snapshot,
+    SnapshotRequest,
     SnapshotStored,
     Voter,
     VoteReply,
@@ -190,6 +193,33 @@
     assert [m.match_index for m in harness.sync() if hasattr(m, "match_index")] == [2, 2]
 
 
+@pytest.mark.parametrize("entries", [(), (Entry(9, 1, b"x"),)])
+@pytest.mark.parametrize("stored", [(), (Entry(2, 1, b"a"), Entry(3, 1, b"b"))])
+def test_follower_confirms_nothing_beyond_a_snapshot_that_is_not_on_disk(entries, stored):
+    """While the disk stalled, an append was confirmed at once, as if the snapshot were stored."""
+    harness = Harness(records=[EntriesStored(stored)] if stored else [])
+    snapshot = Snapshot(8, 1, MEMBERSHIP, b"a|b")
+    harness.voter.handle(SnapshotRequest(1, "b#1", snapshot, 7.0, "a#1"), "b:1")
+    append = AppendRequest(1, "b#1", 8, 1, entries, 8 + len(entries), 7.1, "a#1")
+    harness.voter.handle(append, "b:1")
+    harness.voter.handle(SnapshotRequest(1, "b#1", snapshot, 7.2, "a#1"), "b:1")
+    assert [m for m in harness.take_messages() if isinstance(m, AppendReply) and m.success] == []
+    replies = [m for m in harness.sync() if isinstance(m, AppendReply)]
+    assert [m.match_index for m in replies] == [8, 8 + len(entries), 8]
+    assert all(m.success for m in replies)
+
+
+def test_entry_that_a_snapshot_drops_is_not_confirmed():
+    harness = Harness(records=[EntriesStored((Entry(2, 1, b"a"), Entry(3, 1, b"b")))])
+    snapshot = Snapshot(3, 2, MEMBERSHIP, b"c|d")
+    harness.voter.handle(SnapshotRequest(2, "b#1", snapshot, 7.0, "a#1"), "b:1")
+    harness.voter.handle(AppendRequest(2, "b#1", 3, 2, (), 3, 7.1, "a#1"), "b:1")
+    assert [m for m in harness.take_messages() if isinstance(m, AppendReply) and m.success] == []
+    assert harness.voter.stored_index < 3
+    harness.sync()
+    assert harness.voter.stored_index == 3
+
+
 def test_conflicting_entries_are_replaced():
     harness = Harness(records=[EntriesStored((Entry(2, 1, b"a"), Entry(3, 1, b"b")))])
     request = AppendRequest(2, "b#1", 1, 0, (Entry(2, 2, b"c"),), 2, 7.0, "a#1")
--- a/greengagerock/replication/voter.py
+++ b/greengagerock/replication/voter.py
@@ -514,19 +514,21 @@
     def _on_snapshot_request(self, request, address):
         if not self._accept_leader(request):
             return
-        snapshot = request.snapshot
-        if snapshot.index <= self.commit_index:
-            self._reply_to_leader(request, address, True, self.commit_index)
-            return
-        self.log.compact(snapshot)
-        self.machine.load(snapshot.data)
-        self.commit_index = snapshot.index
-        self.applied_index = snapshot.index
-        self.stored_index = self.log.last_index
-        term = self.term
+        snapshot, term = request.snapshot, self.term
+        records, match_index = [], self.commit_index
+        if snapshot.index > self.commit_index:
+            records, match_index = [SnapshotStored(snapshot)], snapshot.index
+            if self.log.term_at(snapshot.index) != snapshot.term:
+                # The entries that are stored beyond the commit index are dropped.
+                self.stored_index = min(self.stored_index, self.commit_index)
+            self.log.compact(snapshot)
+            self.machine.load(snapshot.data)
+            self.commit_index = snapshot.index
+            self.applied_index = snapshot.index
+        # An earlier request with the same snapshot may not be on disk yet; the empty write
+        # completes after it.
         self._persist(
-            [SnapshotStored(snapshot)],
-            lambda: self._on_follower_stored(term, request, address, snapshot.index, 0),
+            records, lambda: self._on_follower_stored(term, request, address, match_index, 0)
         )
 
     # --- Commit --------------------------------------------------------------------
