A first start survives a controller that is killed before the group exists

Cause: the other initial voters waited for its hello, which it never sent.

Change: a hello names the initial voters; a host without a group that is one of them takes part in a bootstrap that others have begun, and begins none itself.

--- a/greengagerock/replication/bootstrap.py
+++ b/greengagerock/replication/bootstrap.py
@@ -16,6 +16,10 @@
     because the data folders of the others are not empty; an operator adds it again as
     a learner.
 
+    An initial voter that is killed before the group exists may be started again by settings that
+    no longer let it bootstrap a group. It takes part all the same when another initial voter that
+    still waits for it sends a hello.
+
     Args:
         voter: The local voter.
         host: Name of this host.
@@ -43,7 +47,8 @@
     def handle(self, message, address):
         """Handle a ``BootstrapHello`` or ``InitialMembership``; ``address`` is the sender's."""
         match message:
-            case BootstrapHello(member):
+            case BootstrapHello(member, initial_addresses):
+                self._join_bootstrap(initial_addresses)
                 self._on_hello(member, address)
             case InitialMembership(membership):
                 self._on_membership(membership)
@@ -53,11 +58,21 @@
             return
         for host, address in self.initial_addresses.items():
             if host != self.member.host:
-                self.outbox.send(address, BootstrapHello(self.member))
+                initial_addresses = tuple(self.initial_addresses.values())
+                self.outbox.send(address, BootstrapHello(self.member, initial_addresses))
         self._bootstrap_if_complete()
         self.timers.subscribe(self.interval_s, self._send_hello)
         self.interval_s = min(self.interval_s * HELLO_INTERVAL_GROWTH, HELLO_INTERVAL_MAX_S)
 
+    def _join_bootstrap(self, initial_addresses):
+        """Take part in the bootstrap of which a hello tells, if this host is one of its voters."""
+        if self.initial_addresses or not self.has_no_group:
+            return
+        if self.member.address in initial_addresses:
+            self.initial_addresses = {address: address for address in initial_addresses}
+            self.outbox.log("bootstrap-joined", voters=len(initial_addresses))
+            self._send_hello()
+
     def _on_hello(self, member, address):
         if self.has_no_group and member.host in self.initial_addresses:
             self.members_by_host[member.host] = member
--- a/greengagerock/replication/messages.py
+++ b/greengagerock/replication/messages.py
@@ -104,9 +104,15 @@
 
 
 class BootstrapHello(msgspec.Struct, frozen=True, tag="founding-hello"):
-    """Sent by a voter with an empty data folder to the other initial voters."""
+    """Sent by a voter with an empty data folder to the other initial voters.
+
+    Attributes:
+        member: The sender.
+        initial_addresses: Link addresses of all initial voters.
+    """
 
     member: Member
+    initial_addresses: tuple[str, ...] = ()
 
 
 class InitialMembership(msgspec.Struct, frozen=True, tag="found"):
