Close a connection whose request body was not read to its end

After a body in chunks an idle connection got a 408 and occupied a thread.

Cause: the caller's connection was kept although the instance had answered early; the end of a body in chunks was never read.

Change: such a response closes the connection after the rest was read for up to a second; the end of a body in chunks is read with it.

--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -51,7 +51,8 @@
             the id of the previous request comes before the next response; ``close``: the
             connection is closed without a response; ``full``: the request is refused;
             ``refused-again``: a refusal without an id comes before each response but the first
-            of a connection; ``torn-head``: the connection is closed within the head.
+            of a connection; ``torn-head``: the connection is closed within the head;
+            ``early``: the response is sent before the body is read, and the connection closed.
         retry_after: Value of the header with which refused requests are to come back, or empty.
         says_leaving: Whether its responses say that it leaves.
         endless_responses: Number of responses without end that it sends at the moment.
@@ -204,6 +205,7 @@
 REFUSED_LINE = f"{REFUSED_HEADER}: full\r\n".encode()
 ENDLESS_INTERVAL_S = 0.005
 SLOW_BODY_S = 0.6
+LINGER_S = 0.5
 
 
 class _Server(ThreadingHTTPServer):
@@ -255,6 +257,9 @@
 
     def _run(self):
         endpoint = self.server.endpoint
+        if endpoint.response_fault == "early":
+            self._respond_early()
+            return
         body = self._read_body()
         if endpoint.response_fault == "endless-refusal":
             self._send_without_end(b"HTTP/1.1 503 Busy\r\n" + REFUSED_LINE + b"\r\n", b"x" * 64)
@@ -313,6 +318,17 @@
         elif endpoint.response_fault == "late-extra":
             self.delayed_request_id = request_id
 
+    def _respond_early(self):
+        """Respond, close this side, and read on for a moment, as RFC 9112, section 9.6, says."""
+        self._send_response(200, b"early\n", {"Connection": "close"})
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_WR)
+        self.connection.settimeout(LINGER_S)
+        with contextlib.suppress(OSError):
+            end_s = time.monotonic() + LINGER_S
+            while time.monotonic() < end_s and self.connection.recv(65_536):
+                pass
+
     def _send_without_end(self, first, repeated):
         """Send bytes without end, in small pieces, until the peer closes the connection."""
         self.close_connection = True
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -32,6 +32,8 @@
 # Longest request body that is read before routing, so that it can be sent more than once, and
 # longest response body that is read before it is relayed.
 SHORT_BODY_BYTES = 64 * 1024
+# Time for which the rest of a body is read after the response, before its connection is closed.
+DISCARD_S = 1.0
 
 
 class CallerApplication:
@@ -327,13 +329,32 @@
             headers["transfer-encoding"] = "chunked"
         return headers
 
+    def has_unread_body(self):
+        """Return whether the rest of a body would be parsed as the caller's next request."""
+        return self.body is not None and not self.body.is_complete
+
+    def discard_body(self):
+        """Read what is left of the caller's body after the response."""
+        if self.has_unread_body():
+            self.body.discard(DISCARD_S)
+
+    def _close_if_unread(self):
+        """Let the server close the connection after the response if a part of the body is left.
+
+        Returns:
+            Whether it does.
+        """
+        if not self.has_unread_body():
+            return False
+        self.environ["greengage.close_connection"]()
+        return True
+
     def _respond_with_error(self, error_response):
-        is_unread = self.body is not None and not self.body.is_repeatable
-        if is_unread and not error_response.close:
-            # Otherwise the unread part of the body would be parsed as the next request.
+        if self._close_if_unread() and not error_response.close:
             error_response = msgspec.structs.replace(error_response, close=True)
         added_headers = self.app.dialect.added_headers(self.request_id, self.endpoint)
-        return self.app.send_error(self.start_response, error_response, added_headers)
+        body = self.app.send_error(self.start_response, error_response, added_headers)
+        return ErrorBody(self, body)
 
     def _relay_response(self, forward, response, data):
         self.endpoint = forward.endpoint
@@ -350,7 +371,7 @@
             pair for pair in response_headers.items() if pair[0].lower() not in dropped_names
         ]
         headers += self.app.dialect.added_headers(self.request_id, self.endpoint)
-        if forward.close:
+        if self._close_if_unread() or forward.close:
             headers.append(("Connection", "close"))
         reason = response.reason or responses.get(response.status, "Unknown")
         self.start_response(f"{response.status} {reason}", headers)
@@ -359,6 +380,21 @@
         return StreamedResponseBody(self, response, response_time_s)
 
 
+class ErrorBody:
+    """The body of an error response of this host."""
+
+    def __init__(self, exchange, parts):
+        self.exchange = exchange
+        self.parts = parts
+
+    def __iter__(self):
+        return iter(self.parts)
+
+    def close(self):
+        """Read what is left of the caller's body."""
+        self.exchange.discard_body()
+
+
 class BufferedResponseBody:
     """The body of a short response that was read completely from the endpoint."""
 
@@ -374,6 +410,7 @@
         """Notify the loop that the request has ended."""
         event = RequestEnded(self.exchange.token, True, self.response_time_s, len(self.data))
         self.exchange.app.bridge.post_deferred(event)
+        self.exchange.discard_body()
 
 
 class StreamedResponseBody:
@@ -445,6 +482,7 @@
             self.exchange.token, self.is_complete, self.response_time_s, self.relayed_bytes
         )
         self.exchange.app.bridge.post_deferred(event)
+        self.exchange.discard_body()
 
 
 def has_short_body(response):
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -22,6 +22,7 @@
     START_EVACUATION_CALL,
 )
 from greengagerock.web.metrics import Metrics
+from greengagerock.web.upstream import skip_trailers
 
 DECISION_TIMEOUT_S = 1.5
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -178,7 +179,10 @@
     def _read_body(self, environ):
         stream = environ["wsgi.input"]
         if environ.get("wsgi.input_terminated") and not environ.get("CONTENT_LENGTH"):
-            return stream.read(MAX_BODY_BYTES)
+            data = stream.read(MAX_BODY_BYTES)
+            if len(data) < MAX_BODY_BYTES:
+                skip_trailers(stream)
+            return data
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdigit() or int(length) > MAX_BODY_BYTES:
             raise GreengageError(
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -127,14 +127,23 @@
 
 
 class DescriptorGateway(Gateway_10):
-    """A WSGI gateway that adds the caller's socket descriptor to the environment."""
+    """A WSGI gateway that adds the caller's connection to the environment.
+
+    ``greengage.descriptor`` is the descriptor of its socket, ``greengage.close_connection`` a
+    function after whose call the server reads no further request on it.
+    """
 
     def get_environ(self):
-        """Return the WSGI environment with ``greengage.descriptor``."""
+        """Return the WSGI environment."""
         environ = super().get_environ()
         environ["greengage.descriptor"] = self.req.conn.socket.fileno()
+        environ["greengage.close_connection"] = self.close_connection
         return environ
 
+    def close_connection(self):
+        """Close the connection after the response."""
+        self.req.close_connection = True
+
 
 class DeferringConnectionManager(ConnectionManager):
     """Passes a new connection to a worker thread only when it is readable.
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import threading
+import time
 from collections import deque
 from http.client import SWITCHING_PROTOCOLS, HTTPException, HTTPResponse
 
@@ -311,6 +312,7 @@
 
     Attributes:
         is_consumed: Whether any byte was read from the caller.
+        is_complete: Whether all of it was read from the caller.
         is_repeatable: Whether the body can be sent more than once.
     """
 
@@ -319,11 +321,14 @@
     def __init__(self, stream):
         self.stream = stream
         self.is_consumed = False
+        self.is_complete = False
 
     def __iter__(self):
         while True:
             try:
                 chunk = self.stream.read(BODY_CHUNK_BYTES)
+                if not chunk and not self.is_complete:
+                    skip_trailers(self.stream)
             except (OSError, ValueError) as error:
                 raise CallerBodyError(str(error)) from error
             if not chunk:
@@ -332,20 +337,51 @@
                     raise CallerBodyError(
                         "the caller closed the connection before the end of its body"
                     )
+                self.is_complete = True
                 return
             self.is_consumed = True
             yield chunk
 
+    def discard(self, limit_s):
+        """Read the rest for some time, so that closing the connection does not reset it.
+
+        A reset could reach the caller before it has read the response.
+
+        Args:
+            limit_s: Time after which no further bytes are read, in seconds.
+        """
+        end_s = time.monotonic() + limit_s
+        try:
+            for _ in self:
+                if time.monotonic() >= end_s:
+                    return
+        except CallerBodyError:
+            # The caller has closed the connection or sends nothing more.
+            return
+
+
+def skip_trailers(stream):
+    """Read the end of a body in chunks, which would count as the begin of the next request.
+
+    Args:
+        stream: The WSGI input stream, whose body has been read.
+    """
+    if hasattr(stream, "read_trailer_lines"):
+        for _ in stream.read_trailer_lines():
+            pass
+
 
 class BufferedBody:
     """A request body that has been read completely.
 
     Attributes:
         data: The body.
+        is_complete: Always true.
         is_consumed: Always false, since the body can be sent again.
         is_repeatable: Whether the body can be sent more than once.
     """
 
+    is_complete = True
     is_repeatable = True
     is_consumed = False
 
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import threading
+import time
 
 import pytest
 
@@ -13,9 +14,12 @@
     READY_PORT,
     SiteProcesses,
 )
+from greengagerock.testing.reporting_endpoint import LINGER_S
 from greengagerock.testing.soak.faults import ENDLESS_FAULTS
 
 SOCKET_TIMEOUT_S = 10.0
+# ``header_timeout`` of the items of the site.
+HEADER_TIMEOUT_S = 3.0
 
 
 @pytest.fixture(scope="module")
@@ -263,6 +267,44 @@
     assert sum(holder.runs.values()) == runs_before
 
 
+def test_connection_stays_open_after_a_body_in_chunks(site):
+    """The end of the body occupied a thread and got a 408 after the time-out for heads."""
+    request = (
+        b"POST /charge/chunks HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 77\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nTrailer: 1\r\n\r\n"
+    )
+    with socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S) as sock:
+        for _ in range(2):
+            sock.sendall(request)
+            sock.settimeout(HEADER_TIMEOUT_S + 0.7)
+            received = b""
+            with pytest.raises(TimeoutError):
+                while chunk := sock.recv(65_536):
+                    received += chunk
+            assert received.startswith(b"HTTP/1.1 200")
+            assert received.count(b"HTTP/1.1 ") == 1
+
+
+def test_rest_of_a_body_is_not_parsed_as_a_request(site):
+    """The caller's next request got the 400 for it (review/4)."""
+    find_endpoint_holding(site, 77).response_fault = "early"
+    chunks = (b"1000\r\n" + b"s" * 4096 + b"\r\n") * 60
+    head = (
+        b"POST /charge/early HTTP/1.1\r\nHost: shop.example\r\nGreengage-Key: 77\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    with socket.create_connection((site.routers[0], CALLER_PORT), SOCKET_TIMEOUT_S) as sock:
+        sock.sendall(head + chunks)
+        time.sleep(4 * LINGER_S)
+        sock.sendall(chunks * 4 + b"0\r\n\r\n")
+        received = b""
+        while chunk := sock.recv(65_536):
+            received += chunk
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert received.startswith(b"HTTP/1.1 200") and b"early" in received
+    assert b"connection: close" in received.lower()
+
+
 def test_refusal_that_is_sent_again_does_not_answer_a_later_request(site):
     """Callers were told that requests have not run, which ran after the stray refusal."""
     holder = find_endpoint_holding(site, 77)
