A process ends with its threads; repeated headers keep all values

Operators: a voter whose record writer, or a router whose HTTP server, had ended with an exception went on without it. Callers: of a header that came twice, such as Cookie, only the last was forwarded.

Cause: an uncaught exception ends only its thread; the HTTP library joins the values of headers that it knows as lists.

Change: a hook logs 'fatal' and ends the process.

--- a/greengagerock/daemon/log_writer.py
+++ b/greengagerock/daemon/log_writer.py
@@ -79,7 +79,8 @@
     def close(self):
         """Write the queued lines, then stop the thread."""
         self.is_closed = True
-        self._thread.join(timeout=1.0)
+        if threading.current_thread() is not self._thread:
+            self._thread.join(timeout=1.0)
 
     def _run(self):
         while not self.is_closed:
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+import traceback
 
 import msgspec
 from loguru import logger
@@ -349,6 +350,31 @@
     return log
 
 
+def make_thread_hook(log, line_writer, end_process=os._exit):
+    """Return a hook that ends the process when a thread ends with an exception.
+
+    A process without its record writer, log or HTTP server would go on without a part of its
+    work; ended, it is started again.
+
+    Args:
+        log: Callable that writes one log line.
+        line_writer: The ``LineWriter`` of the log.
+        end_process: Callable that ends the process with a status.
+    """
+
+    def end(arguments):
+        lines = traceback.format_exception(
+            arguments.exc_type, arguments.exc_value, arguments.exc_traceback
+        )
+        detail = "".join(lines).replace("\n", " | ")
+        thread = arguments.thread.name if arguments.thread else ""
+        log("fatal", code="internal-error", thread=thread, detail=detail)
+        line_writer.close()
+        end_process(EXIT_FAILED)
+
+    return end
+
+
 def serve_site(settings, load, path, dialect=None, control_dialect=None):
     """Serve until SIGTERM or SIGINT.
 
@@ -365,6 +391,7 @@
     """
     line_writer = LineWriter()
     log = make_site_log(settings, line_writer)
+    threading.excepthook = make_thread_hook(log, line_writer)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
         daemon = SiteDaemon(settings, log, dialect, control_dialect)
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -72,12 +72,38 @@
         return line
 
 
+class JoinedHeaders(dict):
+    """Headers of which a repeated one has all of its values.
+
+    The library joins only the values of headers that it knows as lists; of others the last value
+    replaced the earlier ones.
+
+    Examples:
+        >>> headers = JoinedHeaders()
+        >>> headers[b"Cookie"] = b"a=1"
+        >>> headers[b"Cookie"] = b"b=2"
+        >>> headers
+        {b'Cookie': b'a=1; b=2'}
+
+    References:
+        RFC 9110, HTTP Semantics, section 5.3; RFC 6265, section 4.2.
+    """
+
+    def __setitem__(self, name, value):
+        earlier = self.get(name)
+        if earlier is not None and not value.startswith(earlier + b", "):
+            value = earlier + (b"; " if name == b"Cookie" else b", ") + value
+        super().__setitem__(name, value)
+
+
 class StrictHeaderReader(HeaderReader):
     """Reads headers and rejects ambiguous ones."""
 
     def __call__(self, rfile, hdict=None):
         """Read headers into ``hdict`` and return it."""
-        return super().__call__(CheckedHeaderLines(rfile), hdict)
+        hdict = {} if hdict is None else hdict
+        hdict.update(super().__call__(CheckedHeaderLines(rfile), JoinedHeaders()))
+        return hdict
 
     def _allow_header(self, key_name):
         # In a WSGI environment, a name with underscores has the same key as one with dashes.
