Test of a session: wait until another endpoint serves the key

It now also waits, within the same limit, until the router sends the key to another endpoint; what it checks then is unchanged.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -152,6 +152,7 @@
     session.cli("change", "drain endpoint x", "--request-id", "golden-1", zone=3)
     session.cli("change", f"resume endpoint {endpoint}", "--based-on", "1")
     eventually(lambda: moved_away(system, endpoint))
+    eventually(lambda: is_served_elsewhere(endpoint))
     moved = session.http("GET", "/till/cards/card-1")
     assert moved.headers["Greengage-Endpoint"] != endpoint
     session.cli("change", f"resume endpoint {endpoint}", "--dry-run")
@@ -165,6 +166,16 @@
     return rows and rows[0]["units"] == 0
 
 
+def is_served_elsewhere(endpoint):
+    """Return whether another endpoint serves the key.
+
+    The endpoint has no units any more before the units have their next owners, and the router may
+    get the owner later than the leader.
+    """
+    response = HTTP.request("GET", f"http://{NETWORK}.1.1:8080/till/cards/card-1")
+    return response.headers.get("Greengage-Endpoint", endpoint) != endpoint
+
+
 def raw_exchange(address, data):
     """Send bytes to a port and return all bytes received until the other side closes."""
     host, port = address.rsplit(":", 1)
