--- a/greengagerock/core/decoding.py
+++ b/greengagerock/core/decoding.py
@@ -14,9 +14,8 @@
 MAX_DURATION_S = 1e9
 MAX_PORT = 65_535
 
-# Fields of decoded messages.
+# Type of a field of a decoded message.
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 # What decoders raise for malformed input. Input that is nested too deeply exceeds the
 # interpreter's limit of recursion.
--- a/greengagerock/node/node.py
+++ b/greengagerock/node/node.py
@@ -145,7 +145,7 @@
         return self._finish()
 
     def abandon(self, event):
-        """Do nothing after an exception: the events of this node hold nothing that others need."""
+        """Do nothing after an exception; the event loop answers the request of the event."""
 
     def handle(self, event, now_s):
         """Handle one event.
--- a/greengagerock/platform/tests/test_impossible_reports.py
+++ b/greengagerock/platform/tests/test_impossible_reports.py
@@ -138,6 +138,23 @@
     assert refusal(decode_patch, body) == "invalid-item"
 
 
+@pytest.mark.parametrize(
+    ("timeout", "objective", "code"),
+    [
+        ("4002ms", "64002ms", "invalid-item"),
+        ("4002ms", "64001ms", ""),
+        ("4.002s", "64.0019s", ""),
+        ("800ms", "60800ms", "invalid-item"),
+    ],
+)
+def test_objective_is_compared_in_decimal_milliseconds(timeout, objective, code):
+    """As binary fractions of seconds, a minute above 4,002 ms was accepted."""
+    columns = [*PATCH["upsert"]["routes"]["columns"], "target-latency"]
+    rows = [["r", "h.example", "/a/", "safe", timeout, 2, 7, "till", objective]]
+    body = with_value(PATCH, ("upsert", "routes"), {"columns": columns, "rows": rows})
+    assert refusal(decode_patch, body) == code
+
+
 def test_patch_that_is_nested_too_deeply_is_refused():
     body = json.dumps(PATCH).encode()
     assert refusal(decode_patch, body[:-1] + b', "x": ' + nested() + b"}") == "invalid-item"
