Name each change in the log of every controller that handles it

An operator's change could not be followed: the line of its commit named neither the change nor the controllers that relayed it. A change is now named by the digest by which the log recognises one that is sent again: when a controller received it, to whom it was passed, and when and why it was answered. Requests that wait for the leader are kept in ControllerRequests; nothing else changes.

--- a/greengagerock/items/item.py
+++ b/greengagerock/items/item.py
@@ -190,6 +190,17 @@
     removed_services: tuple[Removal, ...] = ()
     evacuations: tuple[EvacuationOrder, ...] = ()
 
+    def item_names(self):
+        """Return the names of all items that the patch sets or removes.
+
+        Examples:
+            >>> Patch(removed_routes=(Removal("old", 7),)).item_names()
+            ['old']
+        """
+        items = (*self.routes, *self.services, *self.removed_routes, *self.removed_services)
+        names = [item.name for item in items]
+        return [*names, LIMITS_NAME] if self.limits is not None else names
+
 
 class Items(msgspec.Struct, frozen=True):
     """All items in effect.
--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -86,6 +86,26 @@
     return _PATCH + (_encoder.encode(patch) if patch.evacuations else _encode_item_part(patch))
 
 
+def digest_patch(patch):
+    """Return the digest by which a patch is recognised when it is sent again.
+
+    It equals that of the patch as it is read from the log, in which whole numbers of a field for
+    fractions have become fractions.
+    """
+    stored = _patch_decoder.decode(_encoder.encode(patch))
+    return xxhash.xxh64_intdigest(_encode_item_part(stored))
+
+
+def format_digest(digest):
+    """Return the form of a digest in log lines.
+
+    Examples:
+        >>> format_digest(255)
+        '00000000000000ff'
+    """
+    return f"{digest:016x}"
+
+
 def encode_leave(leave):
     """Return the payload of a log entry that carries a ``LeaveRecord``."""
     return _LEAVE + _encoder.encode(leave)
@@ -122,6 +142,7 @@
         last_orders: Log index of the last order that started or ended an evacuation, by zone.
         revision: Log index of the last accepted patch that changed an item; a snapshot does
             not contain it.
+        applied_digest: Digest of the patch that was applied last, 0 for outdated orders.
         on_patch_result: Called with the log index and ``PatchResult`` of each patch.
         on_leave: Called with the log index and ``LeaveRecord`` of each leave.
         on_load: Called after a snapshot was loaded.
@@ -143,6 +164,7 @@
         self.leaving_endpoints = {}
         self.last_orders = {}
         self.revision = 0
+        self.applied_digest = 0
         self.on_patch_result = lambda index, result: None
         self.on_leave = lambda index, leave: None
         self.on_load = lambda: None
@@ -192,11 +214,12 @@
         Returns:
             A ``PatchResult``.
         """
+        self.applied_digest = 0
         for order in patch.evacuations:
             if self._is_outdated(order):
                 detail = f"zone {order.zone!r}: a later order has overtaken this one"
                 return PatchResult("not-ready", detail)
-        digest = xxhash.xxh64_intdigest(_encode_item_part(patch))
+        digest = self.applied_digest = xxhash.xxh64_intdigest(_encode_item_part(patch))
         if digest in self.accepted:
             return PatchResult(changed=self._apply_orders(patch, index))
         tombstones = dict(self.tombstones)
--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -20,7 +20,6 @@
     Persisted,
     PersistFailed,
     ReadinessRequested,
-    Respond,
     RespondToReadiness,
     SeedsChanged,
     SendMessage,
@@ -36,6 +35,7 @@
     VoterReplacement,
 )
 from greengagerock.items import ItemStore
+from greengagerock.node.controller_requests import ControllerRequests
 from greengagerock.replication import (
     AppendReply,
     AppendRequest,
@@ -55,8 +55,6 @@
 
 HELLO_INTERVAL_S = 0.5
 LEADER_TICK_S = 0.1
-# Endpoints and operators try another controller after one second without a response.
-RELAY_TIMEOUT_S = 0.9
 # Time for which a stopping controller still relays requests, so that clients can switch to
 # another one.
 STOP_DELAY_S = 1.0
@@ -99,7 +97,9 @@
         self.hinted_leader = ""
         self.hint_confirmed_s = float("-inf")
         self.is_leaving = False
-        self.relay_timers = {}
+        self.requests = ControllerRequests(
+            self.site_leader, self._leader_address, config.address, self.timers, self.outbox
+        )
         self._send_hellos()
         self._tick()
 
@@ -148,14 +148,15 @@
             case PersistFailed(detail):
                 self.voter.on_persist_failed(detail)
             case EndpointReportArrived(token, report):
-                self._serve(token, ReportRelay(token, report))
+                self.requests.serve(token, ReportRelay(token, report))
             case PatchArrived(token, patch):
                 if patch.evacuations:
-                    self._serve(token, EvacuationRelay(token, self.store.stamp_orders(patch)))
+                    relay = EvacuationRelay(token, self.store.stamp_orders(patch))
                 else:
-                    self._serve(token, PatchRelay(token, patch))
+                    relay = PatchRelay(token, patch)
+                self.requests.serve(token, relay)
             case ItemsRequested(token):
-                self._serve(token, ItemsRelay(token))
+                self.requests.serve(token, ItemsRelay(token))
             case ReadinessRequested(token):
                 code = "" if self._leader_address() else "no-leader"
                 self.outbox.add(RespondToReadiness(token, code))
@@ -191,7 +192,7 @@
                     message, lambda reply: self.outbox.send(address, reply)
                 )
             case RelayReply(token):
-                self._on_relay_reply(token, message.value)
+                self.requests.finish(token, message.value)
             case ControllerHello():
                 self._on_hello(message, address)
             case ControllerHelloReply():
@@ -218,27 +219,6 @@
             leader = "" if leader == self.config.address else leader
             self.outbox.send(address, NotLeading(leader, self._controllers()))
 
-    def _serve(self, token, request):
-        """Respond to an HTTP request if this node leads, else relay it to the leader."""
-        if self.site_leader.is_active():
-            self.site_leader.process_request(
-                request, lambda reply: self.outbox.add(Respond(token, reply.value))
-            )
-            return
-        leader = self._leader_address()
-        if not leader or leader == self.config.address:
-            self.outbox.add(Respond(token, None))
-            return
-        timer = self.timers.subscribe(RELAY_TIMEOUT_S, lambda: self._on_relay_reply(token, None))
-        self.relay_timers[token] = timer
-        self.outbox.send(leader, request)
-
-    def _on_relay_reply(self, token, value):
-        timer = self.relay_timers.pop(token, None)
-        if timer is not None:
-            timer.cancel()
-            self.outbox.add(Respond(token, value))
-
     # --- Other controllers ---------------------------------------------------------
 
     def _send_hellos(self):
--- a/greengagerock/replication/voter.py
+++ b/greengagerock/replication/voter.py
@@ -120,6 +120,19 @@
         """Return the index of the last entry that a member confirmed as stored, or 0."""
         return self._progress_of(member).match_index
 
+    def hosts_storing(self, index):
+        """Return the names of the voters' hosts that have confirmed the entry at ``index``."""
+        return [
+            member.identity.partition("#")[0]
+            for member in self.membership.voters
+            if index
+            <= (
+                self.stored_index
+                if member.identity == self.identity
+                else self._progress_of(member).match_index
+            )
+        ]
+
     def last_contact_s(self, member):
         """Return the send time of the newest message that a member replied to."""
         return self._progress_of(member).contact_s
