Each change waits for its own items and by its own deadline

Operators saw no acknowledgement of a valid change for as long as others followed it. One deadline was shared by all changes: each new one moved it to its own time, and a change that was sent again waited for the newest revision of all. A change of leader dropped the waiting replies.

Each change now has the revision of its own items and a deadline of its own. A new term ends all waits with a reply without a value, so that the operator tries again at once. The log names the routers that an acknowledgement waited for, with their revisions, and why it was sent.

--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -1,6 +1,6 @@
 """Sends the leader's views to routers and tracks what routers have confirmed."""
 
-from greengagerock.control.confirmations import Confirmations
+from greengagerock.control.confirmations import REACHABLE_WINDOW_S, Confirmations
 from greengagerock.control.limit_shares import LimitShares
 from greengagerock.control.load_digest import LoadDigest
 from greengagerock.control.relay_directory import RelayDirectory
@@ -74,6 +74,7 @@
         self.timers = timers
         self.outbox = outbox
         self.is_active = is_active
+        self.confirmations = Confirmations(timers.now_s)
         self.controllers = (address,)
         self.bans = {}
         self.items_history = ItemsHistory(store)
@@ -84,7 +85,8 @@
         self.reset()
 
     def reset(self):
-        """Discard all state that belongs to one term."""
+        """Discard all state that belongs to one term; acknowledgements that are due get none."""
+        self.confirmations.abandon()
         self.endpoints_history = EndpointsHistory(self.voter.term)
         self.packed_endpoints = PackedDeltaCache(self.endpoints_history)
         self.confirmations = Confirmations(self.timers.now_s)
@@ -124,8 +126,23 @@
             self.outbox.log("bad-message", code=error.code, detail=error.detail, address=address)
 
     def _confirm(self):
-        routers = [(s.poll.items_revision, s.last_poll_s) for s in self.subscribers.values()]
-        self.confirmations.advance(routers, self.timers.now_s)
+        if self.confirmations.awaited:
+            routers = [(s.poll.items_revision, s.last_poll_s) for s in self.subscribers.values()]
+            self.confirmations.advance(routers, self.timers.now_s)
+
+    def revision_of(self, names):
+        """Return the revision of the last change of any of the items ``names``."""
+        return self.items_history.revision_of(names)
+
+    def routers_behind(self, revision):
+        """Return ``ADDRESS:REVISION`` of each reachable router that lacks a revision of items."""
+        now_s = self.timers.now_s
+        return [
+            f"{address}:{subscriber.poll.items_revision}"
+            for address, subscriber in self.subscribers.items()
+            if subscriber.poll.items_revision < revision
+            and now_s - subscriber.last_poll_s < REACHABLE_WINDOW_S
+        ]
 
     def protocols(self):
         """Return the versions of messages of the routers that poll."""
@@ -143,9 +160,14 @@
         self._confirm()
         self.response_times.publish(self.timers.now_s)
 
-    def call_when_confirmed(self, callback):
-        """Call ``callback`` once routers have the newest items, immediately if they do."""
-        self.confirmations.call_when_confirmed(callback)
+    def call_when_confirmed(self, revision, callback):
+        """Call ``callback`` once routers have a revision of items, immediately if they do.
+
+        Args:
+            revision: The revision.
+            callback: Called with one of the outcomes of ``Confirmations``.
+        """
+        self.confirmations.call_when_confirmed(revision, callback)
         self._confirm()
 
     def note_items(self, index, names):
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -10,10 +10,12 @@
 from greengagerock.assignment.report_checks import check_report
 from greengagerock.control.acknowledged_leaves import AcknowledgedLeaves
 from greengagerock.control.cold_endpoints import ColdEndpoints
+from greengagerock.control.confirmations import ABANDONED
 from greengagerock.control.evacuations import Evacuations
 from greengagerock.control.fence_counter import FenceCounter
 from greengagerock.control.holder_gaps import HolderGaps
 from greengagerock.control.hot_key_log import log_hot_units
+from greengagerock.control.item_changes import ItemChanges
 from greengagerock.control.limited_weights import apply_cold_limit, apply_limits
 from greengagerock.control.pending_proposals import PendingProposals
 from greengagerock.control.relay_messages import (
@@ -25,7 +27,7 @@
 )
 from greengagerock.control.router_updater import RouterUpdater
 from greengagerock.core import GreengageError
-from greengagerock.items.store import LeaveRecord, encode_leave, encode_patch
+from greengagerock.items.store import LeaveRecord, encode_leave, format_digest
 from greengagerock.routing.crash_suspects import BAN_S, CrashCounter
 
 # A leaving endpoint keeps its keys for this long, since routers may still send it requests
@@ -52,6 +54,7 @@
         cold_endpoints: The ``ColdEndpoints``.
         crash_counter: The ``CrashCounter`` that counts crashes by request.
         proposals: The ``PendingProposals``.
+        changes: The ``ItemChanges``.
         evacuations: The ``Evacuations``.
         directory: The ``InstanceDirectory`` of endpoint instances that have reported.
         assignments_by_service: The ``KeyAssignments`` of each service with keys, by service name.
@@ -81,6 +84,7 @@
         )
         self.crash_counter = CrashCounter()
         self.proposals = PendingProposals(voter, outbox)
+        self.changes = ItemChanges(voter, store, self.router_updater, timers, outbox)
         self.evacuations = Evacuations(
             voter, store, self.router_updater, self.proposals, timers, outbox
         )
@@ -106,6 +110,7 @@
     def end_term(self):
         """Stop leading; pending requests get a reply without a value."""
         self.proposals.abandon()
+        self.changes.abandon()
         self._reset()
 
     def is_active(self):
@@ -141,7 +146,7 @@
                 else:
                     reply(RelayReply(token, report=response))
             case PatchRelay(token, patch):
-                self.proposals.propose(encode_patch(patch), reply, RelayReply(token))
+                self.changes.process(token, patch, reply)
             case EvacuationRelay():
                 self.evacuations.process(request, reply)
             case ItemsRelay(token):
@@ -188,20 +193,30 @@
             self.router_updater.note_items(index, result.changed)
         self.outbox.log(
             "patch-applied",
+            change=format_digest(self.store.applied_digest),
             index=index,
             code=result.code,
             detail=result.detail,
             changed=",".join(result.changed[:8]),
             changed_count=len(result.changed),
         )
+        if self.changes.on_committed(index, result):
+            return
         pending = self.proposals.pop(index)
         if pending is not None:
             reply, message = pending
-            message = RelayReply(message.token, result=result)
-            if result.code:
-                reply(message)
-            else:
-                self.router_updater.call_when_confirmed(lambda: reply(message))
+            self._reply_to_orders(reply, message.token, result)
+
+    def _reply_to_orders(self, reply, token, result):
+        """Reply to evacuation orders, once routers have them if they were accepted."""
+        message = RelayReply(token, result=result)
+        if result.code:
+            reply(message)
+            return
+        self.router_updater.call_when_confirmed(
+            self.router_updater.items_history.current_revision,
+            lambda outcome: reply(RelayReply(token) if outcome == ABANDONED else message),
+        )
 
     def _on_report(self, report):
         service = self.store.items.services.get(report.service)
--- a/greengagerock/view/histories.py
+++ b/greengagerock/view/histories.py
@@ -38,6 +38,13 @@
         self.change_indexes = {}
         self.snapshot_index = index
 
+    def revision_of(self, names):
+        """Return the log index of the last change of any of the items ``names``.
+
+        For an item that has not changed since the snapshot, it is the one of the snapshot.
+        """
+        return max((self.change_indexes.get(n, self.snapshot_index) for n in names), default=0)
+
     @property
     def current_revision(self):
         """Log index of the last change or snapshot."""
