A change that is sent again is not stored again

Operators send a change again after a second without a response; large changes take longer. Each try added all its items to the log, to be sent to all voters and synced: 5 entries of 100 kB for one change of 1,400 routes (test_change_that_is_sent_again_is_stored_once failed with 5 for 1). The leader recognises a change that is stored, or waits to be, and replies with the first one's entry.

--- a/greengagerock/control/item_changes.py
+++ b/greengagerock/control/item_changes.py
@@ -32,6 +32,9 @@
 class ItemChanges:
     """Changes that the leader has received and not yet acknowledged.
 
+    A change that is sent again is not stored again: it shares the entry of the log and the
+    deadline of the first one. Operators send large changes again before routers have them.
+
     Args:
         voter: The local voter.
         store: The ``ItemStore``.
@@ -41,10 +44,12 @@
 
     Attributes:
         by_index: ``ProposedChange`` objects by log index.
+        indexes: Log indexes of the same by digest.
     """
 
     __slots__ = (
         "by_index",
+        "indexes",
         "outbox",
         "router_updater",
         "store",
@@ -59,6 +64,7 @@
         self.timers = timers
         self.outbox = outbox
         self.by_index = {}
+        self.indexes = {}
 
     def process(self, token, patch, reply):
         """Process a patch without evacuation orders.
@@ -69,7 +75,14 @@
             reply: Called with a ``RelayReply``, immediately or later.
         """
         digest = digest_patch(patch)
-        index = self._propose(digest, patch)
+        if digest in self.store.accepted:
+            revision = self.router_updater.revision_of(patch.item_names())
+            self.outbox.log("change-resent", change=format_digest(digest), revision=revision)
+            self._await_routers(digest, revision, [(token, reply)])
+            return
+        index = self.indexes.get(digest)
+        if index is None:
+            index = self._propose(digest, patch)
         if index is None:
             reply(RelayReply(token))
         else:
@@ -89,6 +102,7 @@
             return None
         self.outbox.log("change-proposed", change=format_digest(digest), index=index)
         self.by_index[index] = ProposedChange(digest, patch.item_names(), self.timers.now_s)
+        self.indexes[digest] = index
         return index
 
     def on_committed(self, index, result):
@@ -100,6 +114,7 @@
         proposed = self.by_index.pop(index, None)
         if proposed is None:
             return False
+        del self.indexes[proposed.digest]
         self.outbox.log(
             "change-committed",
             change=format_digest(proposed.digest),
@@ -119,6 +134,7 @@
     def abandon(self):
         """Reply without a value to all requests whose entries are not committed."""
         by_index, self.by_index = self.by_index, {}
+        self.indexes = {}
         for proposed in by_index.values():
             self.outbox.log("change-abandoned", change=format_digest(proposed.digest))
             for token, reply in proposed.requests:
--- a/greengagerock/node/tests/test_change_acknowledgements.py
+++ b/greengagerock/node/tests/test_change_acknowledgements.py
@@ -50,6 +50,19 @@
     assert all(change.acknowledged_s for change in operator.changes)
 
 
+def test_change_that_is_sent_again_is_stored_once(site):
+    """Each try of a large change added all its items to the log."""
+    hold_items_back(site, "edge-1")
+    leader = site.hosts[find_leader_name(site)].node
+    before = leader.voter.log.last_index
+    operator = FakeOperator(site)
+    large = operator.change_routes(LARGE_CHANGE, "large")
+    site.run_for(10.0)
+    assert large.acknowledged_s and large.tries > 1
+    stored = [e for e in leader.voter.log.entries if e.index > before and e.payload[:1] == b"P"]
+    assert len(stored) == 1
+
+
 def test_change_of_leader_ends_the_wait_for_routers_at_once(site):
     """A change that waited for routers got no reply when its leader stepped down."""
     hold_items_back(site, "edge-1")
