Pack changes once for all routers, and send each of them once

Each router that polls between two pushes has a revision of its own, and each push repeated all since then. A large change of items was sent again with each push and poll until it was confirmed.

A push now has only what was not sent before, and the reply to a poll leaves out what a push will send within 40 ms, so that all routers have the same revisions. Items that are on their way are not sent again for as long as a slow link may take.

--- a/greengagerock/control/evacuations.py
+++ b/greengagerock/control/evacuations.py
@@ -109,10 +109,6 @@
             assignments: Its ``KeyAssignments``.
             instances: All its instances.
         """
-        self._update_progress(service, assignments, instances)
-        self.router_updater.sends_increments = bool(self.moving_since_s)
-
-    def _update_progress(self, service, assignments, instances):
         if not self.store.items.evacuations:
             self.moving_since_s.clear()
             return
--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -19,6 +19,9 @@
 # Changes within this time are sent to routers in one message. It arrives after the response to
 # the endpoint that the changes concern.
 PUSH_DELAY_S = 0.04
+# Bytes per second that a router receives at least: a third of a link of 2.5 Mbit/s, which carries
+# callers' requests as well.
+SLOW_TRANSFER_BYTES_PER_S = 100_000
 # Time without a poll after which a router is no longer sent changes.
 SUBSCRIBER_TIMEOUT_S = 2.5
 
@@ -30,14 +33,29 @@
         poll: Its newest ``ViewPoll``.
         last_poll_s: When that poll was received.
         sent_revision: Last revision of endpoints and owners that was sent to it.
+        sent_items: Last revision of items that was sent to it.
+        items_due_s: When it has received those items, even on a slow link.
         cold_sent: Number up to which it was sent the changes of cold endpoints.
     """
 
-    __slots__ = ("cold_sent", "last_poll_s", "poll", "sent_revision")
+    __slots__ = (
+        "cold_sent",
+        "items_due_s",
+        "last_poll_s",
+        "poll",
+        "sent_items",
+        "sent_revision",
+    )
 
     def __init__(self, poll, last_poll_s):
+        self.sent_items = 0
+        self.items_due_s = float("-inf")
+        self.note_poll(poll, last_poll_s)
+
+    def note_poll(self, poll, now_s):
+        """Record a poll; items that were sent before may still be on their way."""
         self.poll = poll
-        self.last_poll_s = last_poll_s
+        self.last_poll_s = now_s
         self.sent_revision = poll.endpoints_revision
         self.cold_sent = poll.cold_number
 
@@ -64,9 +82,9 @@
         relay_directory: The ``RelayDirectory`` of this term.
         load_digest: The ``LoadDigest`` of this term.
         subscribers: A ``Subscriber`` by link address.
-        sends_increments: Whether a push has only what was not sent before, rather than all changes
-            since the router's poll. While the keys of a zone move, the latter would be several
-            times as long. A router that misses one has to wait for the reply to its next poll.
+        pushed_revision: Revision of endpoints and owners up to which routers were sent changes
+            without a poll. A push has only what was not sent before, so that all routers get the
+            same; one that misses it gets its changes with the reply to its next poll.
     """
 
     def __init__(self, address, voter, store, timers, outbox, is_active):
@@ -96,7 +114,7 @@
         self.relay_directory = RelayDirectory(lambda: len(self.endpoints_history.endpoints))
         self.load_digest = LoadDigest(self.voter.term)
         self.subscribers = {}
-        self.sends_increments = False
+        self.pushed_revision = 0
         self.push_timer = None
 
     # --- Messages from routers -----------------------------------------------------
@@ -105,7 +123,12 @@
         """Store a router's poll and send it the changes that it lacks."""
         if address not in self.subscribers:
             self.outbox.log("router-heard", address=address, routers=len(self.subscribers) + 1)
-        self.subscribers[address] = Subscriber(poll, self.timers.now_s)
+        subscriber = self.subscribers.get(address)
+        if subscriber is None or poll.items_revision < subscriber.poll.items_revision:
+            # Without items that it had before, it is another process.
+            subscriber = self.subscribers[address] = Subscriber(poll, self.timers.now_s)
+        else:
+            subscriber.note_poll(poll, self.timers.now_s)
         has_new_limits = self.limit_shares.on_reports(address, poll.limits, self.timers.now_s)
         self.limit_shares.cold.on_reports(address, poll.cold_requests, self.timers.now_s)
         self.response_rates.add(poll.response_times)
@@ -114,7 +137,7 @@
             self.schedule_push()
         self._note_loads(poll, address)
         loads = self.load_digest.packed_for(len(self.subscribers), self.timers.now_s)
-        self._send_view(address, poll, loads=loads)
+        self._send_view(address, subscriber, self._endpoints_for_poll(subscriber), loads)
         self._confirm()
 
     def _note_loads(self, poll, address):
@@ -218,21 +241,48 @@
                 del self.subscribers[address]
                 self.relay_directory.remove(address)
             elif self._is_nearly_current(subscriber.poll):
-                self._send_view(address, subscriber.poll, subscriber.sent_revision)
+                endpoints = self._endpoints_since(subscriber, subscriber.sent_revision)
+                self._send_view(address, subscriber, endpoints)
+        self.pushed_revision = self.endpoints_history.revision
+
+    def _endpoints_for_poll(self, subscriber):
+        """Return the packed changes of endpoints to send in reply to a poll, or ``None``.
 
-    def _send_view(self, address, poll, sent_revision=0, loads=None):
-        since = poll.endpoints_revision
-        if self.sends_increments and poll.epoch == self.endpoints_history.epoch:
-            since = max(since, sent_revision)
-        self.subscribers[address].sent_revision = self.endpoints_history.revision
+        While a push is due, a router that has all earlier ones gets the changes with it, so that
+        they are packed once for all routers.
+        """
+        poll = subscriber.poll
+        is_pushed_soon = self.push_timer is not None and self._is_nearly_current(poll)
+        if is_pushed_soon and poll.endpoints_revision >= self.pushed_revision:
+            return None
+        return self._endpoints_since(subscriber, poll.endpoints_revision)
+
+    def _endpoints_since(self, subscriber, revision):
+        subscriber.sent_revision = self.endpoints_history.revision
+        return self.packed_endpoints.since(subscriber.poll.epoch, revision)
+
+    def _items_for(self, subscriber):
+        """Return the packed items that a router lacks and is not receiving, or ``None``."""
+        now_s = self.timers.now_s
+        revision = subscriber.poll.items_revision
+        if now_s < subscriber.items_due_s:
+            revision = max(revision, subscriber.sent_items)
+        packed = self.packed_items.since(revision)
+        if packed is not None:
+            subscriber.sent_items = self.items_history.current_revision
+            transfer_s = len(packed) / SLOW_TRANSFER_BYTES_PER_S
+            subscriber.items_due_s = max(now_s, subscriber.items_due_s) + transfer_s
+        return packed
+
+    def _send_view(self, address, subscriber, endpoints, loads=None):
+        poll = subscriber.poll
         relays = self.relay_directory.relays_for(address)
         router_count, now_s = len(self.subscribers), self.timers.now_s
-        subscriber = self.subscribers.get(address)
-        cold_since = poll.cold_number if subscriber is None else subscriber.cold_sent
+        cold_since = subscriber.cold_sent
         cold_number = self.limit_shares.cold.number
         delta = ViewDelta(
-            self.packed_items.since(poll.items_revision),
-            self.packed_endpoints.since(poll.epoch, since),
+            self._items_for(subscriber),
+            endpoints,
             self.controllers,
             router_count,
             tuple(self.bans),
@@ -246,8 +296,7 @@
             cold_number,
             cold_since,
         )
-        if subscriber is not None:
-            subscriber.cold_sent = cold_number
+        subscriber.cold_sent = cold_number
         self.outbox.send(address, delta)
 
     def _is_nearly_current(self, poll):
--- a/greengagerock/testing/fake_operator.py
+++ b/greengagerock/testing/fake_operator.py
@@ -1,6 +1,7 @@
 """Operator of a simulated site, who sends each change until a controller responds to it."""
 
 import itertools
+from random import Random
 
 import msgspec
 
@@ -59,12 +60,13 @@
         self.changes = []
         self._controllers = itertools.cycle(n for n, h in site.hosts.items() if h.disk is not None)
         self._versions = itertools.count(100)
+        self._random = Random(1)
 
     def change_routes(self, count=1, prefix="extra"):
-        """Send a change of ``count`` routes, and return its ``SentChange``."""
+        """Send a change of ``count`` new routes, and return its ``SentChange``."""
         version = next(self._versions)
-        routes = tuple(build_route(f"{prefix}-{n}", version=version) for n in range(count))
-        return self.send(Patch(routes=routes))
+        names = [f"{prefix}-{self._random.getrandbits(64):x}" for _ in range(count)]
+        return self.send(Patch(routes=tuple(build_route(n, version=version) for n in names)))
 
     def send(self, patch):
         """Send a patch until a controller responds, and return its ``SentChange``."""
