--- a/greengagerock/assignment/hot_units.py
+++ b/greengagerock/assignment/hot_units.py
@@ -229,11 +229,12 @@
     def _compare(self, available, assignments, now_s):
         weights = assignments.weights
         slots = min(instance.report.slots for instance in available)
+        typical_s = weights.work_times.typical_s()
         loads = {
             instance: EndpointLoad(
                 instance,
                 0.0,
-                self._serving_weight(instance, weights, slots, now_s),
+                self._serving_weight(instance, weights, typical_s, slots, now_s),
                 None,
                 [],
                 weights.work_times.work_s(instance.name) is not None,
@@ -251,7 +252,7 @@
                     load.hot_units.append((unit, rates.get(block, 0.0) / UNITS_PER_BLOCK))
         hot_rate = sum(rates.get(block, 0.0) for block in self.hot_blocks)
         self.unit_rate = (sum(rates.values()) - hot_rate) / UNIT_COUNT
-        work_s = weights.work_times.typical_s() or weights.mean_response_s
+        work_s = typical_s or weights.mean_response_s
         self.levels = load_levels(loads.values(), work_s, slots)
         return loads
 
@@ -269,13 +270,10 @@
             totals[reservation.target] = totals.get(reservation.target, 0.0) + rate
         return totals
 
-    def _serving_weight(self, instance, weights, slots, now_s):
+    def _serving_weight(self, instance, weights, typical_s, slots, now_s):
         """Return what an endpoint can serve, relative to one of usual speed."""
         work_s = weights.work_times.work_s(instance.name)
-        if work_s is None:
-            weight = weights.weight(instance.name)
-        else:
-            weight = weights.work_times.typical_s() / work_s
+        weight = weights.weight(instance.name) if work_s is None else typical_s / work_s
         cap, _ = weights.caps.get(instance.name, (weight, 0.0))
         if instance.cold_until_s > now_s:
             weight /= COLD_FACTOR
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -20,6 +20,7 @@
 from greengagerock.assignment.takeover_claims import TakeoverClaims
 from greengagerock.assignment.units import (
     UNIT_COUNT,
+    count_grant_rows,
     fences_by_unit,
     grant_rows,
     stripe_width,
@@ -256,7 +257,10 @@
 
     def count_rows(self, instance):
         """Return the rows of a response to an instance, with one for each unit in transit."""
-        return len(self._rows(instance)) + self.free_units.count_reserved(instance)
+        rows = count_grant_rows(
+            self.held.get(instance, ()), self._granted_fences(instance), self.handover_tokens
+        )
+        return rows + self.free_units.count_reserved(instance)
 
     def _accepts_units(self, instance):
         return not (instance.is_leaving or self.is_evacuated(instance))
@@ -537,9 +541,14 @@
         ]
 
     def _rows(self, instance):
+        units = self.held.get(instance, ())
+        return grant_rows(units, self._granted_fences(instance), self.handover_tokens)
+
+    def _granted_fences(self, instance):
+        """Return the fence of each unit in a response to an instance."""
         probe = self.claims.probes.get(instance)
-        fences = self.fences
-        if probe is not None:
-            fences = fences.copy()
-            fences[probe.unit] = max(fences[probe.unit], probe.fence)
-        return grant_rows(self.held.get(instance, ()), fences, self.handover_tokens)
+        if probe is None:
+            return self.fences
+        fences = self.fences.copy()
+        fences[probe.unit] = max(fences[probe.unit], probe.fence)
+        return fences
