A response that arrives while the process ends is passed on

At the end of the grace period of a stop, callers got 500 in place of a response that their endpoint had just given. The loop had closed its epoll object, and removing a caller's socket from it raised ValueError in the worker thread. The removal now takes a closed object for an ended loop.

test_worker_thread_can_unwatch_a_caller_after_the_end_of_the_loop failed on (ValueError: I/O operation on closed epoll object).

--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -119,8 +119,9 @@
     def _unregister(self, descriptor):
         try:
             self._poll.unregister(descriptor)
-        except OSError:
-            # The connection was closed in the meantime, which also unregisters the descriptor.
+        except (OSError, ValueError):
+            # The connection was closed in the meantime, which also unregisters the descriptor, or
+            # the loop has ended while a worker thread still had a response to send.
             return
 
     def run(self):
--- a/greengagerock/daemon/tests/test_watched_callers.py
+++ b/greengagerock/daemon/tests/test_watched_callers.py
@@ -4,6 +4,7 @@
 import socket
 from types import SimpleNamespace
 
+from greengagerock.core.interface import StopProcess, TimeAdvanced
 from greengagerock.daemon.loop import EventLoop
 
 
@@ -25,3 +26,18 @@
         os.close(loop._wake_fd)
         caller.close()
         peer.close()
+
+
+def test_worker_thread_can_unwatch_a_caller_after_the_end_of_the_loop():
+    """A response that arrived while the process ended became a 500."""
+    caller, peer = socket.socketpair()
+    links = SimpleNamespace(receive_fd=peer.fileno())
+    node = SimpleNamespace(start=lambda: [], handle=lambda event, now_s: [StopProcess()])
+    loop = EventLoop(node, links, None, None, None, lambda event, **fields: None)
+    assert loop._register(caller.fileno(), 7)
+    node.next_due_s = lambda: None
+    loop.post(TimeAdvanced())
+    loop.run()
+    loop.unwatch_caller(caller.fileno())
+    caller.close()
+    peer.close()
