A stopping router refuses what it cannot finish within its grace period

Requests that came late in the grace period of a planned stop ran at endpoints and were cut off at its end without a response, unsafe ones among them. The router took all requests for 3.2 s, whatever their endpoints need.

From the stop request on, one that would be cut off is refused when it arrives, as not run and to be sent to another router at once; so are requests of other routers. All requests are refused from 3.0 s on, when the load balancer has removed the host.

--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -46,8 +46,8 @@
 # Interval of polls to all controllers while there is no known leader.
 SEARCH_INTERVAL_S = 0.2
 # The load balancer checks once per second and removes a host after two failed checks; the
-# next response on each open connection closes it.
-UNREADY_PERIOD_S = 3.2
+# next response on each open connection closes it. Requests that arrive later are refused.
+UNREADY_PERIOD_S = 3.0
 # Largest number of endpoint names in one field of a log line.
 MAX_LOGGED_NAMES = 16
 # The process ends at least this long before the end of the grace period.
@@ -381,13 +381,13 @@
         if self.is_stopping:
             return
         self.is_stopping = True
-        self.dispatcher.begin_closing()
-        self.relayed_calls.is_closing = True
+        stop_s = self.config.stop_grace_s - STOP_MARGIN_S
+        self.stop_due_s = self.timers.now_s + stop_s
+        self.dispatcher.begin_closing(self.stop_due_s)
+        self.relayed_calls.begin_closing(self.stop_due_s)
         self.replica.relay_address = ""
         self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
         self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new_requests)
-        stop_s = self.config.stop_grace_s - STOP_MARGIN_S
-        self.stop_due_s = self.timers.now_s + stop_s
         self.timers.subscribe(stop_s, self._stop)
 
     def _refuse_new_requests(self):
--- a/greengagerock/node/tests/test_site.py
+++ b/greengagerock/node/tests/test_site.py
@@ -314,6 +314,39 @@
     assert site.hosts["edge-1"].node is None
 
 
+@pytest.mark.parametrize("duration_s", [1.0, 2.4, 2.8, 4.0])
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_stopping_router_refuses_what_would_be_cut_off_at_the_end_of_its_grace(kind, duration_s):
+    """Such requests ran at endpoints and got no response."""
+    site = build_fake_site()
+    route = build_route(
+        "prices", version=2, weighted_services=(("docs", 1),), kind=kind, timeout_s=8.0
+    )
+    assert site.patch_until_replied(Patch(routes=(route,))).code == ""
+    for number in range(3, 15):
+        site.add_reporting_endpoint(FakeReportingEndpoint(f"docs-{number}", 100 + number, "docs"))
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.processing_time_s = duration_s
+    site.run_for(2.0)
+    for _ in range(4):
+        site.call("edge-1", "prices", budget_s=9.0)
+    site.run_for(duration_s + 1.0)
+    site.feed("edge-1", StopRequested())
+    node, began_s, tokens = site.hosts["edge-1"].node, site.now_s, []
+    while site.now_s - began_s < 3.4:
+        tokens.append(site.call("edge-1", "prices", budget_s=9.0))
+        site.run_for(0.2)
+    site.run_for(5.0)
+    assert site.hosts["edge-1"].node is None
+    assert node.dispatcher.calls == {}
+    outcomes = [site.outcome(token) for token in tokens]
+    assert set(outcomes) <= {"ok", "stopping"}
+    last_s = began_s + min(3.0, 5.4 - duration_s) - 0.4
+    assert all(
+        o == "ok" for t, o in zip(tokens, outcomes, strict=True) if site.requested_at_s[t] < last_s
+    )
+
+
 def test_router_stops_gracefully():
     site = build_fake_site()
     token = site.call("edge-1", key=77)
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -4,6 +4,7 @@
 from greengagerock.core.interface import CloseIdleConnections, Forward, WatchCaller
 from greengagerock.routing.attempt_watch import AttemptWatch
 from greengagerock.routing.call_admission import MAX_DECISION_S, CallAdmission
+from greengagerock.routing.completion_times import CompletionTimes
 from greengagerock.routing.endpoint_paths import Direct, NoPath, Probe, Relayed
 from greengagerock.routing.failures import MAX_CONNECT_FAILURES
 from greengagerock.routing.link_schedule import RefuseLong, Start, WaitForTurn
@@ -47,7 +48,9 @@
         calls_awaiting_turns: Calls that wait for their turn on the link, by token.
         admission: The ``CallAdmission``, by the load of endpoints.
         attempt_watch: The ``AttemptWatch``.
+        completion_times: The ``CompletionTimes``.
         is_closing: Whether responses direct callers to other hosts.
+        closes_s: When requests in progress are cut off by a planned stop, in monotonic seconds.
     """
 
     def __init__(
@@ -81,6 +84,8 @@
         self.waiting_calls = {}
         self.calls_awaiting_turns = {}
         self.is_closing = False
+        self.closes_s = float("inf")
+        self.completion_times = CompletionTimes()
         self.attempt_watch = AttemptWatch(timers, outbox)
         self.admission = CallAdmission(
             observations,
@@ -94,21 +99,40 @@
             refuse,
         )
 
-    def begin_closing(self):
-        """Direct callers to other hosts from now on, those that wait for a free slot at once."""
+    def begin_closing(self, closes_s):
+        """Direct callers to other hosts from now on, those that wait for a free slot at once.
+
+        Args:
+            closes_s: When requests in progress are cut off, in monotonic seconds.
+        """
         self.is_closing = True
+        self.closes_s = closes_s
         self.admission.stop()
 
     def send(self, call):
         """Send a call, let it wait, or refuse it."""
         if call.deadline_s - self.timers.now_s < MIN_TIME_LEFT_S:
             self.refuse(call, "no-room", "no time left before the deadline")
+        elif self._is_cut_off(call):
+            self.refuse(call, "stopping", "this host stops before the request would end")
         elif self._has_turn(call):
             if self.is_keyed(call):
                 self._send_to_holder(call)
             else:
                 self._send_to_any(call)
 
+    def _is_cut_off(self, call):
+        """Return whether a planned stop would cut off a call that is sent now."""
+        if call.deadline_s <= self.closes_s:
+            return False
+        expected_s = self.completion_times.expected_s(call.service, call.route.name)
+        if self.is_keyed(call):
+            holder = self.replica.owner_of(call.service, call.key)
+            if holder in self.observations.by_endpoint:
+                mean_s = self.observations.observation_of(holder).mean_response_s
+                expected_s = max(expected_s or 0.0, mean_s)
+        return expected_s is not None and self.timers.now_s + expected_s > self.closes_s
+
     def _has_turn(self, call):
         """Return whether a call may be sent now; otherwise it waits or was refused."""
         now_s = self.timers.now_s
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -236,18 +236,21 @@
         relay = call.relay
         endpoint = self._end_attempt(call)
         outcome = "answered" if event.complete else "cut-off"
-        if event.response_time_s:
+        response_s = event.response_time_s
+        if response_s:
             if self.sender.is_keyed(call):
-                self.demand.note_response(call.service, call.route.name, event.response_time_s)
+                self.demand.note_response(call.service, call.route.name, response_s)
             observation = self.observations.observation_of(endpoint)
-            self._note_reached(endpoint, observation, relay, event.response_time_s)
+            self._note_reached(endpoint, observation, relay, response_s)
             if observation.is_silent(self.timers.now_s):
                 self._cancel_silent_attempts(endpoint, call.sent_s)
             self.observations.note_response(
-                call, endpoint, event.response_time_s, self.timers.now_s, bool(relay)
+                call, endpoint, response_s, self.timers.now_s, bool(relay)
             )
         if event.complete:
             self.sender.link_schedule.note_size(call.route.name, event.body_bytes)
+            duration_s = self.timers.now_s - call.sent_s if call.has_stream else response_s
+            self.sender.completion_times.note(call.service, call.route.name, duration_s)
             self.health.note_success(endpoint)
             self.recent_responses.note(call.fingerprint)
         self.stats.count(call.service, outcome)
@@ -294,10 +297,14 @@
             return
         self.notice_handler.on_notice(event, call)
 
-    def begin_closing(self):
-        """Direct callers to other hosts with each response from now on."""
+    def begin_closing(self, closes_s=float("inf")):
+        """Direct callers to other hosts with each response from now on.
+
+        Args:
+            closes_s: When requests in progress are cut off, in monotonic seconds.
+        """
         self.error_responder.is_closing = True
-        self.sender.begin_closing()
+        self.sender.begin_closing(closes_s)
 
     def on_items(self):
         """Update the routes from the replica."""
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -63,6 +63,7 @@
     Attributes:
         by_token: Requests in progress by token.
         is_closing: Whether responses close the connections of other routers.
+        closes_s: When requests in progress are cut off by a planned stop, in monotonic seconds.
         is_stopping: Whether new requests are refused.
     """
 
@@ -89,8 +90,18 @@
         self.zone_evacuations = zone_evacuations
         self.by_token = {}
         self.is_closing = False
+        self.closes_s = float("inf")
         self.is_stopping = False
 
+    def begin_closing(self, closes_s):
+        """Close connections of other routers with each response from now on.
+
+        Args:
+            closes_s: When requests in progress are cut off, in monotonic seconds.
+        """
+        self.is_closing = True
+        self.closes_s = closes_s
+
     def on_arrival(self, event):
         """Process a ``RelayArrived``."""
         record = self.replica.endpoints.get(event.endpoint)
@@ -98,6 +109,10 @@
             self._refuse(event, "relay-unavailable", "stopping" if self.is_stopping else "full")
         elif record is None or not self._accepts(record):
             self._refuse(event, "relay-unavailable", f"endpoint {event.endpoint} gets no requests")
+        elif self._is_cut_off(event):
+            self._refuse(
+                event, "relay-unavailable", "this host stops before the request would end"
+            )
         elif event.timeout_s < MIN_TIME_LEFT_S:
             self._refuse(event, "relay-unavailable", "no time left before the deadline")
         elif self.paths.is_lost(record) and not self.paths.may_probe(record, True):
@@ -148,6 +163,13 @@
         """Process an ``EndpointNoticed``."""
         self.notice_handler.on_notice(event, self.by_token[event.token])
 
+    def _is_cut_off(self, event):
+        """Return whether a planned stop would cut off a request that is sent now."""
+        left_s = self.closes_s - self.timers.now_s
+        if event.timeout_s <= left_s:
+            return False
+        return self.observations.observation_of(event.endpoint).mean_response_s > left_s
+
     def _accepts(self, record):
         service = self.replica.services.get(record.service)
         if service is not None and service.keyed is not None:
