A configured voter takes part again once its disk has room

When the disks of voters were full for a moment each, one after another, changes were refused from then on although all processes ran: a voter whose disk had refused one write took no part any more until it was started again, and after the second no quorum was left. Voters of sites already tried again; configured ones now do the same.

--- a/greengagerock/daemon/daemon.py
+++ b/greengagerock/daemon/daemon.py
@@ -8,7 +8,7 @@
 from greengagerock.core.interface import StopRequested
 from greengagerock.daemon.bridge import Bridge
 from greengagerock.daemon.loop import EventLoop
-from greengagerock.daemon.record_writer import RecordWriter
+from greengagerock.daemon.record_writer import RetryingRecordWriter
 from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.daemon.status import describe_host
 from greengagerock.node.node import Node
@@ -53,7 +53,9 @@
         self.folder = self._open_folder()
         self.links = Links(settings.host, settings.link_address)
         self.node = self._make_node()
-        self.writer = RecordWriter(self.folder, self._post) if self.folder else None
+        self.writer = None
+        if self.folder is not None:
+            self.writer = RetryingRecordWriter(self.folder, self._post, log)
         self.upstream = Upstream(settings.limits)
         self.loop = EventLoop(self.node, self.links, self.bridge, self.writer, self.upstream, log)
         self.bridge.post = self.loop.post
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -11,13 +11,13 @@
 import msgspec
 from loguru import logger
 
-from greengagerock.core import GreengageError, StorageError
-from greengagerock.core.interface import Persisted, SeedsChanged, StopRequested
+from greengagerock.core import GreengageError
+from greengagerock.core.interface import SeedsChanged, StopRequested
 from greengagerock.daemon.bridge import Bridge
 from greengagerock.daemon.log_writer import EventRateLimiter, LineWriter
 from greengagerock.daemon.logs import format_pairs
 from greengagerock.daemon.loop import EventLoop, format_traceback
-from greengagerock.daemon.record_writer import RecordWriter
+from greengagerock.daemon.record_writer import RetryingRecordWriter
 from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site_config import SiteConfig
@@ -44,53 +44,12 @@
 RELAY_IDLE_S = 60.0
 # Interval at which the settings file is checked for changes without a signal.
 SETTINGS_CHECK_INTERVAL_S = 1.0
-# Interval between attempts to write to a disk that has failed.
-DISK_RETRY_INTERVAL_S = 0.25
 # Time without an acknowledgement of a sent message after which a link is dialled again.
 LINK_SILENCE_TIMEOUT_S = 1.0
 # Thread switch interval of the interpreter.
 SWITCH_INTERVAL_S = 0.002
 
 
-class RetryingRecordWriter(RecordWriter):
-    """Retries while writes to the disk fail; records are acknowledged only after a success.
-
-    After a failed write or sync the contents of the file are uncertain, so the whole file is
-    rewritten.
-
-    Args:
-        folder: The ``DataFolder``.
-        post: Callable that passes an event to the loop.
-        log: Callable that writes one log line.
-    """
-
-    def __init__(self, folder, post, log):
-        self.log = log
-        super().__init__(folder, post)
-
-    def _write(self, effects):
-        records = [record for effect in effects for record in effect.records]
-        try:
-            self.folder.write(records)
-        except StorageError as error:
-            self.log("disk-refused", code=error.code, detail=error.detail)
-            self._rewrite_until_successful()
-        self.post(Persisted(effects[-1].sequence))
-        return True
-
-    def _rewrite_until_successful(self):
-        started_s = time.monotonic()
-        while True:
-            time.sleep(DISK_RETRY_INTERVAL_S)
-            try:
-                self.folder.rewrite()
-            except StorageError:
-                # The first failure was logged as ``disk-refused``; retries are not logged.
-                continue
-            self.log("disk-regained", after_s=round(time.monotonic() - started_s, 2))
-            return
-
-
 class SiteDaemon:
     """One process of a site: its hosts discover each other through seed addresses.
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,6 +3,7 @@
 import errno
 import json
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -241,6 +242,24 @@
         assert repeated.version == version
 
 
+def test_voters_whose_disks_were_full_one_after_another_still_accept_changes(system):
+    """Each took no part any more after one refused write, until no quorum was left."""
+    names = [f"{row['host']}.yaml" for row in records(system, "show voters")]
+    for number, name in enumerate(names):
+        pid = system.daemons[name].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+        change = f"alter service till set timeout_s {2 + number}"
+        eventually(lambda c=change, n=number: accepted_response(system, c, f"full-{n}", None))
+        time.sleep(1.0)
+        unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, unlimited)
+        time.sleep(1.0)
+    for name in names:
+        assert system.daemons[name].poll() is None
+    statement = "alter service till set timeout_s 9"
+    assert eventually(lambda: accepted_response(system, statement, "after", None))
+
+
 def accepted_response(example, statement, request_id, address):
     response = example.send_statement(statement, request_id, address)
     return response if response and response.accepted else None
