Send routers one view of all endpoints after a change of leader

A view is now sent to all routers that need one within 0.25 s; the changes since then follow. The reply to a poll that was sent before a push had arrived does not repeat the push. A router that misses a message gets its changes with the reply to a later poll, also while further ones follow (test_router_that_misses_a_message_gets_its_changes_while_others_follow).

--- a/greengagerock/control/router_updater.py
+++ b/greengagerock/control/router_updater.py
@@ -22,6 +22,10 @@
 # Bytes per second that a router receives at least: a third of a link of 2.5 Mbit/s, which carries
 # callers' requests as well.
 SLOW_TRANSFER_BYTES_PER_S = 100_000
+# Time after which a message that was sent to a router has been received, unless it is long.
+IN_FLIGHT_S = 0.25
+# Time for which a packed view of all endpoints is sent to further routers.
+FULL_VIEW_VALIDITY_S = 0.25
 # Time without a poll after which a router is no longer sent changes.
 SUBSCRIBER_TIMEOUT_S = 2.5
 
@@ -32,14 +36,20 @@
     Attributes:
         poll: Its newest ``ViewPoll``.
         last_poll_s: When that poll was received.
-        sent_revision: Last revision of endpoints and owners that was sent to it.
+        epoch: Term of the leader of ``sent_revision``.
+        sent_revision: Last revision of endpoints and owners that it has or is receiving.
+        awaited_revision: Revision that its next polls have to report.
+        endpoints_due_s: Until when; a later poll without it shows that a message was lost.
         sent_items: Last revision of items that was sent to it.
         items_due_s: When it has received those items, even on a slow link.
         cold_sent: Number up to which it was sent the changes of cold endpoints.
     """
 
     __slots__ = (
+        "awaited_revision",
         "cold_sent",
+        "endpoints_due_s",
+        "epoch",
         "items_due_s",
         "last_poll_s",
         "poll",
@@ -48,17 +58,34 @@
     )
 
     def __init__(self, poll, last_poll_s):
+        self.epoch = 0
+        self.sent_revision = self.awaited_revision = 0
         self.sent_items = 0
-        self.items_due_s = float("-inf")
+        self.items_due_s = self.endpoints_due_s = float("-inf")
         self.note_poll(poll, last_poll_s)
 
     def note_poll(self, poll, now_s):
-        """Record a poll; items that were sent before may still be on their way."""
+        """Record a poll; what was sent before may still be on its way."""
         self.poll = poll
         self.last_poll_s = now_s
-        self.sent_revision = poll.endpoints_revision
+        revision = poll.endpoints_revision
+        if poll.epoch == self.epoch and self.awaited_revision <= revision < self.sent_revision:
+            self.awaited_revision = self.sent_revision
+            self.endpoints_due_s = now_s + IN_FLIGHT_S
+        elif now_s >= self.endpoints_due_s or (
+            poll.epoch == self.epoch and revision >= self.sent_revision
+        ):
+            self.epoch = poll.epoch
+            self.sent_revision = self.awaited_revision = revision
+            self.endpoints_due_s = float("-inf")
         self.cold_sent = poll.cold_number
 
+    def note_endpoints(self, epoch, revision, due_s):
+        """Record that endpoints and owners are sent; polls report them from ``due_s`` on."""
+        if self.endpoints_due_s == float("-inf") or epoch != self.epoch:
+            self.awaited_revision, self.endpoints_due_s = revision, due_s
+        self.epoch, self.sent_revision = epoch, revision
+
 
 class RouterUpdater:
     """Sends each router the changes that its view lacks.
@@ -85,6 +112,8 @@
         pushed_revision: Revision of endpoints and owners up to which routers were sent changes
             without a poll. A push has only what was not sent before, so that all routers get the
             same; one that misses it gets its changes with the reply to its next poll.
+        full_view: Revision and packed form of the newest view of all endpoints that was sent.
+        full_view_s: When it was packed.
     """
 
     def __init__(self, address, voter, store, timers, outbox, is_active):
@@ -115,6 +144,8 @@
         self.load_digest = LoadDigest(self.voter.term)
         self.subscribers = {}
         self.pushed_revision = 0
+        self.full_view = (0, None)
+        self.full_view_s = float("-inf")
         self.push_timer = None
 
     # --- Messages from routers -----------------------------------------------------
@@ -241,8 +272,7 @@
                 del self.subscribers[address]
                 self.relay_directory.remove(address)
             elif self._is_nearly_current(subscriber.poll):
-                endpoints = self._endpoints_since(subscriber, subscriber.sent_revision)
-                self._send_view(address, subscriber, endpoints)
+                self._send_view(address, subscriber, self._endpoints_for(subscriber))
         self.pushed_revision = self.endpoints_history.revision
 
     def _endpoints_for_poll(self, subscriber):
@@ -253,13 +283,35 @@
         """
         poll = subscriber.poll
         is_pushed_soon = self.push_timer is not None and self._is_nearly_current(poll)
-        if is_pushed_soon and poll.endpoints_revision >= self.pushed_revision:
+        if is_pushed_soon and subscriber.sent_revision >= self.pushed_revision:
             return None
-        return self._endpoints_since(subscriber, poll.endpoints_revision)
+        return self._endpoints_for(subscriber)
 
-    def _endpoints_since(self, subscriber, revision):
-        subscriber.sent_revision = self.endpoints_history.revision
-        return self.packed_endpoints.since(subscriber.poll.epoch, revision)
+    def _endpoints_for(self, subscriber):
+        """Return the packed changes of endpoints that a router lacks and is not receiving."""
+        history, now_s = self.endpoints_history, self.timers.now_s
+        if history.needs_full_delta(subscriber.epoch, subscriber.sent_revision):
+            revision, packed = self._full_endpoints()
+        else:
+            revision = history.revision
+            packed = self.packed_endpoints.since(subscriber.epoch, subscriber.sent_revision)
+        if packed is not None:
+            transfer_s = IN_FLIGHT_S + len(packed) / SLOW_TRANSFER_BYTES_PER_S
+            subscriber.note_endpoints(history.epoch, revision, now_s + transfer_s)
+        return packed
+
+    def _full_endpoints(self):
+        """Return the revision of a recent view of all endpoints, and that view packed.
+
+        After a change of leader, all routers need one within half a second, and each change of an
+        owner would make another one. The changes since then follow with the next push or poll.
+        """
+        history, now_s = self.endpoints_history, self.timers.now_s
+        is_outdated = now_s - self.full_view_s >= FULL_VIEW_VALIDITY_S
+        if is_outdated or history.needs_full_delta(history.epoch, self.full_view[0]):
+            self.full_view_s = now_s
+            self.full_view = (history.revision, self.packed_endpoints.since(history.epoch, 0))
+        return self.full_view
 
     def _items_for(self, subscriber):
         """Return the packed items that a router lacks and is not receiving, or ``None``."""
--- a/greengagerock/node/tests/test_view_messages.py
+++ b/greengagerock/node/tests/test_view_messages.py
@@ -70,3 +70,22 @@
     assert len(sizes) == 1
     site.run_for(3.0)
     assert len(sizes) > 1
+
+
+def test_router_that_misses_a_message_gets_its_changes_while_others_follow():
+    """Later messages must not let the lost one count as still on its way."""
+    site = build_fake_site(routers=2, reporting_endpoints=8)
+    updater = site.hosts[find_leader_name(site)].node.site_leader.router_updater
+    router = site.hosts["edge-1"].node
+    for number in range(9, 21):
+        site.add_reporting_endpoint(FakeReportingEndpoint(f"till-{number}", number))
+    site.run_for(0.5)
+    for _ in range(20):
+        site.drop_messages(["core-1", "core-2", "core-3"], ["edge-1"])
+        site.run_for(0.05)
+        site.heal()
+        missed = updater.endpoints_history.revision
+        assert (
+            site.run_until(lambda m=missed: router.replica.endpoints_revision >= m, 1.5)
+            is not None
+        )
--- a/greengagerock/view/histories.py
+++ b/greengagerock/view/histories.py
@@ -162,6 +162,19 @@
         self.revision += 1
         self.settled_revision = self.revision
 
+    def needs_full_delta(self, epoch, revision):
+        """Return whether a router needs all endpoints and owners.
+
+        Args:
+            epoch: Term of the leader that the router's state comes from.
+            revision: Last revision of that leader that the router has.
+        """
+        if epoch != self.epoch or revision == 0:
+            return True
+        return self.settled_revision is not None and (
+            revision < self.settled_revision or self._needs_discarded_changes(revision)
+        )
+
     def delta_since(self, epoch, revision):
         """Return an ``EndpointsDelta`` for a router, or ``None`` if it is up to date.
 
@@ -173,13 +186,8 @@
             revision = 0
         if revision >= self.revision:
             return None
-        is_settled = self.settled_revision is not None
-        if is_settled and (
-            revision < self.settled_revision or self._needs_discarded_changes(revision)
-        ):
-            return self._full_delta(True)
-        if revision == 0:
-            return self._full_delta(is_settled)
+        if self.needs_full_delta(epoch, revision):
+            return self._full_delta(self.settled_revision is not None)
         names = [
             name
             for name, changed_revision in self.endpoint_revisions.items()
