--- a/greengagerock/daemon/tests/test_full_disks.py
+++ b/greengagerock/daemon/tests/test_full_disks.py
@@ -6,7 +6,7 @@
 
 from greengagerock.core import StorageError
 from greengagerock.core.interface import Persist, Persisted
-from greengagerock.daemon.record_writer import RetryingRecordWriter
+from greengagerock.daemon.record_writer import DISK_RETRY_INTERVAL_S, RetryingRecordWriter
 from greengagerock.replication import EntriesStored, Entry
 from greengagerock.storage import DataFolder
 
@@ -64,6 +64,8 @@
     store(writer, 2)
     wait_until(lambda: lines == ["disk-refused"])
     store(writer, 3)
+    time.sleep(2 * DISK_RETRY_INTERVAL_S)
+    assert events == [Persisted(1)]
     disk.is_full = False
     wait_until(lambda: events[-1] == Persisted(3))
     writer.close()
@@ -81,7 +83,7 @@
     assert events == []
 
 
-def test_failed_write_leaves_the_records_unconfirmed(disk, tmp_path):
+def test_write_to_a_full_disk_raises_a_typed_error(disk, tmp_path):
     disk.is_full = True
     with pytest.raises(StorageError):
         DataFolder(tmp_path, "h").write([EntriesStored((Entry(1, 1, b"x"),))])
--- a/greengagerock/node/tests/test_site.py
+++ b/greengagerock/node/tests/test_site.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagerock.assignment import EndpointLeaving
-from greengagerock.core.interface import EndpointReportArrived, StopRequested
+from greengagerock.core.interface import EndpointReportArrived, RelayArrived, StopRequested
 from greengagerock.items import Patch
 from greengagerock.testing.fake_site import (
     FakeReportingEndpoint,
@@ -347,6 +347,25 @@
     )
 
 
+def test_stopping_router_refuses_what_it_cannot_finish_for_another_router():
+    """A request through a stopping router ran and was cut off, although others could take it."""
+    site = build_fake_site()
+    site.reporting_endpoints["docs-1"].processing_time_s = 2.8
+    site.reporting_endpoints["docs-2"].processing_time_s = 2.8
+    route = build_route("prices", version=2, weighted_services=(("docs", 1),), timeout_s=8.0)
+    assert site.patch_until_replied(Patch(routes=(route,))).code == ""
+    for _ in range(4):
+        site.call("edge-1", "prices", budget_s=9.0)
+    site.run_for(6.0)
+    node = site.hosts["edge-1"].node
+    site.feed("edge-1", StopRequested())
+    site.run_for(2.9)
+    node.handle(RelayArrived(9_001, "late", "docs-1", 8.0), site.now_s)
+    assert 9_001 not in node.relayed_calls.by_token
+    node.handle(RelayArrived(9_002, "short", "docs-1", 2.0), site.now_s)
+    assert 9_002 in node.relayed_calls.by_token
+
+
 def test_router_stops_gracefully():
     site = build_fake_site()
     token = site.call("edge-1", key=77)
--- a/greengagerock/routing/completion_times.py
+++ b/greengagerock/routing/completion_times.py
@@ -1,7 +1,7 @@
-"""Time that requests of each route take, to tell whether one can finish before a planned stop.
+"""Time that requests of each route take, which decides whether one can end before a planned stop.
 
 Answers requests that arrive late in the grace period of a stop. One whose endpoint would still be
-at work at its end gets a refusal at once, which names another router, instead of no response.
+at work at its end is refused as not run at once, instead of being cut off.
 """
 
 # Weights of the newest time in the running mean and in the running mean deviation, and number of
