Log and measure the ways of first tries, connect times and usable relays

A line `paths` a second says how the first attempts of requests ended on own connections and through relays, how long connections took to open, how full the link was and how many relays may be used. It is written only for seconds in which a request failed or was relayed. `relay-avoided` names the cause; `partition-begins` says since when connecting has failed. The same figures are metrics. No decision changes.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -149,12 +149,15 @@
             ``reset``, ``timeout``, ``caller`` or ``relay``.
         has_sent_bytes: Whether any byte of the request may have been sent to the endpoint.
         is_body_consumed: Whether any byte of the caller's body was consumed.
+        connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
+            the attempt opened none.
     """
 
     token: int
     reason: str
     has_sent_bytes: bool
     is_body_consumed: bool
+    connect_s: float | None = None
 
 
 class LoadNotice(msgspec.Struct, frozen=True):
@@ -232,12 +235,15 @@
         complete: Whether the complete response was sent.
         response_time_s: Time until the endpoint's response arrived, in seconds, or 0 if none did.
         body_bytes: Size of the response's body that was sent to the caller.
+        connect_s: Time in seconds that opening the connection to the endpoint took, ``None`` if
+            it was open.
     """
 
     token: int
     complete: bool
     response_time_s: float = 0.0
     body_bytes: int = 0
+    connect_s: float | None = None
 
 
 class AnnouncementArrived(msgspec.Struct, frozen=True):
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -112,6 +112,7 @@
             self.timers,
             self.outbox,
             self.dispatcher.zone_evacuations,
+            self.dispatcher.path_report,
         )
         self.router_count = RouterCount()
         self.had_leader = False
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -17,6 +17,7 @@
         endpoint_started_ms: Start of that endpoint instance, in milliseconds since 1970.
         sent_s: When it was sent to that endpoint.
         tried_endpoints: Names of all endpoints that it was sent to.
+        attempt_count: Number of attempts, those that did not get to an endpoint included.
         delivery_count: Number of times that it may have reached an endpoint.
         awaited_unit: The (service, unit) whose holder it waits for, or ``None``.
         body_bytes: Size of its body as far as this host holds it.
@@ -39,6 +40,7 @@
 
     __slots__ = (
         "arrived_s",
+        "attempt_count",
         "awaited_unit",
         "body_bytes",
         "connect_failures",
@@ -92,6 +94,7 @@
         self.tried_relays = []
         self.unreached_endpoints = []
         self.connect_failures = 0
+        self.attempt_count = 0
         self.delivery_count = 0
         self.awaited_unit = None
         self.timer = None
@@ -114,6 +117,7 @@
         """Record that an attempt begins, before anything may have reached its endpoint."""
         self.sent_s = now_s
         self.has_stream = self.is_overdue = False
+        self.attempt_count += 1
         self.delivery_count += 1
 
     def cancel_timer(self):
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -25,6 +25,7 @@
 from greengagerock.routing.notice_handler import NoticeHandler
 from greengagerock.routing.observations import EndpointObservations
 from greengagerock.routing.path_failures import PathFailures
+from greengagerock.routing.path_report import DIRECT, RELAYED, RESPONDED, PathReport
 from greengagerock.routing.priorities import rank_priorities
 from greengagerock.routing.route_index import RouteIndex
 from greengagerock.routing.service_picker import ServicePicker
@@ -75,6 +76,7 @@
         error_responder: The ``ErrorResponder``.
         sender: The ``CallSender``.
         path_failures: The ``PathFailures``.
+        path_report: The ``PathReport``.
         connection_losses: The ``ConnectionLosses``.
         calls: Calls in progress by token.
         banned_fingerprints: Fingerprints of requests that crashed several endpoints.
@@ -112,6 +114,7 @@
         self.paths = EndpointPaths(
             replica, self.observations, self.health, timers, outbox, random, report
         )
+        self.path_report = PathReport(timers, outbox, self.paths.relays, link_bytes_per_s)
         self.zone_evacuations = ZoneEvacuations(HANDOVER_SHARE * evacuate_s)
         self.endpoint_picker = EndpointPicker(
             zone, self.observations, self.health, self.notices, self.paths, random, zone_preference
@@ -192,6 +195,7 @@
         relay = call.relay
         endpoint = self._end_attempt(call)
         now_s = self.timers.now_s
+        self._report_attempt(call, relay, event.reason, event.connect_s)
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
         self.error_responder.log_failed_attempt(call, event, endpoint, relay)
         if call.is_abandoned:
@@ -237,6 +241,8 @@
         endpoint = self._end_attempt(call)
         outcome = "answered" if event.complete else "cut-off"
         response_s = event.response_time_s
+        self._report_attempt(call, relay, RESPONDED, event.connect_s)
+        self.path_report.note_body(event.body_bytes)
         if response_s:
             if self.sender.is_keyed(call):
                 self.demand.note_response(call.service, call.route.name, response_s)
@@ -352,6 +358,10 @@
             self.paths.relays.note_ended(relay)
         return endpoint
 
+    def _report_attempt(self, call, relay, end, connect_s):
+        way = RELAYED if relay else DIRECT
+        self.path_report.note_attempt(way, end, connect_s, call.attempt_count == 1)
+
     def _note_reached(self, endpoint, observation, relay, response_s):
         """Record a response of an endpoint, and log it if the endpoint could not be reached."""
         record = self.replica.endpoints.get(endpoint)
@@ -405,7 +415,7 @@
     def _on_relay_lost(self, call, relay):
         """Handle the loss of the connection to a relay that may have delivered the request."""
         call.may_have_run = True
-        self.paths.relays.note_failure(relay)
+        self.paths.relays.note_failure(relay, "connection-lost")
         if call.route.is_idempotent:
             self._resend_or_finish(call, "answer-lost", OUTCOME_UNKNOWN)
         else:
--- a/greengagerock/routing/error_responses.py
+++ b/greengagerock/routing/error_responses.py
@@ -89,6 +89,7 @@
             reason=event.reason,
             bytes_left=event.has_sent_bytes,
             after_ms=round(1000 * (self.timers.now_s - call.sent_s)),
+            connect_ms="" if event.connect_s is None else round(1000 * event.connect_s),
             believed="" if call.known_load is None else call.known_load.describe(),
         )
 
--- a/greengagerock/routing/partition_detector.py
+++ b/greengagerock/routing/partition_detector.py
@@ -42,6 +42,8 @@
         on_partition: Callable that is called when a group counts as lost.
 
     Attributes:
+        failing_since_s: Time of the first failure to connect since the last response of a group,
+            by group.
         lost_by_group: Numbers of failures to connect since the last response of a group, by group,
             a pair of kind and name, and by endpoint.
         lost_groups: Groups that count as lost.
@@ -52,6 +54,7 @@
     """
 
     __slots__ = (
+        "failing_since_s",
         "lost_by_group",
         "lost_groups",
         "on_partition",
@@ -68,6 +71,7 @@
         self.timers = timers
         self.outbox = outbox
         self.on_partition = on_partition
+        self.failing_since_s = {}
         self.lost_by_group = {}
         self.lost_groups = set()
         self.responded_s = {}
@@ -78,6 +82,7 @@
         """Record that an endpoint could not be connected to."""
         for group in groups_of(record):
             self.lost_by_group.setdefault(group, Counter())[record.name] += 1
+            self.failing_since_s.setdefault(group, self.timers.now_s)
         self.is_presumed_lost(record)
 
     def note_timeout(self, record, began_s, is_only_one=False):
@@ -164,6 +169,7 @@
             of="/".join(group),
             lost=count,
             silent_ms="" if silent_s == float("inf") else round(1000 * silent_s),
+            failing_ms=round(1000 * (self.timers.now_s - self.failing_since_s[group])),
         )
         self.on_partition()
         return True
@@ -183,9 +189,15 @@
 
     def _end(self, group):
         lost = self.lost_by_group.pop(group, ())
+        since_s = self.failing_since_s.pop(group, self.timers.now_s)
         if group in self.lost_groups:
             self.lost_groups.remove(group)
-            self.outbox.log("partition-ends", of="/".join(group), lost=len(lost))
+            self.outbox.log(
+                "partition-ends",
+                of="/".join(group),
+                lost=len(lost),
+                after_ms=round(1000 * (self.timers.now_s - since_s)),
+            )
 
     def _needed(self, group):
         kind, name = group
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -128,7 +128,7 @@
         """Handle a request that got no response until its deadline."""
         record = self.replica.endpoints.get(endpoint)
         if relay:
-            self.paths.relays.note_failure(relay)
+            self.paths.relays.note_failure(relay, "no-response")
         elif record is not None:
             self.paths.note_no_response(record, sent_s)
 
@@ -136,7 +136,7 @@
         """Handle a request that a relay did not deliver."""
         call.tried_relays.append(relay)
         if event.reason == REASON_RELAY:
-            self.paths.relays.note_failure(relay)
+            self.paths.relays.note_failure(relay, "not-taken")
         else:
             self.paths.relays.note_miss(relay)
             if len(call.tried_relays) >= MIN_RELAYS_OF_LOST_ENDPOINT:
--- a/greengagerock/routing/relay_pool.py
+++ b/greengagerock/routing/relay_pool.py
@@ -84,17 +84,22 @@
         Args:
             excluded: Addresses of relays that are not to be used.
         """
+        usable = [relay for relay in self._usable() if relay.address not in excluded]
+        if not usable:
+            return ""
+        return min(usable, key=lambda r: (r.observation.in_flight, self.random.random())).address
+
+    def usable_count(self):
+        """Return the number of relays that may be used now."""
+        return len(self._usable())
+
+    def _usable(self):
         now_s = self.timers.now_s
-        usable = [
+        return [
             relay
             for relay in self.by_address.values()
-            if relay.address not in excluded
-            and now_s >= relay.avoided_until_s
-            and not relay.observation.is_doubtful(now_s)
+            if now_s >= relay.avoided_until_s and not relay.observation.is_doubtful(now_s)
         ]
-        if not usable:
-            return ""
-        return min(usable, key=lambda r: (r.observation.in_flight, self.random.random())).address
 
     def note_sent(self, address):
         """Record that a request is sent through a relay."""
@@ -132,13 +137,29 @@
             relay.misses += 1
             if relay.misses >= MAX_MISSES:
                 relay.misses = 0
-                relay.avoid(now_s)
+                self._avoid(relay, "endpoints-missed")
+
+    def note_failure(self, address, cause):
+        """Record that a relay could not be reached, took no request, or did not respond.
 
-    def note_failure(self, address):
-        """Record that a relay could not be reached, took no request, or did not respond."""
+        Args:
+            address: Address of the relay.
+            cause: What has failed, for the log.
+        """
         relay = self.by_address.get(address)
         if relay is not None:
-            relay.avoid(self.timers.now_s)
+            self._avoid(relay, cause)
+
+    def _avoid(self, relay, cause):
+        for_s = relay.avoidance_s
+        relay.avoid(self.timers.now_s)
+        self.outbox.log(
+            "relay-avoided",
+            relay=relay.address,
+            cause=cause,
+            for_ms=round(1000 * for_s),
+            usable_relays=self.usable_count(),
+        )
 
     def _close_idle_connections(self):
         """Close connections before the relays do, so that no request is sent on a closed one."""
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -59,6 +59,7 @@
         timers: The timer service.
         outbox: Receives effects.
         zone_evacuations: The ``ZoneEvacuations``.
+        path_report: The ``PathReport``.
 
     Attributes:
         by_token: Requests in progress by token.
@@ -78,6 +79,7 @@
         timers,
         outbox,
         zone_evacuations,
+        path_report,
     ):
         self.replica = replica
         self.paths = paths
@@ -88,6 +90,7 @@
         self.timers = timers
         self.outbox = outbox
         self.zone_evacuations = zone_evacuations
+        self.path_report = path_report
         self.by_token = {}
         self.is_closing = False
         self.closes_s = float("inf")
@@ -134,7 +137,12 @@
             code = _CODE_BY_REASON.get(event.reason, "answer-lost")
             outcome = OUTCOME_UNKNOWN
         self.outbox.log(
-            "relay-failed", request_id=call.request_id, endpoint=call.endpoint, code=code
+            "relay-failed",
+            request_id=call.request_id,
+            endpoint=call.endpoint,
+            code=code,
+            reason=event.reason,
+            connect_ms="" if event.connect_s is None else round(1000 * event.connect_s),
         )
         self.stats.count(call.service, "relay-failed")
         self.outbox.add(RespondWithError(event.token, code, outcome, "", self.is_closing))
@@ -143,6 +151,7 @@
         """Process a ``RequestEnded``."""
         call = self._end(event.token)
         record = self.replica.endpoints.get(call.endpoint)
+        self.path_report.note_body(event.body_bytes)
         if event.response_time_s and record is not None:
             self.paths.note_reached(record)
             observation = self.observations.observation_of(call.endpoint)
--- a/greengagerock/testing/dispatcher_harness.py
+++ b/greengagerock/testing/dispatcher_harness.py
@@ -95,6 +95,7 @@
             self.timers,
             self.outbox,
             dispatcher.zone_evacuations,
+            dispatcher.path_report,
         )
 
     def advance(self, seconds):
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -267,8 +267,9 @@
             )
         finally:
             self._end_attempt(attempt)
-        if not isinstance(result, AttemptFailed):
-            self._begin_body(attempt)
+        if isinstance(result, AttemptFailed):
+            return msgspec.structs.replace(result, connect_s=attempt.connect_s)
+        self._begin_body(attempt)
         return result
 
     def _begin_body(self, attempt):
@@ -409,7 +410,13 @@
 
     def close(self):
         """Notify the loop that the request has ended."""
-        event = RequestEnded(self.exchange.token, True, self.response_time_s, len(self.data))
+        event = RequestEnded(
+            self.exchange.token,
+            True,
+            self.response_time_s,
+            len(self.data),
+            self.exchange.current_attempt.connect_s,
+        )
         self.exchange.app.bridge.post_deferred(event)
         self.exchange.discard_body()
 
@@ -480,7 +487,11 @@
             # Unread data must not be read as the response to another request.
             self.response.close()
         event = RequestEnded(
-            self.exchange.token, self.is_complete, self.response_time_s, self.relayed_bytes
+            self.exchange.token,
+            self.is_complete,
+            self.response_time_s,
+            self.relayed_bytes,
+            self.exchange.current_attempt.connect_s,
         )
         self.exchange.app.bridge.post_deferred(event)
         self.exchange.discard_body()
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -1,12 +1,18 @@
 """Metrics in the Prometheus text format."""
 
 import threading
+from itertools import accumulate
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 from greengagerock.control.queries import slot_imbalance
+from greengagerock.routing.path_report import CONNECT_BOUNDS_S
 
 LATENCY_BUCKETS_S = (0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.5, 1, 2, 5)
 
@@ -253,6 +259,12 @@
                 "Requests sent to endpoints through other routers.",
                 value=dispatcher.paths.relays.sent_count,
             )
+            yield GaugeMetricFamily(
+                "greengage_usable_relays",
+                "Routers through which requests may be sent now.",
+                value=dispatcher.paths.relays.usable_count(),
+            )
+            yield from collect_path_metrics(dispatcher.path_report)
 
     def _loads(self):
         """Yield what a router knows of the load of endpoints, and what it holds back for it."""
@@ -308,6 +320,36 @@
         yield moved
 
 
+def collect_path_metrics(report):
+    """Yield metric families of the ``PathReport`` of a router."""
+    first_tries = CounterMetricFamily(
+        "greengage_first_tries", "First attempts of calls.", labels=["way", "end"]
+    )
+    for (way, end), count in list(report.first_tries.items()):
+        first_tries.add_metric([way, end], count)
+    yield first_tries
+    connect_times = HistogramMetricFamily(
+        "greengage_connect_seconds",
+        "Time to open a connection to an endpoint or a relay, failed ones included.",
+        labels=["way"],
+    )
+    for way, times in report.connect_times.items():
+        bounds = [str(bound_s) for bound_s in CONNECT_BOUNDS_S] + ["+Inf"]
+        buckets = list(zip(bounds, accumulate(times.counts), strict=True))
+        connect_times.add_metric([way], buckets, times.sum_s)
+    yield connect_times
+    yield CounterMetricFamily(
+        "greengage_body_bytes",
+        "Bodies of responses, which pass the link once in each direction.",
+        value=report.body_bytes,
+    )
+    yield GaugeMetricFamily(
+        "greengage_slow_link_bytes_per_second",
+        "Speed of the network link, 0 if it is no bottleneck.",
+        value=report.link_bytes_per_s or 0.0,
+    )
+
+
 def collect_link_metrics(stats):
     """Yield metric families of the ``LinkStats`` of a host."""
     by_kind = CounterMetricFamily(
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -67,6 +67,8 @@
 
     Attributes:
         connection: The ``TrackedConnection`` in use, or ``None``.
+        connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
+            none was opened.
         has_head: Whether the head of the response has arrived.
         has_sent_bytes: Whether any byte may have left this host.
         sock: The socket in use, or ``None``. The library's connection drops it when a response
@@ -80,6 +82,7 @@
         "_caller_descriptor",
         "_lock",
         "_is_watched",
+        "connect_s",
         "connection",
         "has_head",
         "has_sent_bytes",
@@ -91,6 +94,7 @@
     )
 
     def __init__(self, caller_descriptor=None, request_id=""):
+        self.connect_s = None
         self.connection = None
         self.request_id = request_id
         self._caller_descriptor = caller_descriptor
@@ -253,8 +257,13 @@
         """Connect if needed, then send ``data``."""
         attempt = getattr(_thread_state, "attempt", None)
         if self.sock is None and self.auto_open:
-            self.connect()
-            self._wait_for_reset()
+            began_s = time.monotonic()
+            try:
+                self.connect()
+                self._wait_for_reset()
+            finally:
+                if attempt is not None:
+                    attempt.connect_s = time.monotonic() - began_s
             if attempt is not None:
                 attempt.is_new = True
                 if attempt.is_cancelled:
