Give connections to relays a share of the remaining time

Cause: a request through a relay got the connect timeout of its endpoint, 150 ms since that endpoint is lost, although the connection leads to a relay which is merely late; each such relay was then avoided for 0.5 to 4 s.

A connection to a relay now gets 0.3 of the remaining time and at most 1 s, and a late relay stays in use if there is no other. The class: a short time-out that is read as loss where it is load.

--- a/greengagerock/node/tests/test_partitioned_routers.py
+++ b/greengagerock/node/tests/test_partitioned_routers.py
@@ -195,3 +195,11 @@
     arrivals = len(endpoint.arrivals)
     load.offer(RATE_PER_S, 4.0)
     assert len(endpoint.arrivals) == arrivals
+
+
+@pytest.mark.parametrize("group", GROUPS)
+def test_callers_of_partitioned_routers_are_served_while_connections_to_relays_open_late(group):
+    load = build_load(seed=14)
+    load.site.paths.relay_connect_range_s = (0.16, 0.5)
+    begun_s = partition(load, GROUPS[group], HANGS)
+    check_service(load, GROUPS[group], begun_s)
--- a/greengagerock/routing/connect_timeouts.py
+++ b/greengagerock/routing/connect_timeouts.py
@@ -36,7 +36,19 @@
     """
     if has_alternative or is_suspect:
         return None
-    return min(MAX_CONNECT_TIMEOUT_S, MAX_TIME_SHARE * (call.deadline_s - now_s))
+    return longest_connect_timeout_s(call.deadline_s - now_s)
+
+
+def longest_connect_timeout_s(left_s):
+    """Return the connect timeout where nothing is known to be lost, in seconds.
+
+    It also holds for connections to relays: such a connection is late because a network link is
+    full, whatever became of the endpoint behind the relay.
+
+    Args:
+        left_s: Time until the deadline of the request in seconds.
+    """
+    return min(MAX_CONNECT_TIMEOUT_S, MAX_TIME_SHARE * left_s)
 
 
 def has_alternative(call, names):
--- a/greengagerock/routing/endpoint_paths.py
+++ b/greengagerock/routing/endpoint_paths.py
@@ -104,10 +104,12 @@
         """Return the connect timeout of an attempt, or ``None`` for the configured one.
 
         Args:
-            call: The ``Call``.
+            call: The ``Call``, with the relay of the attempt.
             record: The ``EndpointRecord`` of the endpoint that was chosen.
             is_keyed: Whether only that endpoint may run it.
         """
+        if call.relay:
+            return connect_timeouts.longest_connect_timeout_s(call.deadline_s - self.timers.now_s)
         names = () if is_keyed else self.replica.by_service.get(call.service, ())
         has_alternative = connect_timeouts.has_alternative(call, names)
         is_suspect = self.is_lost(record) or self.detector.is_suspect(record)
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -17,6 +17,8 @@
 
 # The relay took no request, or its connection broke; the endpoint is not to blame.
 REASON_RELAY = "relay"
+# A connection to the relay did not open in time.
+REASON_RELAY_LATE = "relay-late"
 
 # Number of failures to connect after which a call is sent through relays only, or refused.
 MAX_CONNECT_FAILURES = 2
@@ -30,6 +32,7 @@
     REASON_TIMEOUT: "deadline-exceeded",
     REASON_CALLER: "bad-request",
     REASON_RELAY: "relay-unavailable",
+    REASON_RELAY_LATE: "relay-unavailable",
 }
 
 
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -6,6 +6,7 @@
     MAX_CONNECT_FAILURES,
     REASON_CONNECT_TIMEOUT,
     REASON_RELAY,
+    REASON_RELAY_LATE,
 )
 
 # Number of relays that fail to reach an endpoint from which on relays are not tried for a while.
@@ -135,7 +136,9 @@
     def on_not_relayed(self, call, event, endpoint, relay):
         """Handle a request that a relay did not deliver."""
         call.tried_relays.append(relay)
-        if event.reason == REASON_RELAY:
+        if event.reason == REASON_RELAY_LATE:
+            self.paths.relays.note_late(relay)
+        elif event.reason == REASON_RELAY:
             self.paths.relays.note_failure(relay, "not-taken")
         else:
             self.paths.relays.note_miss(relay)
--- a/greengagerock/routing/relay_pool.py
+++ b/greengagerock/routing/relay_pool.py
@@ -21,6 +21,7 @@
         observation: The ``EndpointObservation`` of the requests sent through it.
         avoided_until_s: Until when it is not used.
         avoidance_s: Length of the next avoidance.
+        is_late: Whether it is avoided only because a connection to it opened late.
         reached_s: When a request sent through it last got a response of an endpoint.
         misses: Number of endpoints in a row that it could not reach.
     """
@@ -29,6 +30,7 @@
         "address",
         "avoidance_s",
         "avoided_until_s",
+        "is_late",
         "misses",
         "observation",
         "reached_s",
@@ -39,11 +41,13 @@
         self.observation = EndpointObservation()
         self.avoided_until_s = float("-inf")
         self.avoidance_s = FIRST_AVOIDANCE_S
+        self.is_late = False
         self.reached_s = float("-inf")
         self.misses = 0
 
-    def avoid(self, now_s):
-        """Do not use the relay for a while."""
+    def avoid(self, now_s, is_late=False):
+        """Do not use the relay for a while; a late one is used if there is no other."""
+        self.is_late = is_late
         self.avoided_until_s = now_s + self.avoidance_s
         self.avoidance_s = min(MAX_AVOIDANCE_S, 2 * self.avoidance_s)
 
@@ -81,10 +85,15 @@
     def pick(self, excluded):
         """Return the address of the usable relay with the fewest requests, or an empty string.
 
+        If there is none, relays to which a connection opened late are usable as well: the link
+        that made it late is probably this host's own, so all relays are late at the same time.
+
         Args:
             excluded: Addresses of relays that are not to be used.
         """
         usable = [relay for relay in self._usable() if relay.address not in excluded]
+        if not usable:
+            usable = [relay for relay in self._late() if relay.address not in excluded]
         if not usable:
             return ""
         return min(usable, key=lambda r: (r.observation.in_flight, self.random.random())).address
@@ -101,6 +110,14 @@
             if now_s >= relay.avoided_until_s and not relay.observation.is_doubtful(now_s)
         ]
 
+    def _late(self):
+        now_s = self.timers.now_s
+        return [
+            relay
+            for relay in self.by_address.values()
+            if relay.is_late and not relay.observation.is_doubtful(now_s)
+        ]
+
     def note_sent(self, address):
         """Record that a request is sent through a relay."""
         self.sent_count += 1
@@ -122,6 +139,7 @@
         relay = self.by_address.get(address)
         if relay is not None:
             relay.observation.note_response(response_s, None, self.timers.now_s)
+            relay.is_late = False
             relay.reached_s = self.timers.now_s
             relay.avoidance_s = FIRST_AVOIDANCE_S
             relay.misses = 0
@@ -150,9 +168,15 @@
         if relay is not None:
             self._avoid(relay, cause)
 
-    def _avoid(self, relay, cause):
+    def note_late(self, address):
+        """Record that a connection to a relay did not open in time."""
+        relay = self.by_address.get(address)
+        if relay is not None:
+            self._avoid(relay, "connection-late", is_late=True)
+
+    def _avoid(self, relay, cause, is_late=False):
         for_s = relay.avoidance_s
-        relay.avoid(self.timers.now_s)
+        relay.avoid(self.timers.now_s, is_late)
         self.outbox.log(
             "relay-avoided",
             relay=relay.address,
--- a/greengagerock/routing/tests/test_endpoint_paths.py
+++ b/greengagerock/routing/tests/test_endpoint_paths.py
@@ -148,3 +148,28 @@
     harness.outbox.drain()
     relays = {send(harness)[1].relay for _ in range(4)}
     assert silent not in relays
+
+
+def test_connection_to_a_relay_gets_a_share_of_the_time_that_is_left(harness):
+    """The endpoint behind it is lost, so the short timeout of lost endpoints applied."""
+    _, forward = send(harness)
+    assert forward.relay
+    assert forward.connect_timeout_s == pytest.approx(0.3 * forward.timeout_s)
+
+
+def test_relays_stay_in_use_when_connections_to_all_of_them_open_late(harness):
+    first, _ = send(harness)
+    for _ in RELAYS:
+        harness.fail(first, "relay-late", has_sent_bytes=False)
+    assert harness.effects()[-1].code == "connect-failed"
+    _, forward = send(harness)
+    assert forward.relay in RELAYS
+
+
+def test_relay_that_refuses_connections_is_avoided_also_if_there_is_no_other(harness):
+    first, _ = send(harness)
+    for _ in RELAYS:
+        harness.fail(first, "relay", has_sent_bytes=False)
+    harness.effects()
+    _, response = send(harness)
+    assert (response.code, response.outcome) == ("connect-failed", "not-run")
--- a/greengagerock/testing/fake_paths.py
+++ b/greengagerock/testing/fake_paths.py
@@ -14,11 +14,12 @@
 
 
 class FakePaths:
-    """Connections between routers and endpoints, and the faults of the paths between them.
+    """Connections of routers to endpoints and relays, and the faults of the paths to endpoints.
 
     Attributes:
         faults: Fault by (router, endpoint) of paths that fail.
-        idle_connections: Number of idle connections by (router, endpoint).
+        idle_connections: Number of idle connections by (router, endpoint) and (router, relay).
+        relay_connect_range_s: Shortest and longest time until a connection to a relay opens.
         in_flight: Tokens of requests at an endpoint by (router, endpoint), with the callables
             that end them.
     """
@@ -26,6 +27,7 @@
     def __init__(self):
         self.faults = {}
         self.idle_connections = {}
+        self.relay_connect_range_s = (0.0, 0.0)
         self.in_flight = {}
 
     def cut(self, routers, endpoints, fault):
@@ -59,6 +61,10 @@
         self.idle_connections[path] = max(0, count - 1)
         return count > 0
 
+    def add_connection(self, path):
+        """Add an idle connection."""
+        self.idle_connections[path] = self.idle_connections.get(path, 0) + 1
+
     def begin(self, path, token, reset):
         """Record a request at an endpoint; ``reset`` is called if its connection is reset."""
         self.in_flight.setdefault(path, {})[token] = reset
@@ -67,7 +73,7 @@
         """Record the end of a request; return whether it was still at the endpoint."""
         was_in_flight = self.in_flight.get(path, {}).pop(token, None) is not None
         if was_in_flight and keeps_connection:
-            self.idle_connections[path] = self.idle_connections.get(path, 0) + 1
+            self.add_connection(path)
         return was_in_flight
 
     def close_idle(self, router, endpoint):
--- a/greengagerock/testing/fake_reporting_endpoint.py
+++ b/greengagerock/testing/fake_reporting_endpoint.py
@@ -34,7 +34,7 @@
 
     def __init__(self, name, number, service="till", zone="zone-1", started_ms=1000):
         self.name = name
-        self.address = f"10.0.9.{number}:80"
+        self.address = f"10.0.{9 + number // 256}.{number % 256}:80"
         self.service = service
         self.zone = zone
         self.started_ms = started_ms
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -299,8 +299,7 @@
         path = (host.config.host.name, effect.endpoint)
         fault = self.paths.fault_of(path)
         is_reused = self.paths.take_connection(path)
-        connect_timeout_s = max(CONNECT_TIMEOUT_S, effect.connect_timeout_s or 0.0)
-        connect_timeout_s = min(connect_timeout_s, effect.timeout_s)
+        connect_timeout_s = self._connect_timeout_s(effect)
         if endpoint is None or not endpoint.is_up:
             self._fail_attempt(host, effect.token, "connect", False, CALL_DELAY_S)
         elif fault is not None and not is_reused:
@@ -319,6 +318,10 @@
         else:
             self._send_to_endpoint(host, endpoint, effect, path, fault)
 
+    def _connect_timeout_s(self, effect):
+        chosen_s = max(CONNECT_TIMEOUT_S, effect.connect_timeout_s or 0.0)
+        return min(chosen_s, effect.timeout_s)
+
     def _fail_attempt(self, host, token, reason, has_sent_bytes, delay_s):
         failure = AttemptFailed(token, reason, has_sent_bytes, False)
         run_number = host.run_number
@@ -363,11 +366,19 @@
         """Send a request to another router, which forwards it to the endpoint."""
         self.relayed_count += 1
         relay = self.by_relay_address[effect.relay]
-        origin, relay_name = host.config.host.name, relay.config.host.name
-        if relay.node is None or self.is_link_cut(origin, relay_name):
-            is_silent = relay.node is not None
-            delay_s = CONNECT_TIMEOUT_S if is_silent else CALL_DELAY_S
-            self._fail_attempt(host, effect.token, "relay", False, delay_s)
+        path = (host.config.host.name, relay.config.host.name)
+        connect_timeout_s = self._connect_timeout_s(effect)
+        if relay.node is None or self.is_link_cut(*path):
+            if relay.node is None:
+                self._fail_attempt(host, effect.token, "relay", False, CALL_DELAY_S)
+            else:
+                self._fail_attempt(host, effect.token, "relay-late", False, connect_timeout_s)
+            return
+        connect_s = 0.0
+        if not self.paths.take_connection(path):
+            connect_s = self.random.uniform(*self.paths.relay_connect_range_s)
+        if connect_s > connect_timeout_s:
+            self._fail_attempt(host, effect.token, "relay-late", False, connect_timeout_s)
             return
         call = self.calls[effect.token]
         token = next(self._tokens)
@@ -377,7 +388,7 @@
         arrival = RelayArrived(
             token, call.request_id, effect.endpoint, effect.timeout_s, effect.is_limited
         )
-        self.at(CALL_DELAY_S, lambda: self._feed(relay, arrival))
+        self.at(connect_s + CALL_DELAY_S, lambda: self._feed(relay, arrival))
         self.at(effect.timeout_s, lambda: self._fail_relayed(token, "timeout", True))
 
     def _fail_relayed(self, token, reason, has_sent_bytes):
@@ -404,6 +415,7 @@
         self._feed_if_same_run(host, run_number, RequestEnded(token, True, response_time_s))
         if relayed is not None:
             origin, origin_run, origin_token = relayed
+            self.paths.add_connection((origin.config.host.name, host.config.host.name))
             event = msgspec.structs.replace(event, token=origin_token)
             self.at(
                 CALL_DELAY_S, lambda: self._end_request(origin, origin_run, origin_token, event)
@@ -477,6 +489,7 @@
     controllers=3,
     routers=2,
     reporting_endpoints=6,
+    unkeyed_endpoints=2,
     hold_s=6.0,
     first_patch=None,
     **options,
@@ -495,8 +508,11 @@
     assert result.code == "", result
     for number in range(1, reporting_endpoints + 1):
         site.add_reporting_endpoint(FakeReportingEndpoint(f"till-{number}", number))
-    for number in range(1, 3):
-        site.add_reporting_endpoint(FakeReportingEndpoint(f"docs-{number}", 100 + number, "docs"))
+    first_address = max(100, reporting_endpoints)
+    for number in range(1, unkeyed_endpoints + 1):
+        site.add_reporting_endpoint(
+            FakeReportingEndpoint(f"docs-{number}", first_address + number, "docs")
+        )
     site.run_for(5.0)
     return site
 
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -9,6 +9,7 @@
     REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
     REASON_RELAY,
+    REASON_RELAY_LATE,
     REASON_RESET,
     REASON_TIMEOUT,
 )
@@ -29,7 +30,6 @@
 _REQUEST_HEADERS = frozenset({ENDPOINT_HEADER, TIMEOUT_HEADER, LIMITED_HEADER})
 _CONNECTION_FAILURES = (
     REASON_CONNECT,
-    REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
     REASON_RESET,
 )
@@ -143,6 +143,8 @@
     Args:
         failure: An ``AttemptFailed`` event of the connection to the relay.
     """
+    if failure.reason == REASON_CONNECT_TIMEOUT:
+        return msgspec.structs.replace(failure, reason=REASON_RELAY_LATE)
     if failure.reason in _CONNECTION_FAILURES:
         return msgspec.structs.replace(failure, reason=REASON_RELAY)
     return failure
