Keep idle connections to relays open before they are needed

Cause: connections to relays were opened by the requests that needed them and closed after 10 s without any, so that none was open when a partition began. Evidence: attempts through relays that ended without a byte sent, over 40 to 87 relays which others reached.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -360,6 +360,18 @@
     address: str
 
 
+class KeepConnections(msgspec.Struct, frozen=True):
+    """Keep idle connections to another router open, so that requests need not open one.
+
+    Attributes:
+        address: Where it takes requests of other routers, ``IP:PORT``.
+        count: Number of idle connections to have.
+    """
+
+    address: str
+    count: int
+
+
 class RespondToAnnouncement(msgspec.Struct, frozen=True):
     """Respond to an endpoint's announcement.
 
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -13,6 +13,7 @@
     CancelAttempt,
     CloseIdleConnections,
     Forward,
+    KeepConnections,
     LogEvent,
     MessageReceived,
     Persist,
@@ -27,6 +28,7 @@
     WatchCaller,
 )
 from greengagerock.daemon.server_drain import CHECK_INTERVAL_S
+from greengagerock.web.connection_keeper import ConnectionKeeper
 
 MAX_EVENTS_PER_ITERATION = 256
 
@@ -59,6 +61,7 @@
         self.bridge = bridge
         self.writer = writer
         self.upstream = upstream
+        self.connection_keeper = ConnectionKeeper(upstream, log)
         self._token_by_descriptor = {}
         self.log = log
         self.stop_code = ""
@@ -260,6 +263,8 @@
                 self._watch_caller(token)
             case CloseIdleConnections(address):
                 self.upstream.close_pool(address)
+            case KeepConnections(address, count):
+                self.connection_keeper.keep(address, count)
             case StopProcess(code, _, wait_s) if self.end_s is None:
                 self.stop_code = code
                 self.end_s = time.monotonic() + (0.0 if code else wait_s)
--- a/greengagerock/node/tests/test_partitioned_routers.py
+++ b/greengagerock/node/tests/test_partitioned_routers.py
@@ -203,3 +203,11 @@
     load.site.paths.relay_connect_range_s = (0.16, 0.5)
     begun_s = partition(load, GROUPS[group], HANGS)
     check_service(load, GROUPS[group], begun_s)
+
+
+@pytest.mark.parametrize("group", GROUPS)
+def test_callers_of_partitioned_routers_are_served_over_connections_that_were_open_before(group):
+    load = build_load(seed=15)
+    load.site.paths.relay_connect_range_s = (0.4, 0.8)
+    begun_s = partition(load, GROUPS[group], HANGS)
+    check_service(load, GROUPS[group], begun_s)
--- a/greengagerock/routing/relay_pool.py
+++ b/greengagerock/routing/relay_pool.py
@@ -1,6 +1,6 @@
 """The routers through which a router can send requests to endpoints that it cannot reach."""
 
-from greengagerock.core.interface import CloseIdleConnections
+from greengagerock.core.interface import CloseIdleConnections, KeepConnections
 from greengagerock.routing.observations import EndpointObservation
 
 # Time for which a relay that has failed is not used; it doubles with each further failure.
@@ -9,8 +9,11 @@
 # A relay that has reached no endpoint lately, and failed to reach this many, is avoided too.
 MAX_MISSES = 3
 RECENT_S = 1.0
-# Time without requests after which the connections to relays are closed.
-IDLE_S = 10.0
+# Idle connections to each relay. A router that loses all endpoints has about as many requests in
+# flight as there are idle connections to all its relays.
+IDLE_CONNECTIONS = 2
+# Interval at which lost and old idle connections are replaced.
+KEEP_INTERVAL_S = 5.0
 
 
 class Relay:
@@ -71,7 +74,7 @@
         self.random = random
         self.by_address = {}
         self.sent_count = 0
-        self._idle_timer = None
+        self._keep_timer = None
 
     @property
     def addresses(self):
@@ -79,8 +82,17 @@
         return tuple(self.by_address)
 
     def set_addresses(self, addresses):
-        """Replace the relays; what was observed of those that stay is kept."""
+        """Replace the relays; what was observed of those that stay is kept.
+
+        Connections to them are opened before they are needed: when a partition begins, all
+        requests of this router need one at the same moment, and the links are full of responses.
+        """
+        for address in self.by_address.keys() - set(addresses):
+            self.outbox.add(CloseIdleConnections(address))
         self.by_address = {a: self.by_address.get(a) or Relay(a) for a in addresses}
+        if self._keep_timer is not None:
+            self._keep_timer.cancel()
+        self._keep_connections()
 
     def pick(self, excluded):
         """Return the address of the usable relay with the fewest requests, or an empty string.
@@ -124,9 +136,6 @@
         relay = self.by_address.get(address)
         if relay is not None:
             relay.observation.note_sent(self.timers.now_s)
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-        self._idle_timer = self.timers.subscribe(IDLE_S, self._close_idle_connections)
 
     def note_ended(self, address):
         """Record that a request is no longer at a relay."""
@@ -185,8 +194,9 @@
             usable_relays=self.usable_count(),
         )
 
-    def _close_idle_connections(self):
-        """Close connections before the relays do, so that no request is sent on a closed one."""
-        self._idle_timer = None
+    def _keep_connections(self):
+        self._keep_timer = None
         for address in self.by_address:
-            self.outbox.add(CloseIdleConnections(address))
+            self.outbox.add(KeepConnections(address, IDLE_CONNECTIONS))
+        if self.by_address:
+            self._keep_timer = self.timers.subscribe(KEEP_INTERVAL_S, self._keep_connections)
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -15,6 +15,7 @@
     EndpointReportArrived,
     Forward,
     ItemsRequested,
+    KeepConnections,
     PatchArrived,
     RelayArrived,
     RequestEnded,
@@ -280,6 +281,8 @@
                     self._cancel_attempt(host, token)
                 case CloseIdleConnections(address):
                     self._close_idle_connections(host, address)
+                case KeepConnections(address, count):
+                    self._keep_connections(host, address, count)
                 case _:
                     other_effects.append(effect)
         super()._carry_out(host, other_effects)
@@ -441,6 +444,16 @@
         for name, endpoint in self.reporting_endpoints.items():
             if endpoint.address == address:
                 self.paths.close_idle(host.config.host.name, name)
+        if address in self.by_relay_address:
+            relay = self.by_relay_address[address].config.host.name
+            self.paths.close_idle(host.config.host.name, relay)
+
+    def _keep_connections(self, host, address, count):
+        """Open connections to a relay; each takes as long as one that a request opens."""
+        path = (host.config.host.name, self.by_relay_address[address].config.host.name)
+        for _ in range(count - self.paths.idle_connections.get(path, 0)):
+            delay_s = self.random.uniform(*self.paths.relay_connect_range_s)
+            self.at(delay_s, lambda: self.paths.add_connection(path))
 
     def _respond_with_notices(self, host, run_number, endpoint, token, was_limited):
         """Pass on what the head of a response says about the endpoint's limit and load."""
--- /dev/null
+++ b/greengagerock/testing/raw_endpoint.py
@@ -0,0 +1,81 @@
+"""A stand-in endpoint that accepts connections and writes given bytes, right or wrong."""
+
+import contextlib
+import socket
+import threading
+
+# Largest head of a request that it reads.
+MAX_REQUEST_BYTES = 64 * 1024
+
+
+class RawEndpoint:
+    """Accepts connections and writes the same bytes in response to each request.
+
+    Used as a context manager; it ends its threads by closing their sockets.
+
+    Args:
+        ip: Loopback address to listen on.
+        response: Bytes that it writes for each request.
+        write: Callable that writes to a connected socket after ``response``, or ``None``.
+
+    Attributes:
+        address: ``IP:PORT`` where it listens.
+        connections: Accepted sockets.
+    """
+
+    def __init__(self, ip, response, write=None):
+        self.response = response
+        self.write = write
+        self.connections = []
+        self.listener = socket.create_server((ip, 0))
+        self.address = f"{ip}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.listener.close()
+        for number in range(len(self.connections)):
+            self.close_connection(number)
+
+    @property
+    def accepted_count(self):
+        """Number of accepted connections."""
+        return len(self.connections)
+
+    def close_connection(self, number):
+        """Close an accepted connection."""
+        with contextlib.suppress(OSError):  # the other side may have closed it
+            self.connections[number].shutdown(socket.SHUT_RDWR)
+        self.connections[number].close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection):
+        try:
+            while read_head(connection):
+                connection.sendall(self.response)
+                if self.write is not None:
+                    self.write(connection)
+        except OSError:
+            # The other side has closed the connection.
+            return
+
+
+def read_head(connection):
+    """Read the head of a request; return whether there was one."""
+    data = b""
+    while b"\r\n\r\n" not in data and len(data) < MAX_REQUEST_BYTES:
+        received = connection.recv(4096)
+        if not received:
+            return False
+        data += received
+    return True
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -1,5 +1,6 @@
 """HTTP client for endpoints: connection pools, attempts and request bodies."""
 
+import queue
 import select
 import socket
 import threading
@@ -232,6 +233,7 @@
     """A connection that records in the current ``Attempt`` whether bytes were sent.
 
     Attributes:
+        idle_since_s: Since when no request is in progress on it, in monotonic seconds.
         refused_ids: Ids of requests that were refused on this connection, newest last.
     """
 
@@ -239,6 +241,7 @@
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
+        self.idle_since_s = 0.0
         self.refused_ids = deque(maxlen=MAX_REFUSED_IDS)
 
     def request(self, method, url, *arguments, **options):
@@ -278,6 +281,7 @@
 
     def become_idle(self):
         """Let keep-alive probes alone decide when the connection is lost."""
+        self.idle_since_s = time.monotonic()
         if self.sock is not None:
             self._limit_unacknowledged(0)
 
@@ -303,6 +307,58 @@
 
     ConnectionCls = TrackedConnection
 
+    def keep_idle(self, count, max_idle_s, connect_timeout_s):
+        """Close idle connections that are lost or old, and open new ones.
+
+        Requests may take and return connections meanwhile.
+
+        Args:
+            count: Number of idle connections to have.
+            max_idle_s: Time after which an idle connection is old, in seconds.
+            connect_timeout_s: Timeout of opening one, in seconds.
+
+        Raises:
+            HTTPError: If a connection cannot be opened.
+        """
+        places = self._take_places()
+        oldest_s = time.monotonic() - max_idle_s
+        idle = [conn for conn in places if conn is not None]
+        kept = [conn for conn in idle if conn.idle_since_s >= oldest_s and conn.is_connected]
+        free = len(places) - len(kept)
+        missing = min(free, max(0, count - len(kept)))
+        # The queue returns the connection that was put last.
+        for place in [None] * (free - missing) + kept:
+            super()._put_conn(place)
+        for conn in idle:
+            if conn not in kept:
+                conn.close()
+        for opened in range(missing):
+            self._open_idle(missing - opened, connect_timeout_s)
+
+    def _take_places(self):
+        """Take all places of the queue, with an idle connection or ``None``, oldest first."""
+        places = []
+        try:
+            while self.pool is not None:
+                places.append(self.pool.get(block=False))
+        except (queue.Empty, AttributeError):
+            # All are taken, or the pool was closed meanwhile, which drops its queue.
+            pass
+        return places[::-1]
+
+    def _open_idle(self, free, connect_timeout_s):
+        """Open an idle connection; without success, give back all places that are free."""
+        conn = self._new_conn()
+        conn.timeout = connect_timeout_s
+        try:
+            conn.connect()
+        except (HTTPError, OSError):
+            conn.close()
+            for _ in range(free):
+                super()._put_conn(None)
+            raise
+        self._put_conn(conn)
+
     def _put_conn(self, conn):
         if conn is not None:
             conn.become_idle()
