Spread the relays of neighbouring routers over all routers

Cause: the leader counted the relays of a router from its place among the routers that can relay, so all lost routers between two usable ones, such as those of one availability zone, got the same six relays. The class: a second path that is as narrow as the first. Relays are now counted from the place among all routers.

--- a/greengagerock/control/relay_directory.py
+++ b/greengagerock/control/relay_directory.py
@@ -27,13 +27,14 @@
         >>> directory.relays_for("a")
         ('b:1', 'c:1')
         >>> directory.note("b", "b:1", 8), directory.relays_for("a"), directory.relays_for("b")
-        (True, ('c:1',), ('c:1', 'a:1'))
+        (True, ('c:1',), ('a:1', 'c:1'))
     """
 
     def __init__(self, endpoint_count):
         self.endpoint_count = endpoint_count
         self.reports = {}
         self._ring = []
+        self._routers = []
 
     def note(self, router, relay_address, unreachable):
         """Record a router's report.
@@ -59,16 +60,17 @@
         """Return the relay addresses for a router.
 
         They are evenly spaced in the order of the routers' addresses, which is mostly that of the
-        availability zones, and begin behind the router itself, so that each relay serves about as
-        many routers as any other.
+        availability zones. They begin at the router's place among all routers, so that each relay
+        serves about as many routers as any other, also if neighbours have lost their endpoints.
         """
-        ring = self._ring
-        start = bisect.bisect_right(ring, (router,))
-        candidates = len(ring)
-        if start < len(ring) and ring[start][0] == router:
-            start, candidates = start + 1, candidates - 1
-        count = min(RELAYS_PER_ROUTER, candidates)
-        return tuple(ring[(start + k * candidates // count) % len(ring)][1] for k in range(count))
+        own = bisect.bisect_left(self._ring, (router,))
+        is_in_ring = own < len(self._ring) and self._ring[own][0] == router
+        candidate_count = len(self._ring) - is_in_ring
+        count = min(RELAYS_PER_ROUTER, candidate_count)
+        place = bisect.bisect_left(self._routers, router)
+        start = place * candidate_count // max(1, len(self._routers))
+        chosen = [(start + k * candidate_count // count) % candidate_count for k in range(count)]
+        return tuple(self._ring[i + (is_in_ring and i >= own)][1] for i in chosen)
 
     def _rebuild(self):
         counts = [unreachable for address, unreachable in self.reports.values() if address]
@@ -78,6 +80,7 @@
             for router, (address, unreachable) in self.reports.items()
             if address and unreachable <= limit
         )
-        has_changed = ring != self._ring
-        self._ring = ring
+        routers = sorted(self.reports)
+        has_changed = (ring, routers) != (self._ring, self._routers)
+        self._ring, self._routers = ring, routers
         return has_changed
--- a/greengagerock/node/tests/test_partitioned_routers.py
+++ b/greengagerock/node/tests/test_partitioned_routers.py
@@ -211,3 +211,37 @@
     load.site.paths.relay_connect_range_s = (0.4, 0.8)
     begun_s = partition(load, GROUPS[group], HANGS)
     check_service(load, GROUPS[group], begun_s)
+
+
+@pytest.mark.parametrize("group", ["some", "zone"])
+def test_callers_of_partitioned_routers_are_served_while_endpoints_accept_connections_late(group):
+    load = PartitionLoad(build_fake_site(seed=16, routers=ROUTERS), budget_s=2.0)
+    load.offer(RATE_PER_S, 3.0)
+    site = load.site
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.max_connect_delay_s = 0.4
+    begun_s = cut_all(load, GROUPS[group])
+    for _ in range(10):
+        # Endpoints close idle connections.
+        for path in [p for p in site.paths.idle_connections if p[1] in site.reporting_endpoints]:
+            del site.paths.idle_connections[path]
+        load.offer(RATE_PER_S, 1.0)
+    site.paths.heal()
+    check_service(load, GROUPS[group], begun_s)
+
+
+@pytest.mark.parametrize("fault", [HANGS, RESETS])
+def test_callers_are_served_while_many_routers_have_lost_one_service_and_others_another(fault):
+    load = PartitionLoad(build_fake_site(seed=17, routers=20))
+    load.offer(2 * RATE_PER_S, 5.0)
+    site = load.site
+    without_till = {f"edge-{number}" for number in (1, 2, 3, 4, 5, 6, 7, 8, 9, 10)}
+    without_docs = {f"edge-{number}" for number in (6, 7, 8, 9, 10, 11, 12, 13, 14, 15)}
+    for routers, service in ((without_till, "till"), (without_docs, "docs")):
+        names = [e.name for e in site.reporting_endpoints.values() if e.service == service]
+        site.paths.cut(routers, names, fault)
+    begun_s = site.now_s
+    load.offer(2 * RATE_PER_S, PARTITION_S)
+    site.paths.heal()
+    check_service(load, without_till | without_docs, begun_s)
+    check_service(load, without_till & without_docs, begun_s)
--- a/greengagerock/testing/fake_reporting_endpoint.py
+++ b/greengagerock/testing/fake_reporting_endpoint.py
@@ -26,6 +26,7 @@
         resets_when_full: Whether it resets connections instead of refusing requests.
         limit_per_s: Requests per second that it says it takes, or ``None``.
         max_connect_delay_s: Longest time until it accepts a new connection.
+        mean_body_bytes: Mean size of the bodies of its responses.
         arrivals: Tuples of time and router, for each request that reached it.
         notified_routers: Time at which each router first got a response that names the limit.
         cold_until_s: Until when it is cold, as it says in its reports.
@@ -51,6 +52,7 @@
         self.resets_when_full = False
         self.limit_per_s = None
         self.max_connect_delay_s = 0.0
+        self.mean_body_bytes = 0
         self.arrivals = []
         self.notified_routers = {}
         self.cold_until_s = 0.0
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -26,6 +26,7 @@
 from greengagerock.node.router_node import RouterNode
 from greengagerock.node.site_config import SiteConfig
 from greengagerock.testing.fake_hosts import FakeDisk, FakeHost
+from greengagerock.testing.fake_links import FakeLinks
 from greengagerock.testing.fake_paths import (
     CONNECT_TIMEOUT_S,
     HANGS,
@@ -45,6 +46,8 @@
 # How a router reads the error code of one that was to forward its request.
 RELAY_REASONS = {
     "connect-failed": "connect",
+    "connection-late": "connect-timeout",
+    "path-lost": "path-lost",
     "answer-lost": "lost",
     "deadline-exceeded": "timeout",
 }
@@ -70,6 +73,7 @@
         seed: Seed of delays and nodes.
         hold_s: Time that an endpoint holds keys after a report.
         admits_by_load: Whether routers hold back and refuse calls by the load of endpoints.
+        link_bytes_per_s: Speed of the links of routers, or ``None`` if they are fast.
         **options: Options of ``FakeSystem``.
 
     Attributes:
@@ -77,13 +81,14 @@
         replies: Values of ``Respond`` effects by token.
         double_holds: Tuples of time, two endpoint names and up to three units that both held.
         paths: The ``FakePaths`` between routers and endpoints.
+        links: The ``FakeLinks`` of routers.
         by_relay_address: Hosts by the address at which they take requests of other routers.
         calls_of_relays: Tokens of requests that routers forward for others.
         relayed: Host, number of its run and token there, by the token of the relayed request.
         relayed_count: Number of requests that were sent through relays.
     """
 
-    def __init__(self, seed=1, hold_s=6.0, admits_by_load=False, **options):
+    def __init__(self, seed=1, hold_s=6.0, admits_by_load=False, link_bytes_per_s=None, **options):
         super().__init__(seed, **options)
         self.hold_s = hold_s
         self.admits_by_load = admits_by_load
@@ -92,6 +97,7 @@
         self.double_holds = []
         self.calls = {}
         self.paths = FakePaths()
+        self.links = FakeLinks(link_bytes_per_s)
         self.by_relay_address = {}
         self.calls_of_relays = set()
         self.relayed = {}
@@ -109,6 +115,7 @@
             tuple(seeds),
             may_bootstrap,
             hold_s=self.hold_s,
+            link_bytes_per_s=self.links.bytes_per_s if role == "router" else None,
             relay_address=f"{name}:7001" if role == "router" else "",
             admits_by_load=self.admits_by_load,
         )
@@ -274,7 +281,7 @@
                 case Forward():
                     self._forward_call(host, effect)
                 case RespondWithError(token) if token in self.calls_of_relays:
-                    self._on_relay_error(effect)
+                    self._on_relay_error(host, effect)
                 case RespondWithError(token):
                     self._record_response(token, effect)
                 case CancelAttempt(token):
@@ -310,8 +317,9 @@
             reason = "connect-timeout" if is_silent else "connect"
             delay_s = connect_timeout_s if is_silent else CALL_DELAY_S
             self._fail_attempt(host, effect.token, reason, False, delay_s)
-        elif not is_reused and endpoint.max_connect_delay_s:
+        elif not is_reused and (endpoint.max_connect_delay_s or self.links.bytes_per_s):
             delay_s = self.random.uniform(0, endpoint.max_connect_delay_s)
+            delay_s += self.links.open_s(path[:1], self.now_s)
             if delay_s > connect_timeout_s:
                 self._fail_attempt(host, effect.token, "connect-timeout", False, connect_timeout_s)
             else:
@@ -379,7 +387,7 @@
             return
         connect_s = 0.0
         if not self.paths.take_connection(path):
-            connect_s = self.random.uniform(*self.paths.relay_connect_range_s)
+            connect_s = self._relay_connect_s(path)
         if connect_s > connect_timeout_s:
             self._fail_attempt(host, effect.token, "relay-late", False, connect_timeout_s)
             return
@@ -401,7 +409,10 @@
             failure = AttemptFailed(origin_token, reason, has_sent_bytes, False)
             self._end_request(host, run_number, origin_token, failure)
 
-    def _on_relay_error(self, error):
+    def _on_relay_error(self, relay, error):
+        if error.token in self.relayed:
+            origin, _, _ = self.relayed[error.token]
+            self.paths.add_connection((origin.config.host.name, relay.config.host.name))
         reason = RELAY_REASONS.get(error.code, "relay")
         self._fail_relayed(error.token, reason, error.outcome != "not-run")
 
@@ -452,8 +463,11 @@
         """Open connections to a relay; each takes as long as one that a request opens."""
         path = (host.config.host.name, self.by_relay_address[address].config.host.name)
         for _ in range(count - self.paths.idle_connections.get(path, 0)):
-            delay_s = self.random.uniform(*self.paths.relay_connect_range_s)
-            self.at(delay_s, lambda: self.paths.add_connection(path))
+            self.at(self._relay_connect_s(path), lambda: self.paths.add_connection(path))
+
+    def _relay_connect_s(self, path):
+        delay_s = self.random.uniform(*self.paths.relay_connect_range_s)
+        return delay_s + self.links.open_s(path, self.now_s)
 
     def _respond_with_notices(self, host, run_number, endpoint, token, was_limited):
         """Pass on what the head of a response says about the endpoint's limit and load."""
@@ -489,10 +503,22 @@
             if self.paths.fault_of(path) not in (None, REFUSES_NEW):
                 self._time_out_later(host, path, token, max(0.0, effect.timeout_s - duration_s))
                 return
+            if endpoint.mean_body_bytes:
+                size = int(self.random.expovariate(1 / endpoint.mean_body_bytes))
+                hosts = [path[0]]
+                if token in self.relayed:
+                    hosts.append(self.relayed[token][0].config.host.name)
+                pass_s = self.links.pass_s(hosts, size, self.now_s)
+                self.at(pass_s, lambda: end(pass_s, size))
+            else:
+                end(0.0, 0)
+
+        def end(pass_s, size):
             if not self.paths.end(path, token, True):
                 return
             self._respond_with_notices(host, run_number, endpoint, token, effect.is_limited)
-            self._end_request(host, run_number, token, RequestEnded(token, True, duration_s))
+            ended = RequestEnded(token, True, duration_s + pass_s, size)
+            self._end_request(host, run_number, token, ended)
 
         self.at(duration_s, complete)
 
--- a/greengagerock/testing/item_builders.py
+++ b/greengagerock/testing/item_builders.py
@@ -43,13 +43,13 @@
     return CallerLimits(version, 16_384, 1_048_576, 3.0, 15.0)
 
 
-def build_first_patch(warm_up=None):
+def build_first_patch(warm_up=None, **route_fields):
     """Return a patch with a keyed service, an unkeyed service, and routes to both."""
     return Patch(
         routes=(
-            build_route("balance"),
-            build_route("charge", kind="unsafe"),
-            build_route("prices", weighted_services=(("docs", 1),)),
+            build_route("balance", **route_fields),
+            build_route("charge", kind="unsafe", **route_fields),
+            build_route("prices", weighted_services=(("docs", 1),), **route_fields),
         ),
         services=(
             build_service(warm_up=warm_up),
