Let relays say why they could not forward a request, and blame them only for it

Causes, of one class (a time-out read as loss where it is load, and a second path that is as narrow as the first): a relay gave up connecting to the only endpoint of a request after 150 ms; two such late connections let the endpoint count as lost for all routers for up to 2 s; a relay that had lost one service of two refused its requests and went on being asked; and one request without a response took a relay that answered others out of use for 0.5 to 4 s.

--- a/greengagerock/core/errors.py
+++ b/greengagerock/core/errors.py
@@ -51,6 +51,8 @@
     ErrorKind("stopping", 503, "This daemon is stopping.", 1),
     ErrorKind("connect-failed", 503, "The endpoint could not be reached.", 1),
     ErrorKind("relay-unavailable", 503, "The other router cannot forward the request.", 1),
+    ErrorKind("connection-late", 503, "The endpoint did not accept a connection in time.", 1),
+    ErrorKind("path-lost", 503, "This router has lost its paths to the endpoint's group.", 1),
     ErrorKind("endpoint-refused", 503, "The endpoint refused the request without running it.", 1),
     ErrorKind("endpoint-limited", 503, "The endpoint takes only so many requests a second.", 1),
     ErrorKind("zone-evacuated", 503, "All endpoints for the request are in evacuated zones.", 1),
--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -146,7 +146,8 @@
     Attributes:
         token: The request.
         reason: ``connect``, ``connect-timeout``, ``refused``, ``not-owner``, ``lost``,
-            ``reset``, ``timeout``, ``caller``, ``relay`` or ``relay-late``.
+            ``reset``, ``timeout``, ``caller``, ``path-lost``, ``relay`` or
+            ``relay-late``.
         has_sent_bytes: Whether any byte of the request may have been sent to the endpoint.
         is_body_consumed: Whether any byte of the caller's body was consumed.
         connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -27,6 +27,7 @@
         is_share_counted: Whether it has been counted for the least share of its route.
         timer: Pending timer of the call, such as the end of a wait, or ``None``.
         relay: Address of the relay of the current attempt, empty for an own connection.
+        relays_without_endpoint: Number of relays that could not connect to the endpoint.
         tried_relays: Addresses of relays that could not forward it.
         unreached_endpoints: Names of endpoints to which connecting failed.
         connect_failures: Number of attempts that failed to connect.
@@ -60,6 +61,7 @@
         "known_load",
         "may_have_run",
         "relay",
+        "relays_without_endpoint",
         "request_id",
         "route",
         "sent_s",
@@ -91,6 +93,7 @@
         self.sent_s = 0.0
         self.tried_endpoints = []
         self.relay = ""
+        self.relays_without_endpoint = 0
         self.tried_relays = []
         self.unreached_endpoints = []
         self.connect_failures = 0
--- a/greengagerock/routing/endpoint_paths.py
+++ b/greengagerock/routing/endpoint_paths.py
@@ -117,6 +117,19 @@
             call, has_alternative, is_suspect, self.timers.now_s
         )
 
+    def relayed_connect_timeout_s(self, record, left_s):
+        """Return the connect timeout of another router's request, or ``None`` for the configured.
+
+        No other endpoint may run the request, as far as this router can tell.
+
+        Args:
+            record: The ``EndpointRecord`` of the endpoint.
+            left_s: Time until the deadline of the request in seconds.
+        """
+        if self.is_lost(record) or self.detector.is_suspect(record):
+            return None
+        return connect_timeouts.longest_connect_timeout_s(left_s)
+
     def may_probe(self, record, has_alternatives=False):
         """Return whether a request may be sent to a lost endpoint to see whether it is reached.
 
@@ -141,7 +154,7 @@
         until_s, _ = self.unrelayed.get(record.name, (float("-inf"), 0.0))
         if self.timers.now_s < until_s or len(call.tried_relays) >= MAX_RELAYS_PER_CALL:
             return ""
-        return self.relays.pick(call.tried_relays)
+        return self.relays.pick(record.service, call.tried_relays)
 
     # --- Observations --------------------------------------------------------------
 
@@ -188,7 +201,7 @@
     def note_relayed(self, record, relay, response_s):
         """Record a response of an endpoint through a relay."""
         self.unrelayed.pop(record.name, None)
-        self.relays.note_reached(relay, response_s)
+        self.relays.note_reached(relay, record.service, response_s)
 
     def note_unrelayed(self, endpoint):
         """Record that several relays could not reach an endpoint."""
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -17,6 +17,8 @@
 
 # The relay took no request, or its connection broke; the endpoint is not to blame.
 REASON_RELAY = "relay"
+# The relay has lost its own paths to the group of the endpoint.
+REASON_PATH_LOST = "path-lost"
 # A connection to the relay did not open in time.
 REASON_RELAY_LATE = "relay-late"
 
@@ -31,6 +33,7 @@
     REASON_RESET: "answer-lost",
     REASON_TIMEOUT: "deadline-exceeded",
     REASON_CALLER: "bad-request",
+    REASON_PATH_LOST: "connect-failed",
     REASON_RELAY: "relay-unavailable",
     REASON_RELAY_LATE: "relay-unavailable",
 }
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -5,6 +5,7 @@
 from greengagerock.routing.failures import (
     MAX_CONNECT_FAILURES,
     REASON_CONNECT_TIMEOUT,
+    REASON_PATH_LOST,
     REASON_RELAY,
     REASON_RELAY_LATE,
 )
@@ -129,20 +130,28 @@
         """Handle a request that got no response until its deadline."""
         record = self.replica.endpoints.get(endpoint)
         if relay:
-            self.paths.relays.note_failure(relay, "no-response")
+            self.paths.relays.note_no_response(relay, sent_s)
         elif record is not None:
             self.paths.note_no_response(record, sent_s)
 
     def on_not_relayed(self, call, event, endpoint, relay):
-        """Handle a request that a relay did not deliver."""
+        """Handle a request that a relay did not deliver.
+
+        Only a relay that would reach the endpoint's group and was refused by the endpoint, or
+        found it silent, shows that the endpoint itself is lost.
+        """
         call.tried_relays.append(relay)
+        relays = self.paths.relays
         if event.reason == REASON_RELAY_LATE:
-            self.paths.relays.note_late(relay)
+            relays.note_late(relay)
         elif event.reason == REASON_RELAY:
-            self.paths.relays.note_failure(relay, "not-taken")
-        else:
-            self.paths.relays.note_miss(relay)
-            if len(call.tried_relays) >= MIN_RELAYS_OF_LOST_ENDPOINT:
+            relays.note_failure(relay, "not-taken")
+        elif event.reason == REASON_PATH_LOST:
+            relays.note_path_lost(relay, call.service)
+        elif event.reason != REASON_CONNECT_TIMEOUT:
+            call.relays_without_endpoint += 1
+            relays.note_miss(relay)
+            if call.relays_without_endpoint >= MIN_RELAYS_OF_LOST_ENDPOINT:
                 self.paths.note_unrelayed(endpoint)
         self._note_not_delivered(call, endpoint)
         self._send_elsewhere(call)
--- a/greengagerock/routing/relay_pool.py
+++ b/greengagerock/routing/relay_pool.py
@@ -24,6 +24,8 @@
         observation: The ``EndpointObservation`` of the requests sent through it.
         avoided_until_s: Until when it is not used.
         avoidance_s: Length of the next avoidance.
+        lost_services: Until when it is not used for a service to whose endpoints it has lost its
+            own paths, in monotonic seconds, and the length of the next such time, by service.
         is_late: Whether it is avoided only because a connection to it opened late.
         reached_s: When a request sent through it last got a response of an endpoint.
         misses: Number of endpoints in a row that it could not reach.
@@ -34,6 +36,7 @@
         "avoidance_s",
         "avoided_until_s",
         "is_late",
+        "lost_services",
         "misses",
         "observation",
         "reached_s",
@@ -45,9 +48,14 @@
         self.avoided_until_s = float("-inf")
         self.avoidance_s = FIRST_AVOIDANCE_S
         self.is_late = False
+        self.lost_services = {}
         self.reached_s = float("-inf")
         self.misses = 0
 
+    def reaches(self, service, now_s):
+        """Return whether it may be used for a service, as far as it has said."""
+        return now_s >= self.lost_services.get(service, (float("-inf"), 0.0))[0]
+
     def avoid(self, now_s, is_late=False):
         """Do not use the relay for a while; a late one is used if there is no other."""
         self.is_late = is_late
@@ -94,41 +102,37 @@
             self._keep_timer.cancel()
         self._keep_connections()
 
-    def pick(self, excluded):
+    def pick(self, service, excluded):
         """Return the address of the usable relay with the fewest requests, or an empty string.
 
         If there is none, relays to which a connection opened late are usable as well: the link
         that made it late is probably this host's own, so all relays are late at the same time.
 
         Args:
+            service: Service of the request.
             excluded: Addresses of relays that are not to be used.
         """
-        usable = [relay for relay in self._usable() if relay.address not in excluded]
-        if not usable:
-            usable = [relay for relay in self._late() if relay.address not in excluded]
+        candidates = [
+            relay
+            for relay in self.by_address.values()
+            if relay.address not in excluded and relay.reaches(service, self.timers.now_s)
+        ]
+        usable = [r for r in candidates if self._is_usable(r)]
+        usable = usable or [r for r in candidates if self._is_only_late(r)]
         if not usable:
             return ""
         return min(usable, key=lambda r: (r.observation.in_flight, self.random.random())).address
 
     def usable_count(self):
         """Return the number of relays that may be used now."""
-        return len(self._usable())
+        return sum(self._is_usable(relay) for relay in self.by_address.values())
 
-    def _usable(self):
+    def _is_usable(self, relay):
         now_s = self.timers.now_s
-        return [
-            relay
-            for relay in self.by_address.values()
-            if now_s >= relay.avoided_until_s and not relay.observation.is_doubtful(now_s)
-        ]
+        return now_s >= relay.avoided_until_s and not relay.observation.is_doubtful(now_s)
 
-    def _late(self):
-        now_s = self.timers.now_s
-        return [
-            relay
-            for relay in self.by_address.values()
-            if relay.is_late and not relay.observation.is_doubtful(now_s)
-        ]
+    def _is_only_late(self, relay):
+        return relay.is_late and not relay.observation.is_doubtful(self.timers.now_s)
 
     def note_sent(self, address):
         """Record that a request is sent through a relay."""
@@ -143,12 +147,13 @@
         if relay is not None:
             relay.observation.note_ended()
 
-    def note_reached(self, address, response_s):
-        """Record that an endpoint has responded through a relay."""
+    def note_reached(self, address, service, response_s):
+        """Record that an endpoint of a service has responded through a relay."""
         relay = self.by_address.get(address)
         if relay is not None:
             relay.observation.note_response(response_s, None, self.timers.now_s)
             relay.is_late = False
+            relay.lost_services.pop(service, None)
             relay.reached_s = self.timers.now_s
             relay.avoidance_s = FIRST_AVOIDANCE_S
             relay.misses = 0
@@ -166,6 +171,16 @@
                 relay.misses = 0
                 self._avoid(relay, "endpoints-missed")
 
+    def note_no_response(self, address, sent_s):
+        """Record that a request sent through a relay at ``sent_s`` got no response.
+
+        The endpoint or the links may be slow; a relay that has responded to another request since
+        works.
+        """
+        relay = self.by_address.get(address)
+        if relay is not None and relay.observation.silent_since_s <= sent_s:
+            self._avoid(relay, "no-response")
+
     def note_failure(self, address, cause):
         """Record that a relay could not be reached, took no request, or did not respond.
 
@@ -177,6 +192,19 @@
         if relay is not None:
             self._avoid(relay, cause)
 
+    def note_path_lost(self, address, service):
+        """Record that a relay has lost its own paths to the endpoints of a service.
+
+        It is still used for others.
+        """
+        relay = self.by_address.get(address)
+        if relay is not None:
+            now_s = self.timers.now_s
+            relay.observation.note_alive(now_s)
+            _, for_s = relay.lost_services.get(service, (0.0, FIRST_AVOIDANCE_S))
+            next_s = min(MAX_AVOIDANCE_S, 2 * for_s)
+            relay.lost_services[service] = (now_s + for_s, next_s)
+
     def note_late(self, address):
         """Record that a connection to a relay did not open in time."""
         relay = self.by_address.get(address)
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -119,7 +119,9 @@
         elif event.timeout_s < MIN_TIME_LEFT_S:
             self._refuse(event, "relay-unavailable", "no time left before the deadline")
         elif self.paths.is_lost(record) and not self.paths.may_probe(record, True):
-            self._refuse(event, "connect-failed", f"endpoint {event.endpoint} is out of reach")
+            is_group_lost = self.paths.detector.is_presumed_lost(record)
+            code = "path-lost" if is_group_lost else "connect-failed"
+            self._refuse(event, code, f"endpoint {event.endpoint} is out of reach")
         else:
             self._forward(event, record)
 
@@ -128,11 +130,12 @@
         call = self._end(event.token)
         record = self.replica.endpoints.get(call.endpoint)
         if event.reason == REASON_CONNECT or not event.has_sent_bytes:
+            code, outcome = "connect-failed", OUTCOME_NOT_RUN
             if record is not None and event.reason == REASON_CONNECT_TIMEOUT:
-                self.paths.note_timeout(record, self.timers.now_s)
+                if not self.paths.note_timeout(record, self.timers.now_s):
+                    code = "connection-late"
             elif record is not None and event.reason == REASON_CONNECT:
                 self.paths.note_lost(record)
-            code, outcome = "connect-failed", OUTCOME_NOT_RUN
         else:
             code = _CODE_BY_REASON.get(event.reason, "answer-lost")
             outcome = OUTCOME_UNKNOWN
@@ -202,6 +205,7 @@
                 event.timeout_s,
                 self.is_closing,
                 event.is_limited,
+                connect_timeout_s=self.paths.relayed_connect_timeout_s(record, event.timeout_s),
             )
         )
 
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -8,6 +8,7 @@
     REASON_CONNECT,
     REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
+    REASON_PATH_LOST,
     REASON_RELAY,
     REASON_RELAY_LATE,
     REASON_RESET,
@@ -35,6 +36,8 @@
 )
 _REASON_BY_CODE = {
     "connect-failed": REASON_CONNECT,
+    "connection-late": REASON_CONNECT_TIMEOUT,
+    "path-lost": REASON_PATH_LOST,
     "answer-lost": REASON_CONNECTION_LOST,
     "deadline-exceeded": REASON_TIMEOUT,
 }
