Bound what callers send in size and in time, and trailers of endpoints

Here a caller could do the same: the HTTP server read the line with the size of a chunk, and trailers, without a bound, and a whole chunk of up to the limit of bodies at once. A time-out counted from the last byte, so a client that sends one byte at a time held a worker thread without end, in the head, in a body, and in a body that is read away after the response.

Chunks are now read in pieces of 64 KiB, their lines and the trailers have a bound, and all reads of a head, a body or the rest of one end by a deadline: the time of the operator's limits, or the time of the request once it is being forwarded. Trailers of endpoints end after 64 KiB.

--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -238,6 +238,8 @@
         Returns:
             A response whose body is unread, or an ``AttemptFailed`` event.
         """
+        if self.has_unread_body():
+            self.environ["greengage.end_reading_within"](forward.timeout_s)
         attempt = Attempt(self._watchable_descriptor(), self.request_id)
         self.current_attempt = attempt
         self.app.bridge.register_attempt(self.token, attempt)
@@ -338,6 +340,7 @@
     def discard_body(self):
         """Read what is left of the caller's body after the response."""
         if self.has_unread_body():
+            self.environ["greengage.end_reading_within"](DISCARD_S)
             self.body.discard(DISCARD_S)
 
     def _close_if_unread(self):
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -12,6 +12,7 @@
 from cherrypy._cpwsgi_server import CPWSGIServer
 
 from greengagerock.core import ERROR_KINDS, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from greengagerock.web.bounded_input import BoundedChunks, make_file
 from greengagerock.web.worker_pool import ElasticWorkerPool
 
 # Number of worker threads that a server keeps while it has no requests.
@@ -115,6 +116,15 @@
 
     header_reader = StrictHeaderReader()
 
+    def parse_request(self):
+        """Read the head within the time that callers have for it; the body has as long.
+
+        The application gives a body that it passes on the time of its request instead.
+        """
+        self.conn.rfile.end_within(self.server.read_timeout_s)
+        super().parse_request()
+        self.conn.rfile.end_within(self.server.read_timeout_s)
+
     def read_request_headers(self):
         """Read the headers; reject a request with a content length and chunked encoding."""
         if not super().read_request_headers():
@@ -156,14 +166,21 @@
     """A WSGI gateway that adds the caller's connection to the environment.
 
     ``greengage.descriptor`` is the descriptor of its socket, ``greengage.close_connection`` a
-    function after whose call the server reads no further request on it.
+    function after whose call the server reads no further request on it, and
+    ``greengage.end_reading_within`` a function that sets the time for the rest of the body.
     """
 
+    def __init__(self, req):
+        if req.chunked_read:
+            req.rfile = BoundedChunks(req.conn.rfile, req.server.max_request_body_size)
+        super().__init__(req)
+
     def get_environ(self):
         """Return the WSGI environment."""
         environ = super().get_environ()
         environ["greengage.descriptor"] = self.req.conn.socket.fileno()
         environ["greengage.close_connection"] = self.close_connection
+        environ["greengage.end_reading_within"] = self.req.conn.rfile.end_within
         return environ
 
     def close_connection(self):
@@ -221,10 +238,13 @@
 
 
 class JsonErrorConnection(HTTPConnection):
-    """A connection whose requests are ``JsonErrorRequest`` objects."""
+    """A connection whose requests are ``JsonErrorRequest`` objects, with bounded input."""
 
     RequestHandlerClass = JsonErrorRequest
 
+    def __init__(self, server, sock, makefile=make_file):
+        super().__init__(server, sock, make_file)
+
 
 def error_body(code, outcome, detail=""):
     """Return the JSON body of an error response from this host."""
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -22,6 +22,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Longest line of a response's head, chunk sizes and trailers.
 MAX_LINE_BYTES = 64 * 1024
+# Longest sequence of lines without data between them, such as trailers; they are not passed on.
+MAX_TRAILER_BYTES = 64 * 1024
 # Largest body of a refusal that is read; the bytes of a longer one may have no end.
 MAX_DISCARDED_BYTES = 4096
 BODY_CHUNK_BYTES = 64 * 1024
@@ -140,7 +142,7 @@
 
 
 class LineReader:
-    """The file of a socket, with lines that are complete and of bounded length.
+    """The file of a socket, with lines that are complete and of bounded length and number.
 
     The standard library and urllib3 take the end of the connection for the end of a line, so
     that a truncated head or chunk size would pass for a complete one.
@@ -150,18 +152,20 @@
 
     Attributes:
         left_head_bytes: Number of bytes that the head may still have, ``None`` after the head.
+        left_line_bytes: Number of bytes that lines may still have before the next data.
     """
 
     def __init__(self, file):
         self.file = file
         self.left_head_bytes = MAX_HEAD_BYTES
+        self.left_line_bytes = MAX_TRAILER_BYTES
 
     def readline(self, limit=MAX_LINE_BYTES):
         """Read a line.
 
         Raises:
-            HTTPException: If the line is truncated or longer than ``MAX_LINE_BYTES``, or the head
-                is truncated or longer than ``MAX_HEAD_BYTES``.
+            HTTPException: If the line is truncated or longer than ``MAX_LINE_BYTES``, the head is
+                truncated or longer than ``MAX_HEAD_BYTES``, or the trailers are too long.
         """
         line = self.file.readline(min(limit, MAX_LINE_BYTES) if limit >= 0 else MAX_LINE_BYTES)
         if self.left_head_bytes is not None:
@@ -170,10 +174,19 @@
             self.left_head_bytes -= len(line)
             if self.left_head_bytes < 0:
                 raise HTTPException(f"response head longer than {MAX_HEAD_BYTES} bytes")
+        else:
+            self.left_line_bytes -= len(line)
+            if self.left_line_bytes < 0:
+                raise HTTPException(f"trailers longer than {MAX_TRAILER_BYTES} bytes")
         if line and not line.endswith(b"\n"):
             raise HTTPException(f"line truncated or too long: got {len(line)} bytes")
         return line
 
+    def read(self, size=-1):
+        """Read data, after which lines may follow again."""
+        self.left_line_bytes = MAX_TRAILER_BYTES
+        return self.file.read(size)
+
     def __getattr__(self, name):
         return getattr(self.file, name)
 
