--- a/greengagerock/testing/fake_hosts.py
+++ b/greengagerock/testing/fake_hosts.py
@@ -38,10 +38,12 @@
         paused_events: Events that arrived while the process is paused; ``None`` while it runs.
         run_number: Incremented by each start and crash, so that effects of an earlier run of
             the process are dropped.
+        crash_times_s: When its process crashed, which ends the connections of its callers.
     """
 
     def __init__(self, config, disk):
         self.config = config
+        self.crash_times_s = []
         self.disk = disk
         self.node = None
         self.paused_events = None
--- a/greengagerock/testing/fake_system.py
+++ b/greengagerock/testing/fake_system.py
@@ -124,6 +124,7 @@
         """Kill a host's process; records that are not synced are lost."""
         host = self.hosts[name]
         host.run_number += 1
+        host.crash_times_s.append(self.now_s)
         host.node = None
 
     def lose_disk(self, name, identity):
--- a/greengagerock/testing/partition_load.py
+++ b/greengagerock/testing/partition_load.py
@@ -104,11 +104,20 @@
             is_refusal = isinstance(result, RespondWithError) and result.outcome == "not-run"
             if is_refusal and runs:
                 found.append(f"{request_id} ran, but its caller got {result.code}")
-            end_s = self.site.responded_at_s.get(first_try.token, self.site.now_s)
+            end_s = self._end_s(first_try)
             if end_s > first_try.deadline_s + FINAL_RESPONSE_S:
                 found.append(f"{request_id} had no response at {end_s:.3f} s")
         return found
 
+    def _end_s(self, first_try):
+        """Return when a caller got a response, or its connection ended with the router's process.
+
+        Without either, that is the present time.
+        """
+        end_s = self.site.responded_at_s.get(first_try.token, self.site.now_s)
+        crash_times_s = self.site.hosts[first_try.router].crash_times_s
+        return min([end_s, *(s for s in crash_times_s if s >= first_try.sent_s)])
+
     def excess_arrivals(self, ratio, slack):
         """Return by how many arrivals beyond the first of each request the budget is exceeded."""
         arrivals = sum(len(e.arrivals) for e in self.site.reporting_endpoints.values())
