Forward long responses for other routers only while no own one uses the link

Cause: each relayed response passes the relay's link in both directions, beside those of its own callers, and nothing bounded them. Longer connect timeouts alone made it worse: more requests waited.

A relay with a slow link now refuses another router's request for a long response while one of its own or another relayed one has a turn; the router tries two others, and then lets its caller come back, mostly to a router that needs no relay. Short requests are forwarded as before.

A relay also ends a response without end by itself, 6 s after the deadline of the request, if the other router does not.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -101,6 +101,7 @@
         endpoint: Name of the endpoint.
         timeout_s: Remaining time for the request, in seconds.
         is_limited: Whether the other router has a limit of the endpoint.
+        is_long: Whether the response may occupy a slow link for long.
     """
 
     token: int
@@ -108,6 +109,7 @@
     endpoint: str
     timeout_s: float
     is_limited: bool = False
+    is_long: bool = False
 
 
 class EndpointReportArrived(msgspec.Struct, frozen=True):
@@ -146,8 +148,8 @@
     Attributes:
         token: The request.
         reason: ``connect``, ``connect-timeout``, ``refused``, ``not-owner``, ``lost``,
-            ``reset``, ``timeout``, ``caller``, ``path-lost``, ``relay`` or
-            ``relay-late``.
+            ``reset``, ``timeout``, ``caller``, ``link-busy``, ``path-lost``,
+            ``relay`` or ``relay-late``.
         has_sent_bytes: Whether any byte of the request may have been sent to the endpoint.
         is_body_consumed: Whether any byte of the caller's body was consumed.
         connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
@@ -300,6 +302,7 @@
             an own connection.
         connect_timeout_s: Timeout of connecting if it is longer than the configured one, else
             ``None``.
+        is_long: Whether the response may occupy a slow link for long.
     """
 
     token: int
@@ -311,6 +314,7 @@
     is_limited: bool = False
     relay: str = ""
     connect_timeout_s: float | None = None
+    is_long: bool = False
 
 
 class RespondWithError(msgspec.Struct, frozen=True):
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -113,6 +113,7 @@
             self.outbox,
             self.dispatcher.zone_evacuations,
             self.dispatcher.path_report,
+            self.dispatcher.sender,
         )
         self.router_count = RouterCount()
         self.had_leader = False
--- a/greengagerock/routing/call_sender.py
+++ b/greengagerock/routing/call_sender.py
@@ -161,6 +161,16 @@
         self.admission.remove(call.token)
         self._release_turn(call, is_complete)
 
+    def try_start_relayed(self, token):
+        """Let a long response for another router use the link; return whether it may."""
+        return self.link_schedule.try_start_relayed(token, self.timers.now_s)
+
+    def end_relayed(self, token):
+        """Give the turn of another router's request that has ended, if it had one, to calls."""
+        self.link_schedule.end(token, self.timers.now_s, is_complete=False)
+        if self.calls_awaiting_turns:
+            self._start_next_turns()
+
     def _release_turn(self, call, is_complete=False):
         self.calls_awaiting_turns.pop(call.token, None)
         self.link_schedule.end(call.token, self.timers.now_s, is_complete)
@@ -399,5 +409,6 @@
                 self.limits.is_limited(record, now_s),
                 relay,
                 self.paths.connect_timeout_s(call, record, self.is_keyed(call)),
+                self.link_schedule.is_long(call.route),
             )
         )
--- a/greengagerock/routing/failures.py
+++ b/greengagerock/routing/failures.py
@@ -17,6 +17,8 @@
 
 # The relay took no request, or its connection broke; the endpoint is not to blame.
 REASON_RELAY = "relay"
+# A long response uses the link of the relay, so it forwards no request for another one.
+REASON_LINK_BUSY = "link-busy"
 # The relay has lost its own paths to the group of the endpoint.
 REASON_PATH_LOST = "path-lost"
 # A connection to the relay did not open in time.
@@ -33,6 +35,7 @@
     REASON_RESET: "answer-lost",
     REASON_TIMEOUT: "deadline-exceeded",
     REASON_CALLER: "bad-request",
+    REASON_LINK_BUSY: "connect-failed",
     REASON_PATH_LOST: "connect-failed",
     REASON_RELAY: "relay-unavailable",
     REASON_RELAY_LATE: "relay-unavailable",
--- a/greengagerock/routing/link_schedule.py
+++ b/greengagerock/routing/link_schedule.py
@@ -124,6 +124,20 @@
         self.waiting.append((token, now_s + on_time_s))
         return WaitForTurn()
 
+    def try_start_relayed(self, token, now_s):
+        """Let a long response for another router start if no other uses the link; return whether.
+
+        It passes the link in both directions, and takes the time of requests of own callers. The
+        caller of the other router can come back to one that needs no relay.
+        """
+        if self.bytes_per_s is None:
+            return True
+        self._expire(now_s)
+        if self.running or self.waiting:
+            return False
+        self._start(token, now_s)
+        return True
+
     def end(self, token, now_s, is_complete=True):
         """Process the end of a request, or of its wait."""
         entry = self.running.pop(token, None)
--- a/greengagerock/routing/path_failures.py
+++ b/greengagerock/routing/path_failures.py
@@ -5,6 +5,7 @@
 from greengagerock.routing.failures import (
     MAX_CONNECT_FAILURES,
     REASON_CONNECT_TIMEOUT,
+    REASON_LINK_BUSY,
     REASON_PATH_LOST,
     REASON_RELAY,
     REASON_RELAY_LATE,
@@ -148,7 +149,7 @@
             relays.note_failure(relay, "not-taken")
         elif event.reason == REASON_PATH_LOST:
             relays.note_path_lost(relay, call.service)
-        elif event.reason != REASON_CONNECT_TIMEOUT:
+        elif event.reason not in (REASON_CONNECT_TIMEOUT, REASON_LINK_BUSY):
             call.relays_without_endpoint += 1
             relays.note_miss(relay)
             if call.relays_without_endpoint >= MIN_RELAYS_OF_LOST_ENDPOINT:
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -2,7 +2,7 @@
 
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.core.interface import CancelAttempt, Forward, RespondWithError, WatchCaller
-from greengagerock.routing.attempt_watch import WATCH_AFTER_S
+from greengagerock.routing.attempt_watch import STREAM_GRACE_S, WATCH_AFTER_S
 from greengagerock.routing.call_sender import MIN_TIME_LEFT_S
 from greengagerock.routing.failures import (
     REASON_CONNECT,
@@ -14,6 +14,9 @@
 # Largest number of such requests at once; it leaves the host's capacity to its own callers.
 MAX_RELAYED_CALLS = 48
 
+# Time after the deadline at which a response is ended that the other router should have ended.
+RELAY_GRACE_S = STREAM_GRACE_S + 1.0
+
 _CODE_BY_REASON = {
     REASON_TIMEOUT: "deadline-exceeded",
     REASON_CONNECTION_LOST: "answer-lost",
@@ -60,6 +63,7 @@
         outbox: Receives effects.
         zone_evacuations: The ``ZoneEvacuations``.
         path_report: The ``PathReport``.
+        sender: The ``CallSender``, whose calls use the same link.
 
     Attributes:
         by_token: Requests in progress by token.
@@ -80,6 +84,7 @@
         outbox,
         zone_evacuations,
         path_report,
+        sender,
     ):
         self.replica = replica
         self.paths = paths
@@ -91,6 +96,7 @@
         self.outbox = outbox
         self.zone_evacuations = zone_evacuations
         self.path_report = path_report
+        self.sender = sender
         self.by_token = {}
         self.is_closing = False
         self.closes_s = float("inf")
@@ -122,6 +128,8 @@
             is_group_lost = self.paths.detector.is_presumed_lost(record)
             code = "path-lost" if is_group_lost else "connect-failed"
             self._refuse(event, code, f"endpoint {event.endpoint} is out of reach")
+        elif event.is_long and not self.sender.try_start_relayed(event.token):
+            self._refuse(event, "link-busy", "a long response uses the link")
         else:
             self._forward(event, record)
 
@@ -193,9 +201,8 @@
 
     def _forward(self, event, record):
         call = self.by_token[event.token] = RelayedCall(event, record)
-        call.timer = self.timers.subscribe(
-            WATCH_AFTER_S, lambda: self.outbox.add(WatchCaller(event.token))
-        )
+        ends_s = self.timers.now_s + event.timeout_s + RELAY_GRACE_S
+        call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._watch(call, ends_s))
         self.outbox.add(
             Forward(
                 event.token,
@@ -209,6 +216,19 @@
             )
         )
 
+    def _watch(self, call, ends_s):
+        """Watch the connection of the other router, and end a response that has no end.
+
+        The other router ends it earlier, unless it has stopped or is cut off itself.
+        """
+        self.outbox.add(WatchCaller(call.token))
+        wait_s = max(WATCH_AFTER_S, ends_s - self.timers.now_s)
+        call.timer = self.timers.subscribe(wait_s, lambda: self._cancel_overdue(call))
+
+    def _cancel_overdue(self, call):
+        self.outbox.add(CancelAttempt(call.token))
+        call.timer = self.timers.subscribe(WATCH_AFTER_S, lambda: self._cancel_overdue(call))
+
     def _refuse(self, event, code, detail):
         self.outbox.log(
             "relay-refused",
@@ -224,4 +244,5 @@
     def _end(self, token):
         call = self.by_token.pop(token)
         call.timer.cancel()
+        self.sender.end_relayed(token)
         return call
--- a/greengagerock/routing/tests/test_relay_causes.py
+++ b/greengagerock/routing/tests/test_relay_causes.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from greengagerock.core.interface import AttemptFailed, Forward, RelayArrived, RequestEnded
+from greengagerock.core.interface import (
+    AttemptFailed,
+    CancelAttempt,
+    Forward,
+    RelayArrived,
+    RequestEnded,
+)
 from greengagerock.routing.partition_detector import LOSS_SPAN_S
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 
@@ -117,3 +123,78 @@
     pool.note_ended(RELAYS[0])
     pool.note_ended(RELAYS[0])
     assert pool.usable_count() == (2 if has_responded else 1)
+
+
+LINK_BYTES_PER_S = 250_000
+
+
+@pytest.fixture
+def slow_harness():
+    """Return a dispatcher whose link is slow and whose route ``prices`` has long responses."""
+    harness = DispatcherHarness(link_bytes_per_s=LINK_BYTES_PER_S)
+    harness.dispatcher.sender.link_schedule.note_size("prices", LINK_BYTES_PER_S)
+    return harness
+
+
+def arrive_long(harness, relayed_calls, token):
+    """Let another router's request for a long response arrive; return the last effect."""
+    relayed_calls.on_arrival(RelayArrived(token, "r1", "docs-1", 2.0, False, True))
+    return harness.effects()[-1]
+
+
+def test_long_response_for_another_router_waits_for_no_own_one(slow_harness):
+    """Relayed responses filled the links on which relays serve their own callers."""
+    relayed_calls = slow_harness.build_relayed_calls()
+    token = slow_harness.call("prices")
+    slow_harness.effects()
+    response = arrive_long(slow_harness, relayed_calls, 900)
+    assert (response.code, response.outcome) == ("link-busy", "not-run")
+    assert isinstance(arrive(slow_harness, relayed_calls, "docs-1"), Forward)
+    slow_harness.dispatcher.on_ended(RequestEnded(token, True, 0.05, LINK_BYTES_PER_S))
+    assert isinstance(arrive_long(slow_harness, relayed_calls, 902), Forward)
+
+
+@pytest.mark.parametrize("event", [RequestEnded(901, True, 0.1), None])
+def test_turn_of_a_relayed_response_goes_to_waiting_calls_when_it_ends(slow_harness, event):
+    relayed_calls = slow_harness.build_relayed_calls()
+    slow_harness.dispatcher.sender.link_schedule.mean_duration_s = 0.05
+    assert isinstance(arrive_long(slow_harness, relayed_calls, 901), Forward)
+    for _ in range(2):
+        slow_harness.call("prices", budget_s=9.0)
+    waiting = slow_harness.call("prices", budget_s=9.0)
+    slow_harness.effects()
+    if event is None:
+        relayed_calls.on_attempt_failed(AttemptFailed(901, "lost", True, False))
+    else:
+        relayed_calls.on_ended(event)
+    sent = [e.token for e in slow_harness.effects() if isinstance(e, Forward)]
+    assert sent == [waiting]
+
+
+def test_request_for_a_long_response_says_so_and_tries_another_relay(slow_harness):
+    slow_harness.dispatcher.paths.on_relays(RELAYS)
+    for name in slow_harness.replica.by_service["docs"]:
+        lose(slow_harness, name)
+    token, first = send(slow_harness, "prices")
+    assert (first.is_long, bool(first.relay)) == (True, True)
+    slow_harness.fail(token, "link-busy", has_sent_bytes=False)
+    second = slow_harness.effects()[-1]
+    assert {first.relay, second.relay} == set(RELAYS)
+    assert slow_harness.dispatcher.paths.relays.usable_count() == len(RELAYS)
+
+
+def test_fast_links_forward_any_number_of_long_responses(harness, relayed_calls):
+    for token in range(900, 905):
+        assert isinstance(arrive_long(harness, relayed_calls, token), Forward)
+
+
+def test_response_without_end_is_cancelled_although_the_other_router_stays(harness, relayed_calls):
+    """The relay left that to the other router, which may be frozen or cut off."""
+    arrive(harness, relayed_calls)
+    harness.advance(7.9)
+    assert not [e for e in harness.outbox.drain() if isinstance(e, CancelAttempt)]
+    harness.advance(0.5)
+    assert CancelAttempt(900) in harness.outbox.drain()
+    relayed_calls.on_attempt_failed(AttemptFailed(900, "lost", True, False))
+    harness.advance(5.0)
+    assert not [e for e in harness.outbox.drain() if isinstance(e, CancelAttempt)]
--- a/greengagerock/testing/dispatcher_harness.py
+++ b/greengagerock/testing/dispatcher_harness.py
@@ -98,6 +98,7 @@
             self.outbox,
             dispatcher.zone_evacuations,
             dispatcher.path_report,
+            dispatcher.sender,
         )
 
     def advance(self, seconds):
--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -47,6 +47,7 @@
 RELAY_REASONS = {
     "connect-failed": "connect",
     "connection-late": "connect-timeout",
+    "link-busy": "link-busy",
     "path-lost": "path-lost",
     "answer-lost": "lost",
     "deadline-exceeded": "timeout",
@@ -397,7 +398,12 @@
         self.calls_of_relays.add(token)
         self.relayed[token] = (host, host.run_number, effect.token)
         arrival = RelayArrived(
-            token, call.request_id, effect.endpoint, effect.timeout_s, effect.is_limited
+            token,
+            call.request_id,
+            effect.endpoint,
+            effect.timeout_s,
+            effect.is_limited,
+            effect.is_long,
         )
         self.at(connect_s + CALL_DELAY_S, lambda: self._feed(relay, arrival))
         self.at(effect.timeout_s, lambda: self._fail_relayed(token, "timeout", True))
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -8,6 +8,7 @@
     REASON_CONNECT,
     REASON_CONNECT_TIMEOUT,
     REASON_CONNECTION_LOST,
+    REASON_LINK_BUSY,
     REASON_PATH_LOST,
     REASON_RELAY,
     REASON_RELAY_LATE,
@@ -17,10 +18,12 @@
 from greengagerock.web.native_dialect import HOP_BY_HOP
 from greengagerock.web.route_dialect import parse_timeout_s
 
-# In requests: the endpoint, the remaining time, and whether the endpoint has named a limit.
+# In requests: the endpoint, the remaining time, whether the endpoint has named a limit, and
+# whether the response may be long.
 ENDPOINT_HEADER = "greengage-relay-endpoint"
 TIMEOUT_HEADER = "greengage-relay-timeout-ms"
 LIMITED_HEADER = "greengage-relay-limited"
+LONG_HEADER = "greengage-relay-long"
 # In responses: ``endpoint`` for a response of the endpoint, else an error code and an outcome.
 RESULT_HEADER = "Greengage-Relay-Result"
 RESULT_ENDPOINT = "endpoint"
@@ -28,7 +31,7 @@
 # Longest time for which a request of another router is forwarded.
 MAX_TIMEOUT_S = 600.0
 
-_REQUEST_HEADERS = frozenset({ENDPOINT_HEADER, TIMEOUT_HEADER, LIMITED_HEADER})
+_REQUEST_HEADERS = frozenset({ENDPOINT_HEADER, TIMEOUT_HEADER, LIMITED_HEADER, LONG_HEADER})
 _CONNECTION_FAILURES = (
     REASON_CONNECT,
     REASON_CONNECTION_LOST,
@@ -37,6 +40,7 @@
 _REASON_BY_CODE = {
     "connect-failed": REASON_CONNECT,
     "connection-late": REASON_CONNECT_TIMEOUT,
+    "link-busy": REASON_LINK_BUSY,
     "path-lost": REASON_PATH_LOST,
     "answer-lost": REASON_CONNECTION_LOST,
     "deadline-exceeded": REASON_TIMEOUT,
@@ -77,7 +81,8 @@
         if not endpoint or timeout is None:
             raise GreengageError("bad-request", "endpoint or remaining time is missing")
         timeout_s = min(MAX_TIMEOUT_S, parse_timeout_s(timeout))
-        return RelayArrived(token, request_id, endpoint, timeout_s, LIMITED_HEADER in headers)
+        is_limited, is_long = LIMITED_HEADER in headers, LONG_HEADER in headers
+        return RelayArrived(token, request_id, endpoint, timeout_s, is_limited, is_long)
 
     def service_label(self, event):
         """Return the ``service`` label of the request in the latency metric."""
@@ -120,6 +125,8 @@
     }
     if forward.is_limited:
         added[LIMITED_HEADER] = "1"
+    if forward.is_long:
+        added[LONG_HEADER] = "1"
     return headers | added
 
 
