Bound bodies at controllers and responses at the command line and the agent

A controller read bodies of up to 8 MiB on each of twelve threads, for reports of endpoints as well, and a body of many small chunks was copied again for each of them: a test of 8 MiB in chunks of five bytes did not end within ten minutes. A refused body that was not read was taken for the next request. The command line and the agent read whole responses of any length, one byte at a time if they came so.

Reports now have 256 KiB, patches 8 MiB and two long ones at a time; others get busy, 503, and come back. Bodies that are refused close the connection. BoundedClient ends responses in size and in time; LineReader and StrictResponse move to a module of their own.

--- a/greengagerock/agent/announcer.py
+++ b/greengagerock/agent/announcer.py
@@ -8,8 +8,11 @@
 
 from greengagerock.model import AnnouncementReply
 from greengagerock.model.timing import ANNOUNCE_INTERVAL_S
+from greengagerock.web.bounded_client import BoundedClient
 
 ANNOUNCE_TIMEOUT_S = 1.0
+# Longest reply; it lists the ranges that the endpoint holds.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 RETRY_INTERVAL_S = 0.1
 CHANGE_ANNOUNCEMENT_DELAY_S = 0.005
 
@@ -36,7 +39,7 @@
         self.paused_event = threading.Event()
         self._address_index = 0
         self._stopped = threading.Event()
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = BoundedClient(ANNOUNCE_TIMEOUT_S, MAX_REPLY_BYTES)
         self._thread = threading.Thread(target=self._run, name="announcer", daemon=True)
 
     def start(self):
@@ -57,16 +60,15 @@
         body = msgspec.json.encode(self.make_announcement())
         sent_s = time.monotonic()
         try:
-            response = self._http.request(
+            status, data = self._http.request(
                 "POST",
                 f"http://{address}/announce",
                 body=body,
                 headers={"Content-Type": "application/json"},
-                timeout=ANNOUNCE_TIMEOUT_S,
             )
-            if response.status != 200:
-                raise urllib3.exceptions.HTTPError(f"status {response.status}")
-            reply = msgspec.json.decode(response.data, type=AnnouncementReply)
+            if status != 200:
+                raise urllib3.exceptions.HTTPError(f"status {status}")
+            reply = msgspec.json.decode(data, type=AnnouncementReply)
         except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
             self._address_index += 1
             return RETRY_INTERVAL_S
--- a/greengagerock/cli/client.py
+++ b/greengagerock/cli/client.py
@@ -5,8 +5,11 @@
 
 from greengagerock.control.operator_messages import OperatorResponse
 from greengagerock.core import GreengageError, TimelineEvent
+from greengagerock.web.bounded_client import BoundedClient
 
 REQUEST_TIMEOUT_S = 10.0
+# Longest response; a time line or a list of items takes a few hundred bytes for each entry.
+MAX_RESPONSE_BYTES = 256 * 1024 * 1024
 
 
 class OperatorClient:
@@ -18,7 +21,7 @@
 
     def __init__(self, address):
         self.address = address
-        self.http = urllib3.PoolManager(retries=False, timeout=REQUEST_TIMEOUT_S)
+        self.http = BoundedClient(REQUEST_TIMEOUT_S, MAX_RESPONSE_BYTES)
 
     def operate(self, request):
         """Send an ``OperatorRequest``.
@@ -65,22 +68,22 @@
     def _exchange(self, method, path, **arguments):
         url = f"http://{self.address}{path}"
         try:
-            response = self.http.request(method, url, **arguments)
+            status, data = self.http.request(method, url, **arguments)
         except urllib3.exceptions.HTTPError as error:
             raise GreengageError("unreachable", f"{self.address}: {error}") from error
-        if response.status == 200:
-            return response.data
+        if status == 200:
+            return data
         try:
-            error_body = msgspec.json.decode(response.data, type=dict)
+            error_body = msgspec.json.decode(data, type=dict)
             raise GreengageError(error_body["code"], error_body.get("detail", ""))
         except (msgspec.MsgspecError, KeyError) as error:
-            detail = f"{self.address}: status {response.status} without an error code"
+            detail = f"{self.address}: status {status} without an error code"
             raise GreengageError("unreachable", detail) from error
 
     def _call(self, method, path, response_type, **arguments):
         url = f"http://{self.address}{path}"
         try:
-            response = self.http.request(method, url, **arguments)
-            return msgspec.json.decode(response.data, type=response_type)
+            _, data = self.http.request(method, url, **arguments)
+            return msgspec.json.decode(data, type=response_type)
         except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
             raise GreengageError("unreachable", f"{self.address}: {error}") from error
--- a/greengagerock/testing/control_calls.py
+++ b/greengagerock/testing/control_calls.py
@@ -51,3 +51,30 @@
     }
     application(environ, lambda status, headers: statuses.append(status))
     return statuses[0], bridge.events
+
+
+def post_body(path, stream, length, application=None):
+    """Send a POST request with a body to a controller that decides nothing.
+
+    Args:
+        path: Path of the request.
+        stream: File with the body; one in chunks if ``length`` is ``None``.
+        length: Value of ``Content-Length``.
+        application: The ``ControlApplication``, or ``None`` for a new one.
+
+    Returns:
+        The status line, and whether the connection is closed after the response.
+    """
+    statuses, closings = [], []
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": path,
+        "wsgi.input": stream,
+        "wsgi.input_terminated": length is None,
+        "greengage.close_connection": lambda: closings.append(True),
+    }
+    if length is not None:
+        environ["CONTENT_LENGTH"] = length
+    application = application or ControlApplication(FakeBridge(None), lambda event, **fields: None)
+    application(environ, lambda status, headers: statuses.append(status))
+    return statuses[0], bool(closings)
--- /dev/null
+++ b/greengagerock/web/bounded_client.py
@@ -0,0 +1,70 @@
+"""HTTP client whose responses end in size and in time."""
+
+import io
+import time
+
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from greengagerock.web.bounded_input import TimedSocketIO
+from greengagerock.web.strict_response import StrictResponse
+
+
+class TimedResponse(StrictResponse):
+    """A response that ends within the time-out of its connection, however its bytes arrive."""
+
+    def __init__(self, sock, *arguments, **options):
+        super().__init__(sock, *arguments, **options)
+        self.fp.close()
+        # ``makefile`` counts the files of a socket, so that the last one closes it.
+        sock._io_refs += 1
+        raw = TimedSocketIO(sock, "rb")
+        raw.deadline_s = time.monotonic() + (sock.gettimeout() or float("inf"))
+        self.fp = io.BufferedReader(raw)
+
+
+class TimedConnection(HTTPConnection):
+    """A connection of ``TimedResponse`` objects."""
+
+    response_class = TimedResponse
+
+
+class TimedPool(urllib3.HTTPConnectionPool):
+    """A connection pool of ``TimedConnection`` objects."""
+
+    ConnectionCls = TimedConnection
+
+
+class BoundedClient:
+    """Sends requests and reads whole responses.
+
+    Args:
+        timeout_s: Time for connecting, and for a response, in seconds.
+        max_bytes: Largest body that is read.
+    """
+
+    def __init__(self, timeout_s, max_bytes):
+        self.max_bytes = max_bytes
+        self.pools = urllib3.PoolManager(retries=False, timeout=timeout_s)
+        self.pools.pool_classes_by_scheme = {"http": TimedPool}
+
+    def request(self, method, url, **arguments):
+        """Send a request; return the status and the body of the response.
+
+        Raises:
+            HTTPError: If there is no whole response in time, or its body is too long.
+        """
+        response = self.pools.request(method, url, preload_content=False, **arguments)
+        try:
+            body = response.read(self.max_bytes + 1)
+            if len(body) > self.max_bytes:
+                raise HTTPError(f"response longer than {self.max_bytes} bytes")
+        except OSError as error:
+            response.close()
+            raise HTTPError(str(error)) from error
+        except HTTPError:
+            response.close()
+            raise
+        response.release_conn()
+        return response.status, body
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -2,6 +2,7 @@
 
 import re
 import select
+import threading
 from http.client import responses
 
 import msgspec
@@ -14,6 +15,7 @@
 from greengagerock.items import EvacuationOrder, Patch
 from greengagerock.items.value_checks import check_values
 from greengagerock.language.items import format_items, parse_items
+from greengagerock.web.bounded_input import PIECE_BYTES
 from greengagerock.web.control_calls import (
     END_EVACUATION_CALL,
     PATCH_CALL,
@@ -25,7 +27,12 @@
 from greengagerock.web.upstream import skip_trailers
 
 DECISION_TIMEOUT_S = 1.5
+# Longest body of an operator's call, and of all other calls. A report lists the ranges of keys
+# that an endpoint holds, with about 30 bytes each.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_SHORT_BODY_BYTES = 256 * 1024
+# Number of longer bodies in memory at once. Decoded, a body takes several times its size.
+MAX_LONG_BODIES = 2
 
 
 class NativeControlDialect:
@@ -119,6 +126,7 @@
         self.bridge = bridge
         self.log = log
         self.dialect = dialect or NativeControlDialect()
+        self.long_bodies = threading.BoundedSemaphore(MAX_LONG_BODIES)
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -147,9 +155,9 @@
         call, name = dialect.parse_call(environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if call == READ_CALL:
             return dialect.encode_items(self._request_decision(ItemsRequested))
-        data = self._read_body(environ)
         if call == PATCH_CALL:
-            return self._apply_patch(dialect.decode_patch(data), environ)
+            return self._apply_patch(self._read_patch(environ), environ)
+        data = read_body(environ, MAX_SHORT_BODY_BYTES)
         if call in (START_EVACUATION_CALL, END_EVACUATION_CALL):
             order = EvacuationOrder(name, call == START_EVACUATION_CALL)
             return self._apply_patch(Patch(evacuations=(order,)), environ)
@@ -176,25 +184,68 @@
             raise GreengageError("no-leader", "no response from a leader in time")
         return value
 
-    def _read_body(self, environ):
-        stream = environ["wsgi.input"]
-        if environ.get("wsgi.input_terminated") and not environ.get("CONTENT_LENGTH"):
-            data = stream.read(MAX_BODY_BYTES)
-            if len(data) < MAX_BODY_BYTES:
-                skip_trailers(stream)
-            return data
-        length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
-            raise GreengageError(
-                "body-too-large",
-                f"Content-Length is {length}, the limit is {MAX_BODY_BYTES} bytes",
-            )
-        data = stream.read(int(length))
-        if len(data) < int(length):
-            raise GreengageError(
-                "bad-request", f"body truncated: got {len(data)} of {length} bytes"
-            )
-        return data
+    def _read_patch(self, environ):
+        """Read and decode the body of a patch, which may be long.
+
+        Raises:
+            GreengageError: ``busy`` if too many long bodies are being read; the operator sends it
+                again.
+        """
+        length = environ.get("CONTENT_LENGTH", "")
+        if length.isdigit() and int(length) <= MAX_SHORT_BODY_BYTES:
+            return self.dialect.decode_patch(read_body(environ, MAX_SHORT_BODY_BYTES))
+        if not self.long_bodies.acquire(blocking=False):
+            environ["greengage.close_connection"]()
+            raise GreengageError("busy", f"{MAX_LONG_BODIES} long bodies are being read")
+        try:
+            return self.dialect.decode_patch(read_body(environ, MAX_BODY_BYTES))
+        finally:
+            self.long_bodies.release()
+
+
+def read_body(environ, max_bytes):
+    """Return the body of a call.
+
+    Args:
+        environ: The WSGI environment.
+        max_bytes: Longest body that is accepted.
+
+    Raises:
+        GreengageError: ``body-too-large`` if it is longer, ``bad-request`` if it is truncated or
+            malformed, or does not arrive in time. The connection is closed then, since the rest
+            of the body would count as the next request.
+    """
+    try:
+        return _read_whole_body(environ, max_bytes)
+    except GreengageError:
+        environ["greengage.close_connection"]()
+        raise
+    except (OSError, ValueError) as error:
+        environ["greengage.close_connection"]()
+        raise GreengageError("bad-request", f"body: {error}") from error
+
+
+def _read_whole_body(environ, max_bytes):
+    stream = environ["wsgi.input"]
+    if environ.get("wsgi.input_terminated") and not environ.get("CONTENT_LENGTH"):
+        # The library copies all that it has read for each further chunk of one call of ``read``.
+        parts, left_bytes = [], max_bytes
+        while part := stream.read(PIECE_BYTES):
+            left_bytes -= len(part)
+            if left_bytes < 0:
+                raise GreengageError("body-too-large", f"the limit is {max_bytes} bytes")
+            parts.append(part)
+        skip_trailers(stream)
+        return b"".join(parts)
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdigit() or int(length) > max_bytes:
+        raise GreengageError(
+            "body-too-large", f"Content-Length is {length}, the limit is {max_bytes} bytes"
+        )
+    data = stream.read(int(length))
+    if len(data) < int(length):
+        raise GreengageError("bad-request", f"body truncated: got {len(data)} of {length} bytes")
+    return data
 
 
 def has_hung_up(descriptor):
--- /dev/null
+++ b/greengagerock/web/strict_response.py
@@ -0,0 +1,111 @@
+"""Responses of endpoints that are refused if they are truncated, ambiguous or without end."""
+
+from http.client import SWITCHING_PROTOCOLS, HTTPException, HTTPResponse
+
+# Largest head of a response, interim responses included.
+MAX_HEAD_BYTES = 64 * 1024
+# Longest line of a response's head, chunk sizes and trailers.
+MAX_LINE_BYTES = 64 * 1024
+# Longest sequence of lines without data between them, such as trailers; they are not passed on.
+MAX_TRAILER_BYTES = 64 * 1024
+
+
+class LineReader:
+    """The file of a socket, with lines that are complete and of bounded length and number.
+
+    The standard library and urllib3 take the end of the connection for the end of a line, so
+    that a truncated head or chunk size would pass for a complete one.
+
+    Args:
+        file: The file of the socket.
+
+    Attributes:
+        left_head_bytes: Number of bytes that the head may still have, ``None`` after the head.
+        left_line_bytes: Number of bytes that lines may still have before the next data.
+    """
+
+    def __init__(self, file):
+        self.file = file
+        self.left_head_bytes = MAX_HEAD_BYTES
+        self.left_line_bytes = MAX_TRAILER_BYTES
+
+    def readline(self, limit=MAX_LINE_BYTES):
+        """Read a line.
+
+        Raises:
+            HTTPException: If the line is truncated or longer than ``MAX_LINE_BYTES``, the head is
+                truncated or longer than ``MAX_HEAD_BYTES``, or the trailers are too long.
+        """
+        line = self.file.readline(min(limit, MAX_LINE_BYTES) if limit >= 0 else MAX_LINE_BYTES)
+        if self.left_head_bytes is not None:
+            if not line and self.left_head_bytes < MAX_HEAD_BYTES:
+                raise HTTPException("response head truncated")
+            self.left_head_bytes -= len(line)
+            if self.left_head_bytes < 0:
+                raise HTTPException(f"response head longer than {MAX_HEAD_BYTES} bytes")
+        else:
+            self.left_line_bytes -= len(line)
+            if self.left_line_bytes < 0:
+                raise HTTPException(f"trailers longer than {MAX_TRAILER_BYTES} bytes")
+        if line and not line.endswith(b"\n"):
+            raise HTTPException(f"line truncated or too long: got {len(line)} bytes")
+        return line
+
+    def read(self, size=-1):
+        """Read data, after which lines may follow again."""
+        self.left_line_bytes = MAX_TRAILER_BYTES
+        return self.file.read(size)
+
+    def __getattr__(self, name):
+        return getattr(self.file, name)
+
+
+class StrictResponse(HTTPResponse):
+    """A response of the standard library that is read through a ``LineReader``."""
+
+    def begin(self):
+        """Read the head.
+
+        Raises:
+            HTTPException: If the head is truncated, too long, malformed, or does not tell where
+                the body ends.
+        """
+        reader = self.fp = LineReader(self.fp)
+        super().begin()
+        reader.left_head_bytes = None
+        check_framing(self.headers)
+
+    def _read_status(self):
+        """Read the status line of the final response.
+
+        The library skips interim responses with status 100 only.
+        """
+        while True:
+            version, status, reason = super()._read_status()
+            if status == SWITCHING_PROTOCOLS or not 100 < status < 200:
+                return version, status, reason
+            while self.fp.readline() not in (b"\r\n", b"\n"):
+                pass
+
+
+def check_framing(headers):
+    """Refuse headers from which servers and clients conclude different ends of the body.
+
+    Args:
+        headers: The ``http.client.HTTPMessage`` of a response.
+
+    Raises:
+        HTTPException: If a line is no header, or the headers of the length contradict each other.
+
+    References:
+        RFC 9112, HTTP/1.1, section 6.3.
+    """
+    if headers.defects:
+        # The parser takes the lines after a malformed one for a part of the body.
+        raise HTTPException(f"malformed head: {type(headers.defects[0]).__name__}")
+    lengths = set(headers.get_all("Content-Length", ()))
+    encodings = headers.get_all("Transfer-Encoding", ())
+    if len(lengths) > 1 or not all(text.isascii() and text.isdigit() for text in lengths):
+        raise HTTPException("malformed or contradictory Content-Length")
+    if encodings and (lengths or [text.lower() for text in encodings] != ["chunked"]):
+        raise HTTPException("Transfer-Encoding is not chunked, or comes with a Content-Length")
