--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -200,6 +200,10 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
         b"1\r\nx\r\n",
     ),
+    "endless-trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+        b"Same: trailer\r\n",
+    ),
     "endless-garbage": (b"", b"\x00\xff garbage"),
 }
 REFUSED_LINE = f"{REFUSED_HEADER}: full\r\n".encode()
--- a/greengagerock/web/tests/test_control_bodies.py
+++ b/greengagerock/web/tests/test_control_bodies.py
@@ -1,6 +1,7 @@
 """Bodies of endpoints' and operators' calls end in size, and few long ones are kept at once."""
 
 import io
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,6 +14,8 @@
     MAX_SHORT_BODY_BYTES,
     ControlApplication,
 )
+from greengagerock.web.json_bodies import MAX_BODY_BYTES as JSON_BODY_BYTES
+from greengagerock.web.json_bodies import read_json
 
 REPORT = "/endpoints/e1/report"
 PATCH = "/items"
@@ -71,3 +74,14 @@
     assert codes.count("503") == 1
     assert codes.count("400") == MAX_LONG_BODIES
     assert application.long_bodies.acquire(blocking=False)
+
+
+def test_json_body_without_end_is_refused(monkeypatch):
+    """The limit of the server is that of bodies that are passed on, up to a gigabyte."""
+    file = EndlessFile(b"", b"[1, ")
+    request = SimpleNamespace(body=file)
+    monkeypatch.setattr("greengagerock.web.json_bodies.cherrypy.request", request)
+    message, error = read_json(dict)
+    assert message is None
+    assert "longer than" in error
+    assert file.read_bytes <= JSON_BODY_BYTES + 1
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -132,7 +132,7 @@
         status = received.split()[1]
         if status == b"200":
             # A stream; the caller gets no last chunk.
-            assert fault in ("endless-chunks", "endless-chunk-size")
+            assert fault in ("endless-chunks", "endless-chunk-size", "endless-trailers")
             while chunk := sock.recv(65_536):
                 received += chunk
             assert b"0\r\n\r\n" not in received
