Keep the relays of a router while all of them can be used

Each change of the list of usable relays gave all routers other relays. The leader now chooses anew only for routers that have lost a relay or have too few.

test_restart_of_a_router_changes_only_the_relays_of_those_that_used_it fails without this change.

--- a/greengagerock/control/relay_directory.py
+++ b/greengagerock/control/relay_directory.py
@@ -33,8 +33,10 @@
     def __init__(self, endpoint_count):
         self.endpoint_count = endpoint_count
         self.reports = {}
+        self._assigned = {}
         self._ring = []
         self._routers = []
+        self._usable = frozenset()
 
     def note(self, router, relay_address, unreachable):
         """Record a router's report.
@@ -54,14 +56,28 @@
 
     def remove(self, router):
         """Remove a router that no longer reports; return whether this changes any relays."""
+        self._assigned.pop(router, None)
         return self.reports.pop(router, None) is not None and self._rebuild()
 
     def relays_for(self, router):
         """Return the relay addresses for a router.
 
-        They are evenly spaced in the order of the routers' addresses, which is mostly that of the
-        availability zones. They begin at the router's place among all routers, so that each relay
-        serves about as many routers as any other, also if neighbours have lost their endpoints.
+        They stay as they are while all of them can be used, since the router keeps connections to
+        them open: a restart of one router concerns those that have it as a relay only.
+        """
+        own_address, _ = self.reports.get(router, ("", 0))
+        most = len(self._usable) - (own_address in self._usable)
+        relays = self._assigned.get(router, ())
+        if len(relays) < min(RELAYS_PER_ROUTER, most) or not self._usable.issuperset(relays):
+            relays = self._assigned[router] = self._choose_for(router)
+        return relays
+
+    def _choose_for(self, router):
+        """Return relays that are evenly spaced in the order of the routers' addresses.
+
+        That is mostly the order of the availability zones. They begin at the router's place among
+        all routers, so that each relay serves about as many routers as any other, also if
+        neighbours have lost their endpoints.
         """
         own = bisect.bisect_left(self._ring, (router,))
         is_in_ring = own < len(self._ring) and self._ring[own][0] == router
@@ -83,4 +99,5 @@
         routers = sorted(self.reports)
         has_changed = (ring, routers) != (self._ring, self._routers)
         self._ring, self._routers = ring, routers
+        self._usable = frozenset(address for _, address in ring)
         return has_changed
--- a/greengagerock/control/tests/test_relay_directory.py
+++ b/greengagerock/control/tests/test_relay_directory.py
@@ -42,3 +42,32 @@
 
 def test_router_that_has_not_reported_gets_relays():
     assert len(build_directory(set()).relays_for("10.9.0.1:7000")) == RELAYS_PER_ROUTER
+
+
+def test_restart_of_a_router_changes_only_the_relays_of_those_that_used_it():
+    """Routers keep connections to their relays open, and would all open new ones."""
+    directory = build_directory(set())
+    before = {router: directory.relays_for(router) for router in ROUTERS}
+    restarted = ROUTERS[30]
+    directory.remove(restarted)
+    without = {router: directory.relays_for(router) for router in ROUTERS if router != restarted}
+    directory.note(restarted, f"relay of {restarted}", 0)
+    after = {router: directory.relays_for(router) for router in ROUTERS}
+    for router in ROUTERS:
+        assert f"relay of {restarted}" not in without.get(router, ())
+        if f"relay of {restarted}" not in before[router] and router != restarted:
+            assert before[router] == without[router] == after[router]
+    changed = sum(before[router] != after[router] for router in ROUTERS)
+    assert changed <= 2 * RELAYS_PER_ROUTER + 1
+
+
+def test_routers_get_other_relays_at_once_when_theirs_have_lost_their_endpoints():
+    directory = build_directory(set())
+    for router in ROUTERS:
+        directory.relays_for(router)
+    lost = ROUTERS[22:44]
+    for router in lost:
+        directory.note(router, f"relay of {router}", ENDPOINTS)
+    users = Counter(relay for router in lost for relay in directory.relays_for(router))
+    assert not users.keys() & {f"relay of {router}" for router in lost}
+    assert max(users.values()) <= len(lost) * RELAYS_PER_ROUTER / (len(ROUTERS) - len(lost)) + 3
