--- a/greengagerock/testing/fake_site.py
+++ b/greengagerock/testing/fake_site.py
@@ -472,7 +472,9 @@
             self.at(self._relay_connect_s(path), lambda: self.paths.add_connection(path))
 
     def _relay_connect_s(self, path):
-        delay_s = self.random.uniform(*self.paths.relay_connect_range_s)
+        shortest_s, longest_s = self.paths.relay_connect_range_s
+        # Sites without late connections draw as many random numbers as they did before.
+        delay_s = self.random.uniform(shortest_s, longest_s) if longest_s else 0.0
         return delay_s + self.links.open_s(path, self.now_s)
 
     def _respond_with_notices(self, host, run_number, endpoint, token, was_limited):
