--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -32,6 +32,9 @@
 # Longest request body that is read before routing, so that it can be sent more than once, and
 # longest response body that is read before it is relayed.
 SHORT_BODY_BYTES = 64 * 1024
+# Time after the deadline of a request until which its body is read. An endpoint may have responded
+# before it had the whole body, and that response is passed on.
+BODY_GRACE_S = 5.0
 # Time for which the rest of a body is read after the response, before its connection is closed.
 # On a link of 2 Mbit/s it is enough for a megabyte.
 DISCARD_S = 5.0
@@ -239,7 +242,7 @@
             A response whose body is unread, or an ``AttemptFailed`` event.
         """
         if self.has_unread_body():
-            self.environ["greengage.end_reading_within"](forward.timeout_s)
+            self.environ["greengage.end_reading_within"](forward.timeout_s + BODY_GRACE_S)
         attempt = Attempt(self._watchable_descriptor(), self.request_id)
         self.current_attempt = attempt
         self.app.bridge.register_attempt(self.token, attempt)
