--- a/greengagerock/web/tests/test_bounded_client.py
+++ b/greengagerock/web/tests/test_bounded_client.py
@@ -5,7 +5,7 @@
 import pytest
 from urllib3.exceptions import HTTPError
 
-from greengagerock.agent.announcer import ANNOUNCE_TIMEOUT_S
+from greengagerock.agent.announcer import RETRY_INTERVAL_S, Announcer
 from greengagerock.cli.client import OperatorClient
 from greengagerock.core import GreengageError
 from greengagerock.testing.raw_endpoint import RawEndpoint
@@ -79,5 +79,12 @@
         OperatorClient(endpoint.address).status()
 
 
-def test_agent_gives_a_reply_the_time_of_an_announcement():
-    assert ANNOUNCE_TIMEOUT_S <= TIMEOUT_S
+@pytest.mark.parametrize("kind", ["chunks", "header line"])
+def test_agent_gives_up_a_reply_without_end(kind):
+    start, repeated = ENDLESS[kind]
+    write = write_without_end(repeated[:1], INTERVAL_S)
+    with RawEndpoint("127.47.0.2", start, write) as endpoint:
+        announcer = Announcer([endpoint.address], dict, lambda reply, sent_s: False)
+        began_s = time.monotonic()
+        assert announcer.announce_once() == RETRY_INTERVAL_S
+        assert time.monotonic() - began_s < END_S
