Review: add case 6, an oversized answer that ends the service of all keys

Tried: one of two instances of a service with keys drains and leaves, after two changes of the leader. Seen: the answers to the other instance have 4,136 bytes, so none is an ack; after 9 s no request for a key is served any more.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,102 @@
+"""One of two instances of a service with keys is drained and taken away."""
+
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from common_2.deployment import CaseCannotRunError, Deployment, first_change, run_case
+from common_2.instance import KEY_COUNT, Instance
+
+FOLDER = Path(__file__).parent
+INSTANCE_COUNT = 2
+# Time from the end of the drained instance until requests are judged. With the 3 s for which it
+# serves after its last ack, it is longer than the longest hold, 10 s.
+SETTLING_S = 12.0
+REQUEST_COUNT = 60
+START_LIMIT_S = 25.0
+
+
+def wait_for_all_keys(instances):
+    """Wait until the instances together hold all keys."""
+    end_s = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < end_s:
+        held = sum(last - first + 1 for i in instances for first, last, _ in i.rows)
+        if held == KEY_COUNT:
+            return
+        time.sleep(0.2)
+    raise CaseCannotRunError("the instances did not get all keys")
+
+
+def replace_leader(deployment):
+    """Kill the leader, start it again, and wait for the next one."""
+    term, ip = deployment.wait_for_leader(0)
+    deployment.kill(ip)
+    deployment.wait_for_leader(term)
+    deployment.start(ip)
+
+
+def ask_all(deployment):
+    """Send requests of two kinds by turns; return how many of each were served."""
+    served = {"balance": 0, "prices": 0}
+    for number in range(REQUEST_COUNT):
+        key = number * KEY_COUNT // REQUEST_COUNT
+        replies = {
+            "balance": deployment.ask(f"b{number}", "/balance/1", key),
+            "prices": deployment.ask(f"p{number}", "/prices/1"),
+        }
+        for kind, reply in replies.items():
+            served[kind] += reply is not None and reply.status == 200
+    return served
+
+
+def play(record, has_trouble):
+    """Play the case; return whether the rule held."""
+    deployment = Deployment(record)
+    instances = []
+    try:
+        deployment.start_all()
+        if deployment.patch(first_change(), START_LIMIT_S) != 200:
+            raise CaseCannotRunError("the first change was not acknowledged")
+        replace_leader(deployment)
+        for number in range(INSTANCE_COUNT):
+            address = f"{deployment.network}.{number + 101}:{deployment.instance_port}"
+            after_s = 0.4 * number
+            instances.append(
+                Instance(
+                    record, f"i-till-{number}", "till", address, deployment.controls, True, after_s
+                )
+            )
+        address = f"{deployment.network}.111:{deployment.instance_port}"
+        docs = Instance(record, "i-docs-0", "docs", address, deployment.controls, False)
+        wait_for_all_keys(instances)
+        replace_leader(deployment)
+        # The new leader waits until all earlier holds have run out.
+        time.sleep(14.0)
+        wait_for_all_keys(instances)
+        before = ask_all(deployment)
+        record.say(f"served of {REQUEST_COUNT} each, before: {before}")
+        if min(before.values()) < 0.9 * REQUEST_COUNT:
+            raise CaseCannotRunError("the deployment does not serve")
+        if has_trouble:
+            instances[0].drain_and_leave()
+        time.sleep(SETTLING_S)
+        after = ask_all(deployment)
+        last = instances[-1]
+        record.say(f"served of {REQUEST_COUNT} each, after: {after}")
+        record.say(
+            f"{last.name}: {last.acks} reports acknowledged, {last.too_long} responses above "
+            f"4 KiB, the last one of {last.ack_sizes[-1]} bytes"
+        )
+        docs.end()
+        share_of_all = sum(after.values()) / (2 * REQUEST_COUNT)
+        return min(after.values()) / REQUEST_COUNT >= share_of_all / 4
+    finally:
+        for instance in instances:
+            instance.end()
+        deployment.end()
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(FOLDER, "Starved", play))
