--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""One of two instances of a service with keys is drained and taken away."""
+"""All instances of one zone are emptied and taken away: one of the two that hold keys."""
 
 import random
 import sys
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common_2.deployment import CaseCannotRunError, Deployment, first_change, run_case
+from common_2.deployment import ZONES, CaseCannotRunError, Deployment, first_change, run_case
 from common_2.instance import KEY_COUNT, Instance
 
 FOLDER = Path(__file__).parent
@@ -19,8 +19,9 @@
 CALLER_COUNT = 4
 MIN_TRAFFIC_S = 12.0
 MAX_TRAFFIC_S = 30.0
-# Time from the end of the drained instance until requests are judged. With the 3 s for which it
-# serves after its last ack, it is longer than the longest hold, 10 s.
+# The instances of a zone are gone this long after the notice: variant ``reclaim`` of ``scale_in``.
+NOTICE_S = 2.5
+# Time from the end of the instance until requests are judged. The longest hold is 10 s.
 SETTLING_S = 12.0
 REQUEST_COUNT = 60
 START_LIMIT_S = 25.0
@@ -85,15 +86,17 @@
         deployment.start_all()
         if deployment.patch(first_change(), START_LIMIT_S) != 200:
             raise CaseCannotRunError("the first change was not acknowledged")
-        for number, work_s in enumerate(WORK_S):
+        for number, (work_s, zone) in enumerate(zip(WORK_S, ZONES[:2], strict=True)):
             address = f"{deployment.network}.{number + 101}:{deployment.instance_port}"
             name, after_s = f"i-till-{number}", 0.4 * number
             controls = deployment.controls
             instances.append(
-                Instance(record, name, "till", address, controls, True, after_s, work_s)
+                Instance(record, name, "till", address, controls, True, after_s, work_s, zone)
             )
         address = f"{deployment.network}.111:{deployment.instance_port}"
-        docs = Instance(record, "i-docs-0", "docs", address, deployment.controls, False)
+        docs = Instance(
+            record, "i-docs-0", "docs", address, deployment.controls, False, zone=ZONES[1]
+        )
         wait_for_all_keys(instances)
         share = send_traffic(deployment, instances[0])
         record.say(f"the faster instance holds {share:.2f} of the keys")
@@ -103,7 +106,7 @@
         if min(before.values()) < 0.9 * REQUEST_COUNT:
             raise CaseCannotRunError("the deployment does not serve")
         if has_trouble:
-            instances[0].drain_and_leave()
+            instances[0].drain_and_leave(NOTICE_S)
         time.sleep(SETTLING_S)
         after = ask_all(deployment)
         last = instances[-1]
--- a/review/common_2/instance.py
+++ b/review/common_2/instance.py
@@ -15,8 +15,6 @@
 # A report is acknowledged by a 2xx response that arrives within a second and is at most 4 KiB.
 ACK_TIMEOUT_S = 1.0
 MAX_ACK_BYTES = 4096
-# Time for which it serves after the acknowledged announcement that it drains.
-SERVING_AFTER_DRAIN_S = 3.0
 WORK_S = 0.02
 
 
@@ -37,6 +35,7 @@
         has_keys: Whether the service is divided by key.
         first_report_after_s: Delay of the first report.
         work_s: Time that it takes to run a request.
+        zone: Its zone.
 
     Attributes:
         rows: The rows [first key, last key, fence] that it holds.
@@ -59,6 +58,7 @@
         has_keys=True,
         first_report_after_s=0.0,
         work_s=WORK_S,
+        zone="zone-a",
     ):
         self.record = record
         self.name, self.service, self.address = name, service, address
@@ -66,6 +66,8 @@
         self.has_keys = has_keys
         self.first_report_after_s = first_report_after_s
         self.work_s = work_s
+        self.zone = zone
+        self.woken = threading.Event()
         self.born_ms = time.time_ns() // 1_000_000
         self.sequence = 0
         self.state = "ready"
@@ -143,7 +145,8 @@
                 self.ended.wait(RETRY_PAUSE_S)
                 continue
             interval_s = RELEASE_REPORT_S if has_freed else REPORT_INTERVAL_S
-            self.ended.wait(max(0.0, began_s + interval_s - time.monotonic()))
+            self.woken.wait(max(0.0, began_s + interval_s - time.monotonic()))
+            self.woken.clear()
 
     def _report(self, control):
         """Send a report; return whether it was acknowledged, and whether keys were released."""
@@ -157,7 +160,7 @@
                 "info": {
                     "service": self.service,
                     "version": "v1",
-                    "zone": "zone-a",
+                    "zone": self.zone,
                     "max-concurrency": 3,
                 },
                 "status": {"state": state, "sequence": self.sequence, "warmup-left": "0ms"},
@@ -225,13 +228,13 @@
 
     # --- End -----------------------------------------------------------------------
 
-    def drain_and_leave(self):
-        """Announce draining, serve on for some seconds, leave, and end."""
-        self.record.note(f"{self.name} begins to drain")
+    def drain_and_leave(self, notice_s):
+        """Report draining at once, serve on, and leave ``notice_s`` after the notice."""
+        self.record.note(f"{self.name} gets notice and begins to drain")
+        gone_s = time.monotonic() + notice_s
         self.state = "draining"
-        while self.drained_s is None and not self.ended.wait(0.05):
-            continue
-        self.ended.wait(SERVING_AFTER_DRAIN_S)
+        self.woken.set()
+        self.ended.wait(max(0.0, gone_s - time.monotonic()))
         leaving = json.dumps({"born": self.born_ms})
         is_acknowledged = any(self._post(c, "leave", leaving) is not None for c in self.controls)
         self.record.note(f"{self.name} leaves, acknowledged: {is_acknowledged}")
@@ -240,6 +243,7 @@
     def end(self):
         """End at once."""
         self.ended.set()
+        self.woken.set()
         with contextlib.suppress(OSError):
             self.server.shutdown()
             self.server.server_close()
