Items are read back as they were sent

Callers saw: a route with timeout 1.234567s was acknowledged and listed as 1234.57ms, and what was listed got 409 when it was sent again. Cause: the listing was made from what the router needs of an item. Durations were written with six digits; sharded: false, warm and grants of a service without keys, unknown fields and durations below a nanosecond were lost. Change: what the values of an item do not reproduce is kept beside them as sent_fields, found by writing the item and comparing. Durations and weights are written with all digits, hold_time is rounded down, two contents of one version in a call are refused. Digests and the check for conflicts leave sent_fields out, so that voters of earlier builds reach the same result.

--- a/greengagerock/items/__init__.py
+++ b/greengagerock/items/__init__.py
@@ -12,6 +12,7 @@
     RouteItem,
     ServiceItem,
     WeightedService,
+    without_sent_fields,
 )
 from greengagerock.items.store import ItemStore, PatchResult
 from greengagerock.items.validation import check_patch
@@ -31,4 +32,5 @@
     "RouteItem",
     "ServiceItem",
     "check_patch",
+    "without_sent_fields",
 ]
--- a/greengagerock/items/item.py
+++ b/greengagerock/items/item.py
@@ -36,6 +36,8 @@
         is_split: Whether the operator gave weighted services, rather than one service.
         objective_s: Latency objective in seconds, or ``None``.
         priority: Rank, or ``None``; 0 is the highest.
+        sent_fields: Fields of the operator's notation that the other values do not reproduce, as
+            a JSON object with ``null`` for omitted fields, or ``None`` if there are none.
     """
 
     name: str
@@ -49,6 +51,7 @@
     is_split: bool = False
     objective_s: float | None = None
     priority: int | None = None
+    sent_fields: str | None = None
 
     @property
     def is_idempotent(self):
@@ -106,6 +109,7 @@
         protocol: Protocol that its endpoints speak, or ``None``.
         is_encrypted: Whether its endpoints expect TLS, or ``None``.
         warm_up: Treatment of cold endpoints, or ``None`` if they are treated as warm.
+        sent_fields: As in a ``RouteItem``.
     """
 
     name: str
@@ -116,6 +120,7 @@
     protocol: str | None = None
     is_encrypted: bool | None = None
     warm_up: EndpointWarmUp | None = None
+    sent_fields: str | None = None
 
     @property
     def cold_limit_per_s(self):
@@ -132,6 +137,7 @@
         body_bytes: Largest size of a request body, in bytes.
         header_timeout_s: Longest time until all headers are received, in seconds.
         idle_timeout_s: Time after which an idle connection is closed, in seconds.
+        sent_fields: As in a ``RouteItem``.
     """
 
     version: int
@@ -139,6 +145,7 @@
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    sent_fields: str | None = None
 
 
 class Removal(msgspec.Struct, frozen=True, array_like=True):
@@ -217,3 +224,14 @@
     services: dict[str, ServiceItem] = {}
     limits: CallerLimits | None = None
     evacuations: dict[str, int] = {}
+
+
+def without_sent_fields(item):
+    """Return an item as builds without ``sent_fields`` have it.
+
+    Args:
+        item: A ``RouteItem``, ``ServiceItem``, ``CallerLimits`` or ``None``.
+    """
+    if item is None or item.sent_fields is None:
+        return item
+    return msgspec.structs.replace(item, sent_fields=None)
--- a/greengagerock/items/store.py
+++ b/greengagerock/items/store.py
@@ -4,7 +4,7 @@
 import xxhash
 
 from greengagerock.core import GreengageError
-from greengagerock.items.item import Items, Patch
+from greengagerock.items.item import Items, Patch, without_sent_fields
 from greengagerock.items.validation import check_patch
 
 # The oldest leaves are discarded first; the endpoints have ended by then.
@@ -17,11 +17,14 @@
 _encoder = msgspec.msgpack.Encoder()
 _patch_decoder = msgspec.msgpack.Decoder(Patch)
 
-# Number of fields of a ``Patch`` before ``evacuations``, and of a ``ServiceItem`` before
-# ``warm_up``. Without orders and warm-ups, these alone are encoded, so that the digest of a patch
-# equals that in snapshots of older builds, and a resent patch is recognised after an upgrade.
+# Number of fields of a ``Patch`` before ``evacuations``, and of items before the first optional
+# field that a later build has added. Later fields without a value are not encoded, so that the
+# digest of a patch equals that in snapshots of older builds, and a resent patch is recognised
+# after an upgrade.
 _ITEM_FIELD_COUNT = 5
+_ROUTE_FIELD_COUNT = 11
 _SERVICE_FIELD_COUNT = 7
+_LIMITS_FIELD_COUNT = 5
 
 # First byte of an entry's payload: the kind of the entry.
 _PATCH = b"P"
@@ -92,8 +95,16 @@
     It equals that of the patch as it is read from the log, in which whole numbers of a field for
     fractions have become fractions.
     """
-    stored = _patch_decoder.decode(_encoder.encode(patch))
-    return xxhash.xxh64_intdigest(_encode_item_part(stored))
+    return _digest_stored(_patch_decoder.decode(_encoder.encode(patch)))
+
+
+def _digest_stored(patch):
+    """Return the digest of a patch that was read from the log, equal in all builds."""
+    limits = without_sent_fields(patch.limits)
+    routes = tuple(map(without_sent_fields, patch.routes))
+    services = tuple(map(without_sent_fields, patch.services))
+    plain = msgspec.structs.replace(patch, routes=routes, services=services, limits=limits)
+    return xxhash.xxh64_intdigest(_encode_item_part(plain))
 
 
 def format_digest(digest):
@@ -113,14 +124,19 @@
 
 def _encode_item_part(patch):
     """Return the encoding of a patch without its evacuation orders."""
-    services = tuple(
-        msgspec.structs.astuple(service)[:_SERVICE_FIELD_COUNT]
-        if service.warm_up is None
-        else service
-        for service in patch.services
-    )
-    routes, _, *others = msgspec.structs.astuple(patch)[:_ITEM_FIELD_COUNT]
-    return _encoder.encode((routes, services, *others))
+    routes = tuple(_strip(route, _ROUTE_FIELD_COUNT) for route in patch.routes)
+    services = tuple(_strip(service, _SERVICE_FIELD_COUNT) for service in patch.services)
+    limits = patch.limits and _strip(patch.limits, _LIMITS_FIELD_COUNT)
+    removals = msgspec.structs.astuple(patch)[3:_ITEM_FIELD_COUNT]
+    return _encoder.encode((routes, services, limits, *removals))
+
+
+def _strip(item, field_count):
+    """Return the fields of an item without those after ``field_count`` that end it as ``None``."""
+    fields = msgspec.structs.astuple(item)
+    while len(fields) > field_count and fields[-1] is None:
+        fields = fields[:-1]
+    return fields
 
 
 class ItemStore:
@@ -219,7 +235,7 @@
             if self._is_outdated(order):
                 detail = f"zone {order.zone!r}: a later order has overtaken this one"
                 return PatchResult("not-ready", detail)
-        digest = self.applied_digest = xxhash.xxh64_intdigest(_encode_item_part(patch))
+        digest = self.applied_digest = _digest_stored(patch)
         if digest in self.accepted:
             return PatchResult(changed=self._apply_orders(patch, index))
         tombstones = dict(self.tombstones)
--- a/greengagerock/items/validation.py
+++ b/greengagerock/items/validation.py
@@ -3,6 +3,7 @@
 import math
 
 from greengagerock.core import GreengageError
+from greengagerock.items.item import without_sent_fields
 
 # A latency objective that exceeds the timeout by a minute or more is assumed to be given in the
 # wrong time unit.
@@ -77,7 +78,9 @@
     ):
         if new is None or current is None:
             continue
-        if new.version == current.version and new != current:
+        # Voters of builds without ``sent_fields`` have to reach the same result.
+        is_same = without_sent_fields(new) == without_sent_fields(current)
+        if new.version == current.version and not is_same:
             name = getattr(new, "name", "limits")
             raise GreengageError(
                 "version-conflict",
--- a/greengagerock/items/value_checks.py
+++ b/greengagerock/items/value_checks.py
@@ -19,12 +19,16 @@
 def check_values(patch):
     """Refuse a patch with a value that cannot be stored, sent or returned as it was given.
 
+    One name may come with several versions, of which the highest takes effect.
+
     Args:
         patch: The ``Patch``.
 
     Raises:
         GreengageError: ``invalid-item`` with the item and the value.
     """
+    _check_repetitions(patch.routes, patch.removed_routes)
+    _check_repetitions(patch.services, patch.removed_services)
     for route in patch.routes:
         _check_integers(route.name, route.version, route.attempts, route.priority or 0)
         _check_durations(route.name, route.timeout_s, route.objective_s)
@@ -49,6 +53,14 @@
     raise GreengageError("invalid-item", f"{item!r}: {reason}")
 
 
+def _check_repetitions(items, removals):
+    """Refuse two contents of one version, of which only one can be stored."""
+    contents = {}
+    for item in (*items, *removals):
+        if contents.setdefault((item.name, item.version), item) != item:
+            _reject(item.name, f"version {item.version} comes twice with different content")
+
+
 def _check_integers(item, *values):
     if any(not MIN_INTEGER <= value <= MAX_INTEGER for value in values):
         _reject(item, "a number has more than 64 bits")
--- a/greengagerock/language/items.py
+++ b/greengagerock/language/items.py
@@ -22,6 +22,8 @@
 
 # Longer integers are read as floating-point numbers.
 MAX_INTEGER_DIGITS = 16
+# Decimals of a second that are stored.
+DURATION_DECIMALS = 9
 
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0}
 
@@ -55,7 +57,10 @@
         return int(token)
 
     def duration(self, number, unit):
-        return round(float(number) * _SECONDS_PER_UNIT[unit], 9)
+        decimals = DURATION_DECIMALS - (3 if unit == "ms" else 0)
+        if len(number.partition(".")[2].rstrip("0")) > decimals:
+            raise ValueError(f"{number}{unit} is not a whole number of nanoseconds")
+        return round(float(number) * _SECONDS_PER_UNIT[unit], DURATION_DECIMALS)
 
     def weight(self, number):
         return float(number)
@@ -243,7 +248,7 @@
 def _format_route(route):
     services_text = ", ".join(
         _quote(weighted_service.service)
-        + (f" weight {weighted_service.weight:g}" if route.is_split else "")
+        + (f" weight {_format_number(weighted_service.weight)}" if route.is_split else "")
         for weighted_service in route.weighted_services
     )
     objective = priority = ""
@@ -272,4 +277,12 @@
 
 
 def _format_duration(seconds):
-    return f"{round(seconds * 1000, 6):g}ms" if seconds < 100 else f"{seconds:g}s"
+    """Format a duration so that it is parsed as the same number.
+
+    Examples:
+        >>> _format_duration(0.0015), _format_duration(1.234567), _format_duration(100000.5)
+        ('1.5ms', '1.234567s', '100000.5s')
+    """
+    number, unit = (seconds * 1000, "ms") if seconds < 1 else (seconds, "s")
+    text = _format_number(round(float(number), DURATION_DECIMALS))
+    return f"{text.rstrip('0').rstrip('.')}{unit}"
--- a/greengagerock/language/tests/test_items.py
+++ b/greengagerock/language/tests/test_items.py
@@ -1,6 +1,8 @@
 """Tests of the text form of configuration items."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from greengagerock.core import StatementError
 from greengagerock.items import EndpointWarmUp, EvacuationOrder, Items, ItemStore, Patch
@@ -28,6 +30,27 @@
     assert parsed.limits == store.items.limits
 
 
+# Durations as they are stored: whole nanoseconds up to about 32 years.
+_durations_s = st.floats(1e-9, 1e9).map(lambda seconds: round(seconds, 9))
+
+
+@given(_durations_s, _durations_s, st.floats(1e-12, 1e12))
+def test_no_digit_of_a_duration_or_weight_is_lost(timeout_s, objective_s, weight):
+    route = build_route(
+        weighted_services=(("docs", weight), ("till", 0.1)),
+        is_split=True,
+        timeout_s=timeout_s,
+        objective_s=objective_s,
+    )
+    assert parse_items(format_items(Items({"balance": route}))).routes == (route,)
+
+
+@pytest.mark.parametrize("text", ["1.2345678901s", "0.0000001ms"])
+def test_a_duration_that_would_be_rounded_is_refused(text):
+    with pytest.raises(StatementError, match="whole number of nanoseconds"):
+        parse_items(f"set limits version 1 headers 9 body 9 header_timeout {text} idle_timeout 3s")
+
+
 @pytest.mark.parametrize(
     "text",
     [
--- a/greengagerock/platform/wire_items.py
+++ b/greengagerock/platform/wire_items.py
@@ -1,4 +1,9 @@
-"""Wire format of configuration items: tables of columns and rows."""
+"""Wire format of configuration items: tables of columns and rows.
+
+An item is listed as it was sent. What its values do not reproduce, such as another notation of a
+duration, a field without an effect or one that this version does not have, is kept beside them in
+``sent_fields``.
+"""
 
 import msgspec
 
@@ -112,7 +117,7 @@
 
     routes: WireTable | None = None
     services: WireTable | None = None
-    limits: WireLimits | None = None
+    limits: dict[str, object] | None = None
 
 
 class WireRemoval(msgspec.Struct):
@@ -145,8 +150,8 @@
     try:
         wire = msgspec.json.decode(data, type=WirePatch)
         patch = Patch(
-            tuple(_read_route(r) for r in _read_records(wire.upsert.routes, WireRoute)),
-            tuple(_read_service(r) for r in _read_records(wire.upsert.services, WireService)),
+            _read_table(wire.upsert.routes, WireRoute, _read_route, _write_route),
+            _read_table(wire.upsert.services, WireService, _read_service, _write_service),
             _read_limits(wire.upsert.limits),
             tuple(Removal(r.name, r.version) for r in wire.remove.routes),
             tuple(Removal(r.name, r.version) for r in wire.remove.services),
@@ -159,44 +164,67 @@
 
 def encode_items(items):
     """Return the body that lists all current items."""
-    limits = items.limits
     return msgspec.json.encode(
         WireSet(
-            _make_table(WireRoute, [_write_route(route) for route in items.routes.values()]),
-            _make_table(WireService, [_write_service(s) for s in items.services.values()]),
-            limits
-            and WireLimits(
-                limits.header_bytes,
-                limits.body_bytes,
-                format_duration(limits.header_timeout_s),
-                format_duration(limits.idle_timeout_s),
-                limits.version,
-            ),
+            _make_table(WireRoute, items.routes.values(), _write_route),
+            _make_table(WireService, items.services.values(), _write_service),
+            items.limits and _list_fields(items.limits, _write_limits),
         )
     )
 
 
-def _read_records(table, record_type):
+def _read_table(table, record_type, read, write):
+    """Return the items of a table.
+
+    Args:
+        table: The ``WireTable``, or ``None``.
+        record_type: Type of its records.
+        read: Function that converts a record to an item.
+        write: Function that converts an item to a record.
+    """
     if table is None:
-        return []
+        return ()
     if len(set(table.columns)) < len(table.columns):
         raise GreengageError("invalid-item", "a column name is repeated")
-    records = []
+    items = []
     for row in table.rows:
         if len(row) != len(table.columns):
             raise GreengageError(
                 "invalid-item", f"row has {len(row)} values for {len(table.columns)} columns"
             )
-        pairs = zip(table.columns, row, strict=True)
-        fields = {name: value for name, value in pairs if value is not None}
-        records.append(msgspec.convert(fields, record_type))
-    return records
+        fields = _drop_omitted(dict(zip(table.columns, row, strict=True)))
+        item = read(msgspec.convert(fields, record_type))
+        items.append(_keep_sent_fields(item, fields, write))
+    return tuple(items)
+
+
+def _keep_sent_fields(item, sent, write):
+    """Return an item that has the sent fields which its values do not reproduce."""
+    written = _drop_omitted(msgspec.to_builtins(write(item)))
+    names = sorted(sent.keys() | written.keys())
+    differing = {name: sent.get(name) for name in names if sent.get(name) != written.get(name)}
+    if not differing:
+        return item
+    return msgspec.structs.replace(item, sent_fields=msgspec.json.encode(differing).decode())
+
 
+def _list_fields(item, write):
+    """Return the fields of an item as they were sent."""
+    fields = msgspec.to_builtins(write(item))
+    if item.sent_fields is not None:
+        fields |= msgspec.json.decode(item.sent_fields)
+    return _drop_omitted(fields)
 
-def _make_table(record_type, records):
-    columns = [field.encode_name for field in msgspec.structs.fields(record_type)]
-    rows = [list(msgspec.structs.astuple(record)) for record in records]
-    return WireTable(columns, rows)
+
+def _drop_omitted(fields):
+    return {name: value for name, value in fields.items() if value is not None}
+
+
+def _make_table(record_type, items, write):
+    records = [_list_fields(item, write) for item in items]
+    known = [field.encode_name for field in msgspec.structs.fields(record_type)]
+    columns = list(dict.fromkeys([*known, *(name for record in records for name in record)]))
+    return WireTable(columns, [[record.get(name) for name in columns] for record in records])
 
 
 def _read_route(wire):
@@ -300,16 +328,28 @@
     return warm_up.duration_text or format_duration(warm_up.duration_s)
 
 
-def _read_limits(wire):
-    if wire is None:
+def _read_limits(fields):
+    if fields is None:
         return None
-    return CallerLimits(
+    wire = msgspec.convert(fields, WireLimits)
+    limits = CallerLimits(
         wire.version,
         wire.max_header_bytes,
         wire.max_body_bytes,
         parse_duration(wire.header_timeout),
         parse_duration(wire.idle_timeout),
     )
+    return _keep_sent_fields(limits, _drop_omitted(fields), _write_limits)
+
+
+def _write_limits(limits):
+    return WireLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        format_duration(limits.header_timeout_s),
+        format_duration(limits.idle_timeout_s),
+        limits.version,
+    )
 
 
 def _integer_if_whole(number):
--- a/greengagerock/platform/wire_reports.py
+++ b/greengagerock/platform/wire_reports.py
@@ -8,7 +8,7 @@
 from greengagerock.assignment.report_checks import check_report
 from greengagerock.core import GreengageError
 from greengagerock.core.decoding import MALFORMED_INPUT
-from greengagerock.platform.durations import format_duration, parse_duration
+from greengagerock.platform.durations import format_promised_duration, parse_duration
 
 
 class WireInfo(msgspec.Struct, rename="kebab"):
@@ -140,4 +140,4 @@
     if response.grants is None:
         return b"{}"
     rows = [(row.first, row.last, row.fence, row.handover_token) for row in response.grants]
-    return msgspec.json.encode(WireReportResponse(rows, format_duration(response.hold_s)))
+    return msgspec.json.encode(WireReportResponse(rows, format_promised_duration(response.hold_s)))
--- a/greengagerock/view/histories.py
+++ b/greengagerock/view/histories.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from greengagerock.items import Removal
+from greengagerock.items import Removal, without_sent_fields
 from greengagerock.view.messages import EndpointsDelta, ItemsDelta, OwnedUnitRanges
 
 # Number of owner changes that are kept; a router that needs older ones gets a full delta.
@@ -51,7 +51,10 @@
         return max(self.store.revision, self.snapshot_index)
 
     def delta_since(self, revision):
-        """Return an ``ItemsDelta``, or ``None`` if a router at ``revision`` is up to date."""
+        """Return an ``ItemsDelta``, or ``None`` if a router at ``revision`` is up to date.
+
+        Routers don't list items, so they get none of the ``sent_fields``.
+        """
         store = self.store
         current = self.current_revision
         if revision >= current:
@@ -62,9 +65,9 @@
                 0,
                 current,
                 True,
-                tuple(items.routes.values()),
-                tuple(items.services.values()),
-                items.limits,
+                tuple(map(without_sent_fields, items.routes.values())),
+                tuple(map(without_sent_fields, items.services.values())),
+                without_sent_fields(items.limits),
                 evacuated_zones=tuple(sorted(items.evacuations)),
             )
         names = [name for name, index in self.change_indexes.items() if index > revision]
@@ -72,9 +75,9 @@
             revision,
             current,
             False,
-            tuple(items.routes[name] for name in names if name in items.routes),
-            tuple(items.services[name] for name in names if name in items.services),
-            items.limits if "limits" in names else None,
+            tuple(without_sent_fields(items.routes[n]) for n in names if n in items.routes),
+            tuple(without_sent_fields(items.services[n]) for n in names if n in items.services),
+            without_sent_fields(items.limits) if "limits" in names else None,
             self._removals("route", names, items.routes),
             self._removals("service", names, items.services),
             tuple(sorted(items.evacuations)),
