Callers' addresses answer nothing by themselves

Callers saw: POST /greengagerock/ready on the address for callers got 200 without a seal, and no endpoint ran it, though a route had that prefix. Cause: one application served the addresses for callers and for the readiness check and told requests apart by their decoded path, with any method and host. Change: web/own_requests.py lists what each address answers by itself; anything else is a caller's request on the address for callers and 404 elsewhere. A target that begins with two slashes is a path; the HTTP library took it for the name of a host and refused it.

--- a/greengagerock/daemon/daemon.py
+++ b/greengagerock/daemon/daemon.py
@@ -20,6 +20,7 @@
 from greengagerock.web.endpoint_handlers import EndpointRoot
 from greengagerock.web.metrics import Metrics
 from greengagerock.web.operator_handlers import OperatorRoot, make_application
+from greengagerock.web.own_requests import CALLERS_AND_READINESS
 from greengagerock.web.server import HttpServer
 from greengagerock.web.upstream import Upstream
 
@@ -121,7 +122,12 @@
     def _make_servers(self):
         settings = self.settings
         caller_application = CallerApplication(
-            settings.host, self.bridge, self.upstream, self.metrics, self.log
+            settings.host,
+            self.bridge,
+            self.upstream,
+            self.metrics,
+            self.log,
+            purpose=CALLERS_AND_READINESS,
         )
         operator_handlers = OperatorRoot(
             self.bridge, self.node.timeline, lambda: describe_host(self), self.metrics
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -25,6 +25,7 @@
 from greengagerock.settings.site import split_address
 from greengagerock.storage import DataFolder
 from greengagerock.transport import Links
+from greengagerock.web import own_requests
 from greengagerock.web.caller_application import CallerApplication
 from greengagerock.web.metrics import Metrics, SiteCollector
 from greengagerock.web.relay_dialect import RelayDialect
@@ -87,8 +88,11 @@
         self.bridge.unwatch_caller = self.loop.unwatch_caller
         self.metrics.registry.register(SiteCollector(self.node, self.links, self.loop))
         dialect = dialect or NativeRouteDialect()
-        self.caller_application = self._make_application(dialect)
-        self.relay_application = self._make_application(RelayDialect(dialect))
+        shares_address = settings.readiness == settings.callers
+        self.caller_application = self._make_application(
+            dialect, own_requests.CALLERS_AND_READINESS if shares_address else own_requests.CALLERS
+        )
+        self.relay_application = self._make_application(RelayDialect(dialect), own_requests.RELAY)
         self.control_dialect = control_dialect
         self.caller_server = None
         self.servers = self._make_servers()
@@ -173,9 +177,26 @@
         self.folder = DataFolder(settings.data_folder, settings.host)
         return ControllerNode(config, self.folder.durable_state, now_s, wall_clock_us)
 
-    def _make_application(self, dialect):
+    def _make_application(self, dialect, purpose):
         return CallerApplication(
-            self.settings.host, self.bridge, self.upstream, self.metrics, self.log, dialect
+            self.settings.host,
+            self.bridge,
+            self.upstream,
+            self.metrics,
+            self.log,
+            dialect,
+            purpose,
+        )
+
+    def _make_own_application(self, purpose):
+        """Return the application of an address that serves neither callers nor controllers."""
+        answers = {
+            own_requests.READINESS_CHECK: self.caller_application.respond_to_readiness_check,
+            own_requests.METRICS_PAGE: self._respond_with_metrics,
+        }
+        ready_path = self.caller_application.dialect.ready_path
+        return own_requests.OwnRequestsApplication(
+            own_requests.OwnRequests(purpose, ready_path, answers)
         )
 
     def _make_servers(self):
@@ -192,7 +213,10 @@
         if settings.readiness and settings.readiness != settings.callers:
             servers.append(
                 self._make_server(
-                    settings.readiness, self.caller_application, AUXILIARY_THREADS, b""
+                    settings.readiness,
+                    self._make_own_application(own_requests.READINESS),
+                    AUXILIARY_THREADS,
+                    b"",
                 )
             )
         if settings.relay:
@@ -222,7 +246,10 @@
         if settings.metrics:
             servers.append(
                 self._make_server(
-                    settings.metrics, self._respond_with_metrics, AUXILIARY_THREADS, b""
+                    settings.metrics,
+                    self._make_own_application(own_requests.METRICS),
+                    AUXILIARY_THREADS,
+                    b"",
                 )
             )
         return servers
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -316,7 +316,8 @@
             self._send_response(200, content, {}, len(content) + 10)
             self.close_connection = True
             return
-        self._send_response(200, content, {"Request-Path": self.path})
+        # ``path`` has one slash where the request line has two at the beginning.
+        self._send_response(200, content, {"Request-Path": self.requestline.split()[1]})
         if endpoint.response_fault == "extra":
             self._send_response(200, b"stray\n", {})
         elif endpoint.response_fault == "late-extra":
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -19,6 +19,7 @@
     ResponseStarted,
 )
 from greengagerock.routing.failures import REASON_CONNECTION_LOST
+from greengagerock.web import own_requests
 from greengagerock.web.connection_manager import make_farewell
 from greengagerock.web.connection_progress import DECIDING, FORWARDED, RESPONDING
 from greengagerock.web.native_dialect import NativeDialect
@@ -53,25 +54,34 @@
         metrics: The ``Metrics``.
         log: Callable that writes one log line.
         dialect: Translates headers and paths; ``NativeDialect`` by default.
+        purpose: Purpose of the address, which says what this host answers by itself there.
     """
 
-    def __init__(self, host, bridge, upstream, metrics, log, dialect=None):
+    def __init__(
+        self, host, bridge, upstream, metrics, log, dialect=None, purpose=own_requests.CALLERS
+    ):
         self.dialect = dialect or NativeDialect()
         self.bridge = bridge
         self.upstream = upstream
         self.metrics = metrics
         self.log = log
         self.id_prefix = f"{host}-{secrets.token_hex(4)}"
+        self.own_requests = own_requests.OwnRequests(
+            purpose,
+            self.dialect.ready_path,
+            {own_requests.READINESS_CHECK: self.respond_to_readiness_check},
+        )
 
     def __call__(self, environ, start_response):
         """Serve one request."""
-        token = self.bridge.new_token()
-        if environ["PATH_INFO"] == self.dialect.ready_path:
-            return self.respond_to_readiness_check(token, start_response)
-        return Exchange(self, token, environ, start_response).run()
+        application = self.own_requests.find(environ)
+        if application is not None:
+            return application(environ, start_response)
+        return Exchange(self, self.bridge.new_token(), environ, start_response).run()
 
-    def respond_to_readiness_check(self, token, start_response):
+    def respond_to_readiness_check(self, environ, start_response):
         """Respond to the load balancer's check whether this host accepts callers."""
+        token = self.bridge.new_token()
         code = self.bridge.post_and_wait(token, ReadinessRequested(token), LOOP_TIMEOUT_S)
         if code == "":
             start_response("200 OK", [("Content-Length", "3"), ("Content-Type", "text/plain")])
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -117,6 +117,33 @@
         return b"_" not in key_name
 
 
+class PathLine:
+    """Reads a request line, whose target is a path also if it begins with two slashes.
+
+    The library takes what follows two slashes for the name of a host. ``/.`` before the path
+    says that it is none (RFC 3986, section 3.3 and 5.2.4).
+
+    Args:
+        rfile: The file to read from.
+
+    Attributes:
+        has_mark: Whether the target that was returned begins with ``MARK``.
+    """
+
+    MARK = b"/."
+
+    def __init__(self, rfile):
+        self.rfile = rfile
+        self.has_mark = False
+
+    def readline(self):
+        """Return the next line."""
+        line = self.rfile.readline()
+        method, _, rest = line.partition(b" ")
+        self.has_mark = rest.startswith(b"//")
+        return b"%s %s%s" % (method, self.MARK, rest) if self.has_mark else line
+
+
 class JsonErrorRequest(HTTPRequest):
     """A request whose protocol errors get a response with an error code in a JSON body."""
 
@@ -137,6 +164,19 @@
             self.conn.progress.note_request()
             self.conn.progress.enter(DECIDING)
 
+    def read_request_line(self):
+        """Read the request line."""
+        rfile = self.rfile
+        self.rfile = path_line = PathLine(rfile)
+        try:
+            is_valid = super().read_request_line()
+        finally:
+            self.rfile = rfile
+        if is_valid and path_line.has_mark:
+            self.uri = self.uri.removeprefix(PathLine.MARK)
+            self.path = self.path.removeprefix(PathLine.MARK)
+        return is_valid
+
     def read_request_headers(self):
         """Read the headers; reject a request with a content length and chunked encoding."""
         if not super().read_request_headers():
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -206,6 +206,24 @@
     assert site.call("/nowhere/x", 1).status == 404
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("path", ["/-/ready", "/-/r%65ady", "/-/ready?x=1", "//a/b", "/metrics"])
+def test_request_whose_path_a_host_could_answer_itself_runs_at_an_endpoint(site, method, path):
+    """The readiness check answered callers' requests with 200, and none of them ran."""
+    route = (
+        "set route everything version 1 host all.example prefix / to docs kind unsafe timeout 2s"
+    )
+    site.wait_until(lambda: site.apply_items(f"{route} attempts 1"))
+    head = f"{method} {path} HTTP/1.1\r\nHost: all.example\r\nConnection: close\r\n"
+    request = f"{head}Content-Length: 0\r\n\r\n".encode()
+    site.wait_until(lambda: raw_exchange(site, request).split()[1] != b"404")
+    runs_before = run_count(site)
+    received = raw_exchange(site, request)
+    assert received.split()[1] == b"200"
+    assert f"Request-Path: {path}\r\n".encode() in received
+    assert run_count(site) == runs_before + 1
+
+
 def test_stray_response_reaches_no_caller(site):
     for endpoint in site.reporting_endpoints.values():
         endpoint.response_fault = "extra"
