Responses to reports are short enough to be taken

Callers saw: after one of two endpoints with keys had left, no key of the service was served any more, for good. Cause: the bound of a response was 140 rows, reckoned with 26 bytes; with handover tokens it had 4.7 KB, and one above 4 KiB is no acknowledgement. The leader sent the same rows again with each report. Change: response_room.py measures the encoded rows. What does not fit comes with the next report; what would wait for longer comes at once without its tokens. untaken_grants.py ends a grant that four successive reports do not list. Planned moves and evacuations use the same measure. Endpoints of the tests now have the bound of 4 KiB in place of that of 140 rows, which is what the protocol promises: the checks on the number of rows became checks on bytes.

--- a/greengagerock/assignment/hot_units.py
+++ b/greengagerock/assignment/hot_units.py
@@ -36,7 +36,7 @@
 # A unit that returns waits this long for reports that follow each other closely.
 RETURN_ALIGNMENT_WAIT_S = 4.0
 # Largest numbers of units and of chunks that an endpoint gives up in one report. A response of
-# 4 KiB has 140 rows, and the released units are without a holder until their targets report.
+# 4 KiB has about 140 rows, and the released units are without a holder until their targets report.
 MAX_UNITS_PER_REPORT = 128
 MAX_CHUNKS_PER_REPORT = 40
 # Responses of an endpoint whose hot units use more of its slots say how long its queue is.
@@ -170,7 +170,7 @@
         loads = list(self.loads.values())
         for other in loads:
             if other.rows is None:
-                other.rows = assignments.count_rows(other.instance)
+                other.rows = assignments.room.count_rows(other.instance)
         placed = plan_oversized(load, loads, self.levels, is_aligned, self._may_place)
         self._note_moves(load, placed, now_s)
         for unit in (unit for chunk in placed for unit in chunk.units):
@@ -367,7 +367,7 @@
                 continue
             waited_s = now_s - move.last_hot_s - RETURN_AFTER_S
             is_overdue = waited_s > RETURN_ALIGNMENT_WAIT_S
-            has_room = assignments.count_rows(move.origin) < MAX_ROWS_AFTER_REBALANCING
+            has_room = assignments.room.count_rows(move.origin) < MAX_ROWS_AFTER_REBALANCING
             if has_room and (is_overdue or is_aligned(source, move.origin)):
                 del self.temporary_moves[unit]
                 chunks.append(Chunk(move.origin, (unit,)))
--- a/greengagerock/assignment/key_assignments.py
+++ b/greengagerock/assignment/key_assignments.py
@@ -16,16 +16,17 @@
 from greengagerock.assignment.endpoint_weights import EndpointWeights
 from greengagerock.assignment.free_units import FreeUnits
 from greengagerock.assignment.hot_units import HotUnitPlanner
+from greengagerock.assignment.response_room import FULL_ROWS, ResponseRoom
 from greengagerock.assignment.settled_holdings import MovableUnits, settled_counts
 from greengagerock.assignment.takeover_claims import TakeoverClaims
 from greengagerock.assignment.units import (
     UNIT_COUNT,
-    count_grant_rows,
     fences_by_unit,
     grant_rows,
     stripe_width,
     tokens_by_unit,
 )
+from greengagerock.assignment.untaken_grants import UntakenGrants
 from greengagerock.assignment.zone_handover import ZoneHandover
 from greengagerock.model.timing import PAUSE_ALLOWANCE_S
 
@@ -34,8 +35,6 @@
 MAX_CLOCK_DRIFT_SHARE = 0.02
 # Wait for more endpoints before the first assignment, since later moves disturb callers.
 FIRST_ASSIGNMENT_WAIT_S = 2.0
-# Largest number of rows in a response. 4 KiB have room for about 150 rows of at most 26 bytes.
-MAX_ROWS = 140
 # Endpoints that report early get at most this multiple of an equal share of the free keys, so
 # that keys are without a holder for only a part of the report interval.
 MAX_POOL_QUOTA_FACTOR = 4.0
@@ -91,6 +90,8 @@
         weights: The ``EndpointWeights``.
         hot_units: The ``HotUnitPlanner``.
         zone_handover: The ``ZoneHandover``.
+        room: The ``ResponseRoom``.
+        untaken: The ``UntakenGrants``.
         next_plan_s: Earliest time of the next plan while planned moves remain.
         waiting_since_s: Since when each target of planned moves has waited for units.
         first_report_s: When the first report arrived, or ``None``.
@@ -127,7 +128,9 @@
         self.planned_moves = {}
         self.weights = EndpointWeights()
         self.hot_units = HotUnitPlanner()
-        self.zone_handover = ZoneHandover(self, (HANDOVER_MIN_S, HANDOVER_WINDOW_S), MAX_ROWS)
+        self.zone_handover = ZoneHandover(self, (HANDOVER_MIN_S, HANDOVER_WINDOW_S), FULL_ROWS)
+        self.room = ResponseRoom(self)
+        self.untaken = UntakenGrants(report_interval_s)
         self.next_plan_s = 0.0
         self.waiting_since_s = {}
         self.first_report_s = None
@@ -160,18 +163,20 @@
             self._confirm_claims(instance, reported)
         self._drop_confirmed_tokens(instance, reported)
         self._collect_released(instance, reported, now_s)
+        self._end_untaken(instance, reported, now_s)
         if self._has_open_claims(instance, now_s):
             self._probe(instance, now_s)
         elif instance.is_leaving:
-            self._release(instance, list(self.held.get(instance, ())), now_s)
+            self.release(instance, list(self.held.get(instance, ())), now_s)
         elif self.is_evacuated(instance):
             self._release_evacuated(instance, instances, now_s)
         else:
             self.zone_handover.forget(instance)
             self._release_moves(instance, now_s)
             self._grant_free(instance, instances, now_s)
+        self.room.shorten(instance, now_s)
         instance.hold_until_s = now_s + lessor_hold_s(hold_s)
-        return self._rows(instance)
+        return self.rows(instance)
 
     def end(self, instance, now_s):
         """Free the units of an instance that has ended for certain.
@@ -186,6 +191,8 @@
         self.planned_moves.pop(instance, None)
         self.weights.forget(instance.name)
         self.hot_units.forget(instance)
+        self.untaken.forget(instance)
+        self.room.forget(instance)
         self.zone_handover.forget(instance)
 
     def clear_owners(self, instance):
@@ -255,13 +262,6 @@
         reservation = self.free_units.reserved.get(unit)
         return self.owners[unit] if reservation is None else reservation.target
 
-    def count_rows(self, instance):
-        """Return the rows of a response to an instance, with one for each unit in transit."""
-        rows = count_grant_rows(
-            self.held.get(instance, ()), self._granted_fences(instance), self.handover_tokens
-        )
-        return rows + self.free_units.count_reserved(instance)
-
     def _accepts_units(self, instance):
         return not (instance.is_leaving or self.is_evacuated(instance))
 
@@ -404,7 +404,7 @@
         is_urgent = not self._accepts_units(instance)
         if is_urgent and len(held) > 1 and instance not in self.releasing:
             unit = max(held - {self.claims.probes[instance].unit})
-            self._release(instance, [unit], now_s)
+            self.release(instance, [unit], now_s)
 
     def _drop_confirmed_tokens(self, instance, reported):
         """Drop handover tokens that the new holder has received."""
@@ -412,12 +412,20 @@
             if unit in self.handover_tokens and unit in reported:
                 del self.handover_tokens[unit]
 
+    def _end_untaken(self, instance, reported, now_s):
+        """Leave units out of the response that several earlier ones granted in vain."""
+        granted = self.held.get(instance, set()) - self.claims.units
+        units = self.untaken.note_report(instance, granted, reported, now_s)
+        if units:
+            self.release(instance, units, now_s)
+
     def _collect_released(self, instance, reported, now_s):
         tokens = tokens_by_unit(instance.report.freed)
+        self.room.note_tokens(tokens.values())
         for unit in [u for u in self.releasing.get(instance, ()) if u not in reported]:
             self._give_up(unit, now_s, tokens.get(unit, ""))
 
-    def _release(self, instance, units, now_s, target=None):
+    def release(self, instance, units, now_s, target=None):
         """Leave units out of the response; they become free once a report no longer lists them."""
         # The hold may be one of an earlier leader.
         until_s = max(instance.hold_until_s, self.earlier_holds_end_s)
@@ -435,13 +443,13 @@
         self.planned_moves.pop(instance, None)
         available = self._available(instances, now_s)
         for target, units in self.zone_handover.next_batch(instance, available, now_s):
-            self._release(instance, units, now_s, target)
+            self.release(instance, units, now_s, target)
 
     def _release_moves(self, instance, now_s):
         for chunk in self.hot_units.release(instance, self, self._is_aligned, now_s):
             if self._accepts_units(chunk.target):
                 units = self._movable_units(instance, chunk.units, now_s)
-                self._release(instance, units, now_s, chunk.target)
+                self.release(instance, units, now_s, chunk.target)
         planned = self.planned_moves.get(instance)
         if not planned:
             return
@@ -453,7 +461,7 @@
             is_soon = HANDOVER_MIN_S < due_in_s < HANDOVER_WINDOW_S
             if is_soon or self._has_waited(target, now_s):
                 units = self._movable_units(instance, units, now_s)
-                self._release(instance, units, now_s, target)
+                self.release(instance, units, now_s, target)
             else:
                 remaining.append((target, units))
         self.planned_moves[instance] = remaining
@@ -477,16 +485,9 @@
         if not granted:
             return
         fence = self.next_fence(self.highest_fence)
-        for unit in granted:
+        for unit in self.room.choose_fitting(instance, granted, fence, now_s):
             self._set_owner(instance, unit, fence)
             self.claims.note_granted(unit, fence)
-        if len(self._rows(instance)) > MAX_ROWS and self.claims.units.isdisjoint(
-            self.held[instance]
-        ):
-            for unit in self.held[instance]:
-                self.fences[unit] = fence
-                self.claims.note_granted(unit, fence)
-                self.handover_tokens.pop(unit, None)
         if not self.free_units.free:
             self.peak_free_count = 0
 
@@ -496,14 +497,15 @@
         return int(factor * self.peak_free_count / max(endpoint_count, 1))
 
     def _choose_free(self, instance, free_units, quota):
-        """Choose free units, as far as the response has room for rows.
+        """Choose free units, as far as the response may have room for rows.
 
         When it is full, only neighbours of the units already held are chosen: once all of them
         have the same fence, they need no further row.
         """
         width = self.stripe_units
-        free_rows = MAX_ROWS - len(self._rows(instance))
-        chosen = choose_stripes(free_units, quota, width, max(free_rows, 0))
+        has_tokens = any(unit in self.handover_tokens for unit in free_units)
+        free_rows = self.room.rows_left(instance, has_tokens)
+        chosen = choose_stripes(free_units, quota, width, free_rows)
         if quota - len(chosen) < width or len(chosen) == len(free_units):
             return chosen
         held = self.held.get(instance, set())
@@ -532,19 +534,24 @@
             self.free_units.reserve(unit, instance, now_s + RESERVATION_S)
 
     def _available(self, instances, now_s):
-        """Return the instances that accept units and whose reports are not overdue."""
+        """Return the instances that accept units and whose reports are not overdue.
+
+        Those that have not taken their grants are left out while there are others.
+        """
         overdue_s = 2 * self.report_interval_s
-        return [
+        available = [
             instance
             for instance in instances
             if self._accepts_units(instance) and now_s - instance.last_report_s < overdue_s
         ]
+        return [i for i in available if not self.untaken.is_avoided(i, now_s)] or available
 
-    def _rows(self, instance):
+    def rows(self, instance):
+        """Return the ``GrantRow`` objects of all units that an instance holds."""
         units = self.held.get(instance, ())
-        return grant_rows(units, self._granted_fences(instance), self.handover_tokens)
+        return grant_rows(units, self.granted_fences(instance), self.handover_tokens)
 
-    def _granted_fences(self, instance):
+    def granted_fences(self, instance):
         """Return the fence of each unit in a response to an instance."""
         probe = self.claims.probes.get(instance)
         if probe is None:
--- a/greengagerock/assignment/report_checks.py
+++ b/greengagerock/assignment/report_checks.py
@@ -17,7 +17,7 @@
 # Far longer than any warm-up.
 MAX_COLD_S = 86_400.0
 MAX_NAME_CHARACTERS = 200
-# Tokens are returned in responses of at most 4 KiB, with up to 140 rows.
+# Tokens are returned in responses of at most 4 KiB, which ``ResponseRoom`` measures.
 MAX_TOKEN_CHARACTERS = 64
 # Bounds the time that a report takes. An endpoint lists each of its keys once; it may have
 # released a key several times since its last acknowledged report.
--- a/greengagerock/assignment/takeover_claims.py
+++ b/greengagerock/assignment/takeover_claims.py
@@ -70,6 +70,11 @@
         """Choose the unit and fence that are sent to an instance as its probe."""
         self.probes[instance] = Probe(unit, fence)
 
+    def probed_unit(self, instance):
+        """Return the unit of the probe that is sent to an instance, or ``None``."""
+        probe = self.probes.get(instance)
+        return None if probe is None else probe.unit
+
     def is_proven(self, instance, reported, held):
         """Return whether a report was certainly sent in this term.
 
--- a/greengagerock/assignment/tests/test_hot_units.py
+++ b/greengagerock/assignment/tests/test_hot_units.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from greengagerock.assignment.hot_units import MAX_UNITS_PER_REPORT, RETURN_AFTER_S
-from greengagerock.assignment.key_assignments import MAX_ROWS
+from greengagerock.assignment.response_size import MAX_ROWS_BYTES
 from greengagerock.assignment.units import KEYS_PER_UNIT
 from greengagerock.control.hot_key_log import log_hot_units
 from greengagerock.testing.assignment_run import AssignmentRun, shortest_stay_s
@@ -38,7 +38,7 @@
         run.run_for(seconds)
     assert shortest_stay_s(run.grants) >= 2.0
     assert max(run.releases) <= MAX_UNITS_PER_REPORT
-    assert run.largest_response <= MAX_ROWS
+    assert run.largest_response <= MAX_ROWS_BYTES
 
 
 class LogRecorder:
--- a/greengagerock/assignment/units.py
+++ b/greengagerock/assignment/units.py
@@ -43,23 +43,6 @@
     return tokens
 
 
-def count_grant_rows(units, fences, handover_tokens):
-    """Return the number of rows that ``grant_rows`` returns for the same arguments.
-
-    Examples:
-        >>> count_grant_rows({0, 1, 5}, [7] * 8, {}), count_grant_rows((), [7] * 8, {})
-        (2, 0)
-    """
-    count = 0
-    previous_unit, previous_value = None, None
-    for unit in sorted(units):
-        value = (fences[unit], handover_tokens.get(unit, ""))
-        if unit - 1 != previous_unit or value != previous_value:
-            count += 1
-        previous_unit, previous_value = unit, value
-    return count
-
-
 def grant_rows(units, fences, handover_tokens):
     """Return the ``GrantRow`` objects for units; neighbours with equal values share a row.
 
--- a/greengagerock/assignment/zone_handover.py
+++ b/greengagerock/assignment/zone_handover.py
@@ -2,7 +2,6 @@
 
 from greengagerock.assignment.balance import desired_counts
 from greengagerock.assignment.hot_units import units_of_block
-from greengagerock.assignment.units import grant_rows
 
 # An endpoint's keys leave in about this many batches. It reports released keys within 0.1 s and
 # gets the next batch in the response, so all have left about 0.4 s after its first report. More
@@ -24,7 +23,7 @@
     Attributes:
         instance: Its ``EndpointInstance``.
         units: Number of units that it holds or that are reserved for it.
-        rows: Number of rows of its response, if no two stripes are neighbours.
+        rows: How full its response is, if no two stripes are neighbours.
         rate: Requests per second for these units.
         fair_units: Number of units that it should hold.
         fair_rate: Requests per second that it should get.
@@ -70,7 +69,7 @@
         assignments: The ``KeyAssignments`` of the service.
         handover_due_s: Shortest and longest time until a target's report, in seconds, for which a
             key that goes there is without a holder for a short time only.
-        max_rows: Largest number of rows of a response.
+        max_rows: Number of rows that a full response counts as.
 
     Attributes:
         progress: ``Progress`` by evacuated ``EndpointInstance``.
@@ -179,11 +178,6 @@
         owners = self.assignments.owners
         return owners[unit] if 0 <= unit < len(owners) else None
 
-    def _count_rows(self, instance):
-        assignments = self.assignments
-        held = assignments.held.get(instance, ())
-        return len(grant_rows(held, assignments.fences, assignments.handover_tokens))
-
     def _next_targets(self, now_s):
         """Return the targets that report next, and whether they do so within the window."""
         shortest_s, longest_s = self.handover_due_s
@@ -241,7 +235,9 @@
             i: HandoverTarget(
                 i,
                 len(assignments.held.get(i, ())) + reserved_counts[i],
-                self._count_rows(i) + -(-reserved_counts[i] // assignments.stripe_units),
+                self.max_rows
+                - assignments.room.rows_left(i)
+                + -(-reserved_counts[i] // assignments.stripe_units),
                 rates[i],
                 fair_counts[i],
                 total_rate * fair_counts[i] / len(assignments.owners),
--- a/greengagerock/control/site_leader.py
+++ b/greengagerock/control/site_leader.py
@@ -263,7 +263,11 @@
         # A cold endpoint's first report must not get it all the keys that are free.
         limit_shares = self.router_updater.limit_shares
         apply_cold_limit(assignments, instance, instances, limit_shares, now_s)
+        ended_count = assignments.untaken.ended_count
         grants = assignments.process_report(instance, instances, now_s, self.config.hold_s)
+        if assignments.untaken.ended_count > ended_count:
+            units = assignments.untaken.ended_count - ended_count
+            self.outbox.log("grants-not-taken", endpoint=instance.name, units=units)
         return ReportResponse("", grants, self.config.hold_s)
 
     def _on_leaving(self, token, leaving, reply):
--- a/greengagerock/node/tests/test_evacuations.py
+++ b/greengagerock/node/tests/test_evacuations.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from greengagerock.assignment.key_assignments import MAX_ROWS
+from greengagerock.assignment.response_size import MAX_TAKEN_BYTES
 from greengagerock.control.protocol_versions import FIRST_HELLO_WINDOW_S
 from greengagerock.control.relay_messages import EvacuationRelay
 from greengagerock.core.interface import PatchArrived, SendMessage
@@ -17,7 +17,7 @@
     build_zoned_site,
     make_order,
     order,
-    watch_row_counts,
+    watch_body_sizes,
     watch_view_sizes,
 )
 from greengagerock.testing.fake_site import find_leader_name
@@ -216,11 +216,11 @@
 def test_two_of_three_zones_leave_without_overlong_responses():
     """Guards against responses of more rows than 4 KiB hold, and keys that stay because of it."""
     site = build_zoned_site(3, till_zones=(1, 2, 3) * 4)
-    row_counts = watch_row_counts(site)
+    body_sizes = watch_body_sizes(site)
     loads = [EvacuationLoad(site, zone) for zone in ("zone-1", "zone-2")]
     ordered_s = site.now_s
     for load in loads:
         order(site, load.zone)
     site.run_for(ordered_s + KEYS_LEFT_S - site.now_s)
-    assert max(row_counts) <= MAX_ROWS
+    assert max(body_sizes) <= MAX_TAKEN_BYTES
     assert [load.held_units() for load in loads] == [0, 0]
--- a/greengagerock/platform/tests/test_wire.py
+++ b/greengagerock/platform/tests/test_wire.py
@@ -6,6 +6,7 @@
 import pytest
 
 from greengagerock.assignment import EndpointLeaving, GrantRow, ReportResponse
+from greengagerock.assignment.response_size import MAX_ROWS_BYTES, row_bytes
 from greengagerock.core import GreengageError
 from greengagerock.items import ItemStore
 from greengagerock.platform.wire_items import decode_patch, encode_items
@@ -244,11 +245,11 @@
     }
 
 
-def test_longest_response_fits_into_four_kibibytes():
-    from greengagerock.assignment.key_assignments import MAX_ROWS
-
-    rows = tuple(GrantRow(65_528, 65_535, 99 * 65_536) for _ in range(MAX_ROWS))
-    assert len(encode_report_response(ReportResponse("", rows, 6.0))) <= 4096
+@pytest.mark.parametrize("row", [(99 * 65_536, ""), (10**14, "0" * 64)])
+def test_longest_response_fits_into_four_kibibytes(row):
+    grant = GrantRow(65_528, 65_535, *row)
+    rows = (grant,) * (MAX_ROWS_BYTES // row_bytes(grant))
+    assert 3600 <= len(encode_report_response(ReportResponse("", rows, 6.0))) <= 4096
 
 
 def test_settings_of_a_router():
--- a/greengagerock/testing/assignment_run.py
+++ b/greengagerock/testing/assignment_run.py
@@ -2,6 +2,7 @@
 
 from greengagerock.assignment import FreedRange, HeldRange, KeyAssignments
 from greengagerock.assignment.instance_directory import EndpointInstance
+from greengagerock.assignment.response_size import rows_bytes
 from greengagerock.assignment.units import KEYS_PER_UNIT
 from greengagerock.testing.item_builders import build_report
 
@@ -23,7 +24,7 @@
         now_s: Virtual time in seconds.
         grants: Tuples of time, unit and endpoint name of each grant.
         releases: Number of units and rows that each report gave up.
-        largest_response: Largest number of rows of a response.
+        largest_response: Largest size of the rows of a response in bytes.
     """
 
     def __init__(self, endpoint_count, rates):
@@ -75,7 +76,7 @@
             for unit in released
         )
         self._rows[instance] = rows
-        self.largest_response = max(self.largest_response, len(rows))
+        self.largest_response = max(self.largest_response, rows_bytes(rows))
         self.releases.append(len(released))
         self._due_s[instance] = self.now_s + (RELEASE_REPORT_S if released else REPORT_INTERVAL_S)
 
--- a/greengagerock/testing/evacuation_load.py
+++ b/greengagerock/testing/evacuation_load.py
@@ -2,6 +2,7 @@
 
 from greengagerock.core.interface import MessageReceived, RespondWithError
 from greengagerock.items import EvacuationOrder, Patch
+from greengagerock.platform.wire_reports import encode_report_response
 from greengagerock.testing.fake_reporting_endpoint import FakeReportingEndpoint
 from greengagerock.testing.fake_site import build_fake_site
 
@@ -72,17 +73,17 @@
     return sizes
 
 
-def watch_row_counts(site):
-    """Return a list to which the number of rows of each response to a report is added."""
-    counts = []
+def watch_body_sizes(site):
+    """Return a list to which the size of the body of each response to a report is added."""
+    sizes = []
     for endpoint in site.reporting_endpoints.values():
 
         def apply_response(response, sent_s, now_s, apply=endpoint.apply_response):
-            counts.append(len(response.grants or ()))
+            sizes.append(len(encode_report_response(response)))
             apply(response, sent_s, now_s)
 
         endpoint.apply_response = apply_response
-    return counts
+    return sizes
 
 
 class EvacuationLoad:
--- a/greengagerock/web/control_application.py
+++ b/greengagerock/web/control_application.py
@@ -9,6 +9,7 @@
 
 from greengagerock.assignment import EndpointLeaving, EndpointReport
 from greengagerock.assignment.report_checks import check_report
+from greengagerock.assignment.response_size import MAX_TAKEN_BYTES
 from greengagerock.core import ERROR_KINDS, GreengageError
 from greengagerock.core.decoding import MALFORMED_INPUT
 from greengagerock.core.interface import EndpointReportArrived, ItemsRequested, PatchArrived
@@ -165,7 +166,12 @@
         response = self._request_decision(EndpointReportArrived, read_message(name, data))
         if response.code:
             raise GreengageError(response.code, f"endpoint {name}")
-        return dialect.encode_report_response(response)
+        body = dialect.encode_report_response(response)
+        if len(body) > MAX_TAKEN_BYTES:
+            # A leader of an earlier build may send one.
+            self.metrics.overlong_responses.inc()
+            self.log("response-too-long", endpoint=name, bytes=len(body))
+        return body
 
     def _apply_patch(self, patch, environ):
         if patch.evacuations and has_hung_up(environ.get("greengage.descriptor")):
--- a/greengagerock/web/metrics.py
+++ b/greengagerock/web/metrics.py
@@ -40,6 +40,11 @@
             ["code"],
             registry=self.registry,
         )
+        self.overlong_responses = Counter(
+            "greengage_overlong_report_responses",
+            "Responses to reports that were too long for an endpoint to take.",
+            registry=self.registry,
+        )
         self.up = Gauge("greengage_up", "1 while the daemon runs.", registry=self.registry)
         self.up.set(1)
         self._histograms = {}
