Tell a reset connection from an ended one wherever a response may end with it

Seen by callers: an endpoint answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: urllib3 ignores EPIPE and ECONNRESET of a write, so that a response that was sent before can be read. Linux reports a reset once. The write had taken the report, and the read that followed returned an end of the stream, which completes a response without a length.

Change: web/connection_end.py says how a connection ended (ended, reset, timed out, closed here), from the error of the write, from whether this host has shut it down, and from TCP_INFO and SO_ERROR where something else took the report. The file from which responses are read asks it at each end of the stream and raises an error unless the other side has ended it. It is used for heads, short and streamed bodies, refusals, other routers and by the bounded client of the agent and the command line. Linux reports EPIPE, not ECONNRESET, for a reset that follows the end of the stream, so a response that had ended before the reset still arrives.

--- a/greengagerock/testing/raw_endpoint.py
+++ b/greengagerock/testing/raw_endpoint.py
@@ -2,10 +2,14 @@
 
 import contextlib
 import socket
+import struct
 import threading
+import time
 
 # Largest head of a request that it reads.
 MAX_REQUEST_BYTES = 64 * 1024
+# ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class RawEndpoint:
@@ -79,3 +83,44 @@
             return False
         data += received
     return True
+
+
+def reset(connection):
+    """Reset a connection."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
+
+def reset_after(delay_s):
+    """Return a callable that resets a connection after some seconds."""
+
+    def write(connection):
+        time.sleep(delay_s)
+        reset(connection)
+
+    return write
+
+
+def close_unread_after(delay_s):
+    """Return a callable that closes a connection after some seconds, with bytes left unread.
+
+    The system then sends a reset, and no end of the stream before it.
+    """
+
+    def write(connection):
+        time.sleep(delay_s)
+        connection.recv(1, socket.MSG_PEEK)
+        connection.close()
+
+    return write
+
+
+def end_then_close_after(delay_s):
+    """Return a callable that ends the stream, and closes the connection after some seconds."""
+
+    def write(connection):
+        connection.shutdown(socket.SHUT_WR)
+        time.sleep(delay_s)
+        connection.close()
+
+    return write
--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -12,6 +12,7 @@
 
 from greengagerock.assignment import EndpointReport, FreedRange, HeldRange, ReportResponse
 from greengagerock.assignment.units import KEYS_PER_UNIT
+from greengagerock.testing.raw_endpoint import RESET_ON_CLOSE
 from greengagerock.web.native_dialect import REFUSED_HEADER
 from greengagerock.web.route_dialect import (
     KEY_HEADER,
@@ -52,7 +53,9 @@
             connection is closed without a response; ``full``: the request is refused;
             ``refused-again``: a refusal without an id comes before each response but the first
             of a connection; ``torn-head``: the connection is closed within the head;
-            ``early``: the response is sent before the body is read, and the connection closed.
+            ``early``: the response is sent before the body is read, and the connection closed;
+            ``early-reset``: a part of a response without a length is sent before the body is
+            read, and the connection reset.
         retry_after: Value of the header with which refused requests are to come back, or empty.
         says_leaving: Whether its responses say that it leaves.
         endless_responses: Number of responses without end that it sends at the moment.
@@ -210,6 +213,8 @@
 ENDLESS_INTERVAL_S = 0.005
 SLOW_BODY_S = 0.6
 LINGER_S = 0.5
+# Bytes of a response that is interrupted.
+PART_BYTES = 3000
 
 
 class _Server(ThreadingHTTPServer):
@@ -264,6 +269,9 @@
         if endpoint.response_fault == "early":
             self._respond_early()
             return
+        if endpoint.response_fault == "early-reset":
+            self._reset_early()
+            return
         body = self._read_body()
         if endpoint.response_fault == "endless-refusal":
             self._send_without_end(b"HTTP/1.1 503 Busy\r\n" + REFUSED_LINE + b"\r\n", b"x" * 64)
@@ -334,6 +342,15 @@
             while time.monotonic() < end_s and self.connection.recv(65_536):
                 pass
 
+    def _reset_early(self):
+        """Send a part of a response without a length, and reset the connection."""
+        request_id = self.headers.get(REQUEST_ID_HEADER, "")
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {request_id}\r\nConnection: close\r\n"
+        self.wfile.write(head.encode() + b"\r\n" + b"x" * PART_BYTES)
+        self.close_connection = True
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.server.close_request(self.request)
+
     def _send_without_end(self, first, repeated):
         """Send bytes without end, in small pieces, until the peer closes the connection."""
         self.close_connection = True
--- /dev/null
+++ b/greengagerock/testing/stub_router.py
@@ -0,0 +1,110 @@
+"""A router of which only the decisions are a stand-in: it forwards each call to one endpoint."""
+
+import time
+
+from greengagerock.core import OUTCOME_UNKNOWN
+from greengagerock.core.interface import (
+    AttemptFailed,
+    CallArrived,
+    Forward,
+    RelayArrived,
+    RespondWithError,
+    ResponseInterrupted,
+)
+from greengagerock.daemon.bridge import Bridge
+from greengagerock.settings.schema import LimitSettings
+from greengagerock.testing.log_recorder import LogRecorder
+from greengagerock.web.caller_application import CallerApplication
+from greengagerock.web.metrics import Metrics
+from greengagerock.web.relay_dialect import RelayDialect
+from greengagerock.web.route_dialect import NativeRouteDialect
+from greengagerock.web.server import HttpServer
+from greengagerock.web.upstream import Upstream
+
+TIMEOUT_S = 5.0
+WAIT_S = 5.0
+WAIT_STEP_S = 0.01
+THREADS = 4
+
+
+class StubRouter:
+    """An HTTP server for callers, or for another router, with connections to one endpoint.
+
+    Used as a context manager. A failed attempt ends its call with an error.
+
+    Args:
+        ip: Loopback address to listen on.
+        port: Port to listen on.
+        relay: ``IP:PORT`` of another ``StubRouter`` that reaches the endpoint, or empty.
+        serves_router: Whether the requests come from another router.
+
+    Attributes:
+        address: IP address and port.
+        bridge: The ``Bridge``.
+        endpoint: ``IP:PORT`` of the endpoint.
+        range_endpoint: ``IP:PORT`` of an endpoint that is asked for the rest of an interrupted
+            response, or empty.
+        events: All events of calls since the endpoint was set, in order.
+        log: The ``LogRecorder``.
+    """
+
+    def __init__(self, ip, port, relay="", serves_router=False):
+        self.address = (ip, port)
+        self.endpoint = self.range_endpoint = ""
+        self.relay = relay
+        self.events = []
+        self.log = LogRecorder()
+        self.bridge = Bridge()
+        self.bridge.post = self.bridge.post_deferred = self._decide
+        self.bridge.unwatch_caller = lambda descriptor: None
+        dialect = NativeRouteDialect()
+        application = CallerApplication(
+            "h",
+            self.bridge,
+            Upstream(LimitSettings()),
+            Metrics(),
+            self.log,
+            RelayDialect(dialect) if serves_router else dialect,
+        )
+        self.server = HttpServer(ip, port, application, LimitSettings(), THREADS, self.log)
+
+    def __enter__(self):
+        self.server.start()
+        return self
+
+    def __exit__(self, *exception):
+        self.server.stop()
+
+    def reach(self, endpoint, range_endpoint=""):
+        """Forward the following calls to an endpoint, and drop the events of earlier ones."""
+        self.endpoint, self.range_endpoint = endpoint, range_endpoint
+        self.events = []
+
+    def wait_for(self, event_type):
+        """Return the first event of a type, once it has come.
+
+        Raises:
+            AssertionError: If there is none within ``WAIT_S``.
+        """
+        end_s = time.monotonic() + WAIT_S
+        while time.monotonic() < end_s:
+            for event in list(self.events):
+                if isinstance(event, event_type):
+                    return event
+            time.sleep(WAIT_STEP_S)
+        raise AssertionError(f"no {event_type.__name__} among {self.events}")
+
+    def _decide(self, event):
+        self.events.append(event)
+        match event:
+            case CallArrived(token) | RelayArrived(token):
+                self._forward(token, self.endpoint)
+            case ResponseInterrupted(token, is_resumable) if is_resumable and self.range_endpoint:
+                self._forward(token, self.range_endpoint)
+            case AttemptFailed(token) | ResponseInterrupted(token):
+                error = RespondWithError(token, "answer-lost", OUTCOME_UNKNOWN, "", True)
+                self.bridge.deliver(token, error)
+
+    def _forward(self, token, endpoint):
+        forward = Forward(token, "e", endpoint, {}, TIMEOUT_S, relay=self.relay)
+        self.bridge.deliver(token, forward)
--- a/greengagerock/web/bounded_client.py
+++ b/greengagerock/web/bounded_client.py
@@ -1,33 +1,27 @@
 """HTTP client whose responses end in size and in time."""
 
-import io
 import time
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from greengagerock.web.bounded_input import TimedSocketIO
-from greengagerock.web.strict_response import StrictResponse
+from greengagerock.web.strict_response import StrictConnection, StrictResponse
 
 
 class TimedResponse(StrictResponse):
     """A response that ends within the time-out of its connection, however its bytes arrive."""
 
-    def __init__(self, sock, *arguments, **options):
-        super().__init__(sock, *arguments, **options)
-        self.fp.close()
-        # ``makefile`` counts the files of a socket, so that the last one closes it.
-        sock._io_refs += 1
-        raw = TimedSocketIO(sock, "rb")
-        raw.deadline_s = time.monotonic() + (sock.gettimeout() or float("inf"))
-        self.fp = io.BufferedReader(raw)
+    def make_file(self, state):
+        """Return the file of a connection, with a deadline."""
+        raw = super().make_file(state)
+        raw.deadline_s = time.monotonic() + (state.sock.gettimeout() or float("inf"))
+        return raw
 
 
-class TimedConnection(HTTPConnection):
+class TimedConnection(StrictConnection):
     """A connection of ``TimedResponse`` objects."""
 
-    response_class = TimedResponse
+    strict_response_class = TimedResponse
 
 
 class TimedPool(urllib3.HTTPConnectionPool):
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -308,7 +308,7 @@
     def _begin_body(self, attempt):
         """Keep the connection cancellable while the body is read."""
         self.body_attempt = Attempt()
-        self.body_attempt.sock = attempt.sock
+        self.body_attempt.state = attempt.state
         self.body_attempt.is_answered = self.is_answered
         # A body in progress shows that the connection works.
         self.body_attempt.is_new = self.body_attempt.has_head = True
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -1,7 +1,12 @@
 """Responses of endpoints that are refused if they are truncated, ambiguous or without end."""
 
+import io
 from http.client import SWITCHING_PROTOCOLS, HTTPException, HTTPResponse
 
+from urllib3.connection import HTTPConnection
+
+from greengagerock.web.connection_end import ConnectionState, ObservedSocketIO
+
 # Largest head of a response, interim responses included.
 MAX_HEAD_BYTES = 64 * 1024
 # Longest line of a response's head, chunk sizes and trailers.
@@ -61,7 +66,20 @@
 
 
 class StrictResponse(HTTPResponse):
-    """A response of the standard library that is read through a ``LineReader``."""
+    """A response of the standard library that is read through a ``LineReader``.
+
+    Args:
+        state: The ``ConnectionState`` of its connection.
+    """
+
+    def __init__(self, state, *arguments, **options):
+        super().__init__(state.sock, *arguments, **options)
+        self.fp.close()
+        self.fp = io.BufferedReader(self.make_file(state))
+
+    def make_file(self, state):
+        """Return the unbuffered file of a connection, from which the response is read."""
+        return ObservedSocketIO(state)
 
     def begin(self):
         """Read the head.
@@ -109,3 +127,39 @@
         raise HTTPException("malformed or contradictory Content-Length")
     if encodings and (lengths or [text.lower() for text in encodings] != ["chunked"]):
         raise HTTPException("Transfer-Encoding is not chunked, or comes with a Content-Length")
+
+
+class StrictConnection(HTTPConnection):
+    """A connection whose responses are complete only if the other side has ended them.
+
+    Attributes:
+        state: The ``ConnectionState``, ``None`` before it is connected.
+        strict_response_class: Class of its responses.
+    """
+
+    strict_response_class = StrictResponse
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.state = None
+
+    def connect(self):
+        """Open the connection."""
+        super().connect()
+        self.state = ConnectionState(self.sock)
+
+    def send(self, data):
+        """Send ``data``, and keep the error if that fails.
+
+        urllib3 ignores a reset here, so that a response that was sent before it can be read.
+        """
+        try:
+            super().send(data)
+        except OSError as error:
+            if self.state is not None:
+                self.state.note_write_error(error)
+            raise
+
+    def response_class(self, sock, *arguments, **options):
+        """Return a response that is read from the connection; called by the library."""
+        return self.strict_response_class(self.state, *arguments, **options)
--- a/greengagerock/web/tests/test_bounded_client.py
+++ b/greengagerock/web/tests/test_bounded_client.py
@@ -8,7 +8,7 @@
 from greengagerock.agent.announcer import RETRY_INTERVAL_S, Announcer
 from greengagerock.cli.client import OperatorClient
 from greengagerock.core import GreengageError
-from greengagerock.testing.raw_endpoint import RawEndpoint
+from greengagerock.testing.raw_endpoint import RawEndpoint, end_then_close_after, reset_after
 from greengagerock.web.bounded_client import BoundedClient
 
 MAX_BYTES = 100_000
@@ -68,6 +68,23 @@
         assert endpoint.accepted_count == 1
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_response_that_is_reset_while_a_long_body_is_sent_is_not_whole(delay_s):
+    start = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 3000
+    with RawEndpoint("127.47.0.2", start, reset_after(delay_s)) as endpoint:
+        client = BoundedClient(TIMEOUT_S, MAX_BYTES)
+        with pytest.raises(HTTPError):
+            client.request("POST", f"http://{endpoint.address}/", body=bytes(8_000_000))
+
+
+def test_response_that_is_ended_while_a_long_body_is_sent_is_whole():
+    start = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"
+    with RawEndpoint("127.47.0.2", start, end_then_close_after(0.05)) as endpoint:
+        client = BoundedClient(TIMEOUT_S, MAX_BYTES)
+        url = f"http://{endpoint.address}/"
+        assert client.request("POST", url, body=bytes(8_000_000)) == (200, b"ok")
+
+
 def test_command_line_reports_a_response_without_end(monkeypatch):
     monkeypatch.setattr("greengagerock.cli.client.MAX_RESPONSE_BYTES", MAX_BYTES)
     start, repeated = ENDLESS["chunks"]
--- /dev/null
+++ b/greengagerock/web/tests/test_early_responses.py
@@ -0,0 +1,89 @@
+"""Responses that an endpoint sends while the request is still being written."""
+
+import pytest
+
+from greengagerock.core.interface import AttemptFailed, RequestEnded, ResponseInterrupted
+from greengagerock.testing.raw_endpoint import (
+    RawEndpoint,
+    close_unread_after,
+    end_then_close_after,
+    reset_after,
+)
+from greengagerock.testing.stub_router import StubRouter
+from greengagerock.testing.uploading_caller import upload
+
+ROUTER = ("127.37.0.41", 8641)
+RELAYING_ROUTER = ("127.37.0.41", 8642)
+RELAY = ("127.37.0.42", 8643)
+ENDPOINT_IP = "127.37.0.43"
+BODY_BYTES = 4 * 1024 * 1024
+UNBOUNDED_HEADS = {
+    "close": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+    "http-1.0": b"HTTP/1.0 200 OK\r\n\r\n",
+    "error": b"HTTP/1.1 500 Internal Server Error\r\n\r\n",
+}
+RESETS = {
+    "reset": reset_after(0.0),
+    "reset-later": reset_after(0.05),
+    "closed-unread": close_unread_after(0.0),
+    "closed-unread-later": close_unread_after(0.05),
+}
+# A short response fits into the buffers of both systems, a long one waits for its reader.
+SHORT_BYTES = 3000
+LONG_BYTES = 200_000
+
+
+@pytest.fixture(scope="module")
+def relay():
+    """Start a router that forwards requests of another one."""
+    with StubRouter(*RELAY, serves_router=True) as router:
+        yield router
+
+
+@pytest.fixture(scope="module", params=["direct", "relayed"])
+def router(request, relay):
+    """Start a router that reaches the endpoint on an own connection, or through another one."""
+    if request.param == "direct":
+        with StubRouter(*ROUTER) as built:
+            yield built
+    else:
+        with StubRouter(*RELAYING_ROUTER, relay="{}:{}".format(*RELAY)) as built:
+            yield built
+
+
+def serve(router, relay, response, ending):
+    """Return what a caller of the router gets who uploads a long body."""
+    with RawEndpoint(ENDPOINT_IP, response, ending) as endpoint:
+        router.reach(endpoint.address)
+        relay.reach(endpoint.address)
+        return upload(router.address, BODY_BYTES)
+
+
+@pytest.mark.parametrize("size", [SHORT_BYTES, LONG_BYTES])
+@pytest.mark.parametrize("ending", RESETS)
+@pytest.mark.parametrize("head", UNBOUNDED_HEADS)
+def test_reset_response_is_not_taken_for_a_whole_one(router, relay, head, ending, size):
+    """The failed write of the request took the only report of the reset."""
+    response = UNBOUNDED_HEADS[head] + b"x" * size
+    received = serve(router, relay, response, RESETS[ending])
+    assert not (received.status in (200, 500) and received.is_whole)
+    router.wait_for(AttemptFailed | ResponseInterrupted)
+
+
+@pytest.mark.parametrize("ending", ["ended", *RESETS])
+@pytest.mark.parametrize("status", [200, 413])
+def test_whole_response_with_a_length_arrives(router, relay, status, ending):
+    head = f"HTTP/1.1 {status} Status\r\nContent-Length: {SHORT_BYTES}\r\n\r\n"
+    response = head.encode() + b"x" * SHORT_BYTES
+    received = serve(router, relay, response, RESETS.get(ending) or end_then_close_after(0.05))
+    assert (received.status, received.is_whole) == (status, True)
+    assert received.body == b"x" * SHORT_BYTES
+
+
+@pytest.mark.parametrize("head", UNBOUNDED_HEADS)
+def test_response_that_ends_before_the_reset_arrives(router, relay, head):
+    response = UNBOUNDED_HEADS[head] + b"x" * SHORT_BYTES
+    received = serve(router, relay, response, end_then_close_after(0.05))
+    assert (received.status, received.is_whole) == (int(response.split()[1]), True)
+    assert received.body == b"x" * SHORT_BYTES
+    assert router.wait_for(RequestEnded).complete
--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -81,12 +81,12 @@
     timeouts_ms = []
 
     def inspect(response):
-        timeouts_ms.append(read_user_timeout_ms(attempt.sock))
+        timeouts_ms.append(read_user_timeout_ms(attempt.state.sock))
 
     forward = Forward(1, "e", address, {}, 5.0)
     response = upstream.send(forward, "GET", "/", {}, None, attempt, inspect)
     assert response.read() == b"ok"
-    timeouts_ms.append(read_user_timeout_ms(attempt.sock))
+    timeouts_ms.append(read_user_timeout_ms(attempt.state.sock))
     assert timeouts_ms == [2000, 0]
 
 
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -8,14 +8,13 @@
 from collections import deque
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from greengagerock.core.interface import AttemptFailed
 from greengagerock.routing.failures import REASON_CALLER, REASON_CONNECTION_LOST
 from greengagerock.web.connection_errors import reason_of
 from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
-from greengagerock.web.strict_response import StrictResponse
+from greengagerock.web.strict_response import StrictConnection
 
 CONNECTIONS_PER_ENDPOINT = 32
 # Largest body of a refusal that is read; the bytes of a longer one may have no end.
@@ -69,8 +68,8 @@
         has_head: Whether the head of the response has arrived.
         has_sent_bytes: Whether any byte may have left this host.
         is_answered: Whether the caller may have got a part of the response.
-        sock: The socket in use, or ``None``. The library's connection drops it when a response
-            is to end with the connection.
+        state: The ``ConnectionState`` in use, or ``None``. The library's connection drops its
+            socket when a response is to end with the connection.
         is_cancelled: Whether the loop cancelled the attempt.
         is_new: Whether the connection was opened for this attempt.
         target: Path and query, still encoded.
@@ -87,7 +86,7 @@
         "is_answered",
         "is_cancelled",
         "request_id",
-        "sock",
+        "state",
         "is_new",
         "target",
     )
@@ -102,7 +101,7 @@
         self.has_head = False
         self.has_sent_bytes = False
         self.is_answered = False
-        self.sock = None
+        self.state = None
         self.is_cancelled = False
         self.is_new = False
         self.target = ""
@@ -130,15 +129,11 @@
     def cancel(self):
         """Shut down the connection to the endpoint; called from the loop thread."""
         self.is_cancelled = True
-        if self.sock is not None:
-            try:
-                self.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # The connection was closed already.
-                return
+        if self.state is not None:
+            self.state.shut_down()
 
 
-class TrackedConnection(HTTPConnection):
+class TrackedConnection(StrictConnection):
     """A connection that records in the current ``Attempt`` whether bytes were sent.
 
     Attributes:
@@ -146,8 +141,6 @@
         refused_ids: Ids of requests that were refused on this connection, newest last.
     """
 
-    response_class = StrictResponse
-
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.idle_since_s = 0.0
@@ -178,8 +171,8 @@
                     attempt.connect_s = time.monotonic() - began_s
             if attempt is not None:
                 attempt.is_new = True
-        if attempt is not None and attempt.sock is None:
-            attempt.sock = self.sock
+        if attempt is not None and attempt.state is None:
+            attempt.state = self.state
             if attempt.is_cancelled:
                 # The attempt was cancelled while a connection was taken or opened.
                 self.close()
--- a/tests/test_outside_readers.py
+++ b/tests/test_outside_readers.py
@@ -26,6 +26,10 @@
         f"{WEB_TESTS}/test_bounded_input.py",
         "test_bytes_that_come_one_by_one_end_within_the_time_of_a_request",
     ),
+    "web/connection_end.py": (
+        f"{WEB_TESTS}/test_bounded_client.py",
+        "test_response_without_end_is_given_up",
+    ),
     "web/control_application.py": (
         f"{WEB_TESTS}/test_control_bodies.py",
         "test_chunked_body_without_end_is_refused",
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -16,6 +16,7 @@
 )
 from greengagerock.testing.reporting_endpoint import LINGER_S
 from greengagerock.testing.soak.faults import ENDLESS_FAULTS
+from greengagerock.testing.uploading_caller import upload
 
 SOCKET_TIMEOUT_S = 10.0
 # ``header_timeout`` of the items of the site.
@@ -266,6 +267,18 @@
     site.wait_until(site.serves_all_keys)
 
 
+def test_response_that_is_reset_during_a_long_upload_is_not_taken_for_a_whole_one(site):
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "early-reset"
+    for key in range(0, 65_536, 8192):
+        received = upload((site.routers[0], CALLER_PORT), 1_000_000, f"/charge/{key}", key)
+        assert received.status in (200, 502, 503)
+        assert received.status != 200 or not received.is_whole
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "whole"
+    site.wait_until(site.serves_all_keys)
+
+
 def test_unsafe_request_runs_once_when_its_response_is_lost(site):
     holder = find_endpoint_holding(site, 77)
     holder.response_fault = "close"
