Reset the connections of HTTP/1.0 callers whose response is interrupted

Seen by callers: a response without a length that broke off on its way to a caller of HTTP/1.0 ended like a complete one, if only after its head.

Cause: to such a caller the response ends with the connection. An interrupted response closed the connection as a complete one does, by the end of the stream. The last chunk, by whose absence callers of HTTP/1.1 detect it, does not exist there.

Change: a connection whose response is interrupted and would end with it is reset. Other responses are closed as before.

A process that ends, or is killed, during such a response still ends the stream.

--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -1,6 +1,8 @@
 """HTTP servers on CherryPy's WSGI server, with error codes in JSON bodies."""
 
 import json
+import socket
+import struct
 import threading
 
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
@@ -28,6 +30,9 @@
 # that was on its way has arrived by then, and the caller has closed the connection.
 LINGER_S = 1.0
 
+# ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 # Error statuses that can occur after a request has been forwarded.
 _STATUSES_OF_UNKNOWN_OUTCOME = frozenset({"408", "500"})
 
@@ -204,6 +209,11 @@
                 self.outheaders.append((b"Keep-Alive", b"timeout=%d" % kept_s))
         super().send_headers()
 
+    def ends_with_connection(self):
+        """Return whether the end of the connection is the end of the response."""
+        names = {name.lower() for name, _ in self.outheaders}
+        return self.sent_headers and not self.chunked_write and b"content-length" not in names
+
     def simple_response(self, status, msg=""):
         """Send an error response that the server creates itself, and close the connection."""
         status = str(status)
@@ -253,6 +263,18 @@
         environ["greengage.progress"] = self.req.conn.progress
         return environ
 
+    def respond(self):
+        """Send the response of the application.
+
+        If it is interrupted, the end of the connection must not look like that of the response.
+        """
+        try:
+            super().respond()
+        except Exception:
+            if self.req.ends_with_connection():
+                self.req.conn.reset_on_close()
+            raise
+
     def close_connection(self):
         """Close the connection after the response."""
         self.req.close_connection = True
@@ -270,6 +292,11 @@
     def __init__(self, server, sock, makefile=make_file):
         super().__init__(server, sock, make_file)
         self.progress = ConnectionProgress()
+        self._is_reset_on_close = False
+
+    def reset_on_close(self):
+        """Let closing the connection reset it instead of ending the stream."""
+        self._is_reset_on_close = True
 
     def close(self):
         """Close the connection; the server does not count it any longer."""
@@ -278,6 +305,13 @@
         finally:
             self.server.open_connections.remove(self)
 
+    def _close_kernel_socket(self):
+        if self._is_reset_on_close:
+            # Shutting the socket down first would end the stream.
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        else:
+            super()._close_kernel_socket()
+
 
 def error_body(code, outcome, detail=""):
     """Return the JSON body of an error response from this host."""
--- a/greengagerock/web/tests/test_early_responses.py
+++ b/greengagerock/web/tests/test_early_responses.py
@@ -51,21 +51,25 @@
             yield built
 
 
-def serve(router, relay, response, ending):
+def serve(router, relay, response, ending, version="1.1"):
     """Return what a caller of the router gets who uploads a long body."""
     with RawEndpoint(ENDPOINT_IP, response, ending) as endpoint:
         router.reach(endpoint.address)
         relay.reach(endpoint.address)
-        return upload(router.address, BODY_BYTES)
+        return upload(router.address, BODY_BYTES, version=version)
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize("size", [SHORT_BYTES, LONG_BYTES])
 @pytest.mark.parametrize("ending", RESETS)
 @pytest.mark.parametrize("head", UNBOUNDED_HEADS)
-def test_reset_response_is_not_taken_for_a_whole_one(router, relay, head, ending, size):
-    """The failed write of the request took the only report of the reset."""
+def test_reset_response_is_not_taken_for_a_whole_one(router, relay, head, ending, size, version):
+    """The failed write of the request took the only report of the reset.
+
+    For callers of version 1.0, a response without a length ends with the router's connection.
+    """
     response = UNBOUNDED_HEADS[head] + b"x" * size
-    received = serve(router, relay, response, RESETS[ending])
+    received = serve(router, relay, response, RESETS[ending], version)
     assert not (received.status in (200, 500) and received.is_whole)
     router.wait_for(AttemptFailed | ResponseInterrupted)
 
@@ -80,10 +84,11 @@
     assert received.body == b"x" * SHORT_BYTES
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize("head", UNBOUNDED_HEADS)
-def test_response_that_ends_before_the_reset_arrives(router, relay, head):
+def test_response_that_ends_before_the_reset_arrives(router, relay, head, version):
     response = UNBOUNDED_HEADS[head] + b"x" * SHORT_BYTES
-    received = serve(router, relay, response, end_then_close_after(0.05))
+    received = serve(router, relay, response, end_then_close_after(0.05), version)
     assert (received.status, received.is_whole) == (int(response.split()[1]), True)
     assert received.body == b"x" * SHORT_BYTES
     assert router.wait_for(RequestEnded).complete
