Test that a response without a length is not completed by a cancellation

Seen by callers: at the end of a planned stop, a call of whose response only the head had arrived got that head as a complete, empty response, if it had no length.

Cause: the loop cancels a call by shutting its connection down, after which a read returns an end of the stream.

--- a/greengagerock/web/tests/test_unanswered_calls.py
+++ b/greengagerock/web/tests/test_unanswered_calls.py
@@ -25,6 +25,7 @@
 ENDPOINT = ("127.37.0.24", 8624)
 TIMEOUT_S = 10.0
 SHORT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+UNBOUNDED_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -100,8 +101,10 @@
     assert b"unknown" in received
 
 
-def test_stream_without_a_byte_ends_visibly_incomplete(bridge, server):
-    received = call_and_cancel(bridge, CHUNKED_HEAD)
+@pytest.mark.parametrize("head", [CHUNKED_HEAD, UNBOUNDED_HEAD], ids=["chunked", "no-length"])
+def test_stream_without_a_byte_ends_visibly_incomplete(bridge, server, head):
+    """Without a length, a shutdown by this host was taken for the end of the body."""
+    received = call_and_cancel(bridge, head)
     assert b"Transfer-Encoding: chunked" in received
     assert not received.endswith(b"0\r\n\r\n")
 
