Complete an interrupted response only with a rest of exactly the missing length

Seen by callers: a response that broke off and was resumed by a range request got a rest that was shorter or longer than its Content-Range said. The short one counted as complete, and the caller's connection was kept, so that the next response would have filled the gap; of the long one all bytes were sent, beyond the length that the head had named.

Cause: the rest was accepted by its Content-Range, and then read until its own end, whatever that was.

Change: a rest whose Content-Length contradicts its range is not accepted; one without a length, or in chunks, that ends early or exceeds the range counts as interrupted.

--- a/greengagerock/testing/stub_router.py
+++ b/greengagerock/testing/stub_router.py
@@ -42,8 +42,8 @@
         address: IP address and port.
         bridge: The ``Bridge``.
         endpoint: ``IP:PORT`` of the endpoint.
-        range_endpoint: ``IP:PORT`` of an endpoint that is asked for the rest of an interrupted
-            response, or empty.
+        range_endpoint: ``IP:PORT`` of an endpoint that is asked once for the rest of an
+            interrupted response, or empty.
         events: All events of calls since the endpoint was set, in order.
         log: The ``LogRecorder``.
     """
@@ -100,7 +100,8 @@
             case CallArrived(token) | RelayArrived(token):
                 self._forward(token, self.endpoint)
             case ResponseInterrupted(token, is_resumable) if is_resumable and self.range_endpoint:
-                self._forward(token, self.range_endpoint)
+                range_endpoint, self.range_endpoint = self.range_endpoint, ""
+                self._forward(token, range_endpoint)
             case AttemptFailed(token) | ResponseInterrupted(token):
                 error = RespondWithError(token, "answer-lost", OUTCOME_UNKNOWN, "", True)
                 self.bridge.deliver(token, error)
--- a/greengagerock/testing/uploading_caller.py
+++ b/greengagerock/testing/uploading_caller.py
@@ -56,7 +56,7 @@
     return body, False
 
 
-def upload(address, body_bytes, path="/charge/1", key=0, version="1.1"):
+def upload(address, body_bytes, path="/charge/1", key=0, version="1.1", method="POST"):
     """Send a request with a body and read the response meanwhile.
 
     Args:
@@ -65,12 +65,13 @@
         path: Path of the request.
         key: Key of the request.
         version: HTTP version.
+        method: Method of the request.
 
     Returns:
         A ``CallerResponse``.
     """
     head = (
-        f"POST {path} HTTP/{version}\r\nHost: shop.example\r\nConnection: close\r\n"
+        f"{method} {path} HTTP/{version}\r\nHost: shop.example\r\nConnection: close\r\n"
         f"{KEY_HEADER}: {key}\r\nContent-Length: {body_bytes}\r\n\r\n"
     )
     with socket.create_connection(address, SOCKET_TIMEOUT_S) as sock:
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -5,7 +5,7 @@
 from http.client import responses
 
 import msgspec
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ProtocolError
 
 from greengagerock.core import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN, GreengageError
 from greengagerock.core.interface import (
@@ -483,7 +483,7 @@
     def __iter__(self):
         while not self.is_complete:
             try:
-                for chunk in self.response.stream(BODY_CHUNK_BYTES, decode_content=False):
+                for chunk in self._read_chunks():
                     self.exchange.note_answered()
                     self.relayed_bytes += len(chunk)
                     yield chunk
@@ -495,6 +495,26 @@
                     raise
                 self.response = remainder
 
+    def _read_chunks(self):
+        """Yield the parts of the body that the endpoint sends.
+
+        Raises:
+            HTTPError: If it is truncated, or the rest of a response is not as long as it has to
+                be.
+        """
+        for chunk in self.response.stream(BODY_CHUNK_BYTES, decode_content=False):
+            if self._missing_bytes() < len(chunk):
+                raise ProtocolError("the rest of the response is longer than its range")
+            yield chunk
+        if self.byte_range is not None and self._missing_bytes():
+            raise ProtocolError("the rest of the response is shorter than its range")
+
+    def _missing_bytes(self):
+        """Return how many bytes are still to be relayed, infinite if that is not known here."""
+        if self.byte_range is None:
+            return float("inf")
+        return self.byte_range.length - self.relayed_bytes
+
     def _request_remainder(self, reason):
         app, token = self.exchange.app, self.exchange.token
         app.log(
--- a/greengagerock/web/range_requests.py
+++ b/greengagerock/web/range_requests.py
@@ -20,6 +20,11 @@
     last: int
     validator: str
 
+    @property
+    def length(self):
+        """Number of bytes of the range."""
+        return self.last - self.first + 1
+
     def remainder_headers(self, relayed_bytes):
         """Return the headers that request the bytes which have not been relayed yet.
 
@@ -42,6 +47,9 @@
         match = _CONTENT_RANGE.fullmatch(response.headers.get("Content-Range", ""))
         if match is None or read_validator(response) not in ("", self.validator):
             return False
+        missing_bytes = self.length - relayed_bytes
+        if response.headers.get("Content-Length", str(missing_bytes)) != str(missing_bytes):
+            return False
         return (int(match[1]), int(match[2])) == (self.first + relayed_bytes, self.last)
 
 
