Refuse heads with a lone carriage return

Seen by callers: an endpoint in trouble sent a head with a lone carriage return (`X-A: b\r\rX: c`). The caller got status 200, with the seal, and the rest of the head as the body: 15 bytes in place of the endpoint's 5.

Cause: http.client gives the head to a parser made for mail, which takes a lone carriage return for the end of a line, and so two of them for the end of the head.

Change: web/response_head.py reads the field lines before that parser gets them and refuses a line with a carriage return that does not end it (RFC 9112, 2.2), in interim heads too. Such a response means what a truncated head means: unknown whether the request ran, the endpoint has failed. The new log line `response-malformed` names the fault without its bytes.

--- a/greengagerock/testing/uploading_caller.py
+++ b/greengagerock/testing/uploading_caller.py
@@ -56,6 +56,16 @@
     return body, False
 
 
+def send_bytes(address, data):
+    """Send a request on a new connection; return all bytes that the router sends."""
+    received = b""
+    with socket.create_connection(address, SOCKET_TIMEOUT_S) as sock:
+        sock.sendall(data)
+        while piece := sock.recv(PIECE_BYTES):
+            received += piece
+    return received
+
+
 def upload(address, body_bytes, path="/charge/1", key=0, version="1.1", method="POST"):
     """Send a request with a body and read the response meanwhile.
 
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -20,6 +20,7 @@
 )
 from greengagerock.routing.failures import REASON_CONNECTION_LOST
 from greengagerock.web import own_requests
+from greengagerock.web.connection_errors import fault_of
 from greengagerock.web.connection_manager import make_farewell
 from greengagerock.web.connection_progress import DECIDING, FORWARDED, RESPONDING
 from greengagerock.web.native_dialect import NativeDialect
@@ -250,7 +251,7 @@
             self.app.log(
                 "answer-broken-off",
                 request_id=self.request_id,
-                detail=type(error).__name__,
+                detail=fault_of(error) or type(error).__name__,
                 passed_bytes=0,
             )
             return None
@@ -300,6 +301,14 @@
             )
         finally:
             self._end_attempt(attempt)
+        if attempt.fault:
+            self.app.log(
+                "response-malformed",
+                request_id=self.request_id,
+                endpoint=forward.endpoint,
+                detail=attempt.fault,
+                code="answer-lost",
+            )
         if isinstance(result, AttemptFailed):
             return msgspec.structs.replace(result, connect_s=attempt.connect_s)
         self._begin_body(attempt)
@@ -490,7 +499,7 @@
                 self.is_complete = True
             except (HTTPError, OSError) as error:
                 self.response.close()
-                remainder = self._request_remainder(type(error).__name__)
+                remainder = self._request_remainder(fault_of(error) or type(error).__name__)
                 if remainder is None:
                     raise
                 self.response = remainder
--- a/greengagerock/web/connection_errors.py
+++ b/greengagerock/web/connection_errors.py
@@ -12,6 +12,7 @@
     REASON_RESET,
     REASON_TIMEOUT,
 )
+from greengagerock.web.response_head import MalformedResponseError
 
 
 def reason_of(error, is_cancelled):
@@ -41,6 +42,23 @@
     return REASON_CONNECTION_LOST
 
 
+def fault_of(error):
+    """Return what is malformed in a response, or an empty string if the connection failed.
+
+    Args:
+        error: The exception that ended the attempt or the response.
+
+    Examples:
+        >>> from urllib3.exceptions import ProtocolError
+        >>> fault_of(ProtocolError("aborted", MalformedResponseError("malformed field line")))
+        'malformed field line'
+        >>> fault_of(ProtocolError("aborted", ConnectionResetError(104, "reset")))
+        ''
+    """
+    faults = (cause for cause in (error, *error.args) if isinstance(cause, MalformedResponseError))
+    return next(map(str, faults), "")
+
+
 def _is_reset(error):
     """Return whether the other side reset a connection, rather than closed it."""
     return any(
--- /dev/null
+++ b/greengagerock/web/response_head.py
@@ -0,0 +1,49 @@
+"""Field lines of responses: which are read, and which are refused.
+
+What a line is decides where the body begins. The parser of the standard library, which was made
+for mail, takes a carriage return for the end of a line, so it gets lines that have been checked.
+
+References:
+    RFC 9110, HTTP Semantics, section 5.5; RFC 9112, HTTP/1.1, sections 2.2 and 5.
+"""
+
+import re
+from http.client import HTTPException
+
+_FIELD_LINE = re.compile(rb"([^:\r\n]*):([^\r\n]*)")
+_CONTINUATION = re.compile(rb"[ \t][^\r\n]*")
+END_OF_HEAD = b"\r\n"
+
+
+class MalformedResponseError(HTTPException):
+    """A response that is no response of HTTP/1; its text names the fault without its bytes."""
+
+
+def read_field_lines(file):
+    """Read the field lines of a head up to the empty line, which is included.
+
+    Args:
+        file: A file with complete lines.
+
+    Returns:
+        A list of lines.
+
+    Raises:
+        MalformedResponseError: If a line is no field line and continues none.
+    """
+    lines = []
+    while line := strip_line_end(file.readline()):
+        if not _FIELD_LINE.fullmatch(line) and not (lines and _CONTINUATION.fullmatch(line)):
+            raise MalformedResponseError("malformed field line")
+        lines.append(line + b"\r\n")
+    return [*lines, END_OF_HEAD]
+
+
+def strip_line_end(line):
+    r"""Return a line without its end, a line feed that may follow a carriage return.
+
+    Examples:
+        >>> strip_line_end(b"A: b\r\n"), strip_line_end(b"A: b\n"), strip_line_end(b"A: b\r\r\n")
+        (b'A: b', b'A: b', b'A: b\r')
+    """
+    return line.removesuffix(b"\n").removesuffix(b"\r")
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -1,11 +1,13 @@
 """Responses of endpoints that are refused if they are truncated, ambiguous or without end."""
 
 import io
-from http.client import SWITCHING_PROTOCOLS, HTTPException, HTTPResponse
+from collections import deque
+from http.client import SWITCHING_PROTOCOLS, HTTPResponse
 
 from urllib3.connection import HTTPConnection
 
 from greengagerock.web.connection_end import ConnectionState, ObservedSocketIO
+from greengagerock.web.response_head import MalformedResponseError, read_field_lines
 
 # Largest head of a response, interim responses included.
 MAX_HEAD_BYTES = 64 * 1024
@@ -27,33 +29,38 @@
     Attributes:
         left_head_bytes: Number of bytes that the head may still have, ``None`` after the head.
         left_line_bytes: Number of bytes that lines may still have before the next data.
+        checked_lines: Lines of the head that have been read already.
     """
 
     def __init__(self, file):
         self.file = file
         self.left_head_bytes = MAX_HEAD_BYTES
         self.left_line_bytes = MAX_TRAILER_BYTES
+        self.checked_lines = deque()
 
     def readline(self, limit=MAX_LINE_BYTES):
         """Read a line.
 
         Raises:
-            HTTPException: If the line is truncated or longer than ``MAX_LINE_BYTES``, the head is
-                truncated or longer than ``MAX_HEAD_BYTES``, or the trailers are too long.
+            MalformedResponseError: If the line is truncated or longer than ``MAX_LINE_BYTES``,
+                the head is truncated or longer than ``MAX_HEAD_BYTES``, or the trailers are too
+                long.
         """
+        if self.checked_lines:
+            return self.checked_lines.popleft()
         line = self.file.readline(min(limit, MAX_LINE_BYTES) if limit >= 0 else MAX_LINE_BYTES)
         if self.left_head_bytes is not None:
             if not line and self.left_head_bytes < MAX_HEAD_BYTES:
-                raise HTTPException("response head truncated")
+                raise MalformedResponseError("response head truncated")
             self.left_head_bytes -= len(line)
             if self.left_head_bytes < 0:
-                raise HTTPException(f"response head longer than {MAX_HEAD_BYTES} bytes")
+                raise MalformedResponseError(f"response head longer than {MAX_HEAD_BYTES} bytes")
         else:
             self.left_line_bytes -= len(line)
             if self.left_line_bytes < 0:
-                raise HTTPException(f"trailers longer than {MAX_TRAILER_BYTES} bytes")
+                raise MalformedResponseError(f"trailers longer than {MAX_TRAILER_BYTES} bytes")
         if line and not line.endswith(b"\n"):
-            raise HTTPException(f"line truncated or too long: got {len(line)} bytes")
+            raise MalformedResponseError(f"line truncated or too long: got {len(line)} bytes")
         return line
 
     def read(self, size=-1):
@@ -85,8 +92,8 @@
         """Read the head.
 
         Raises:
-            HTTPException: If the head is truncated, too long, malformed, or does not tell where
-                the body ends.
+            MalformedResponseError: If the head is truncated, too long, malformed, or does not
+                tell where the body ends.
         """
         reader = self.fp = LineReader(self.fp)
         super().begin()
@@ -94,16 +101,16 @@
         check_framing(self.headers)
 
     def _read_status(self):
-        """Read the status line of the final response.
+        """Read the head of the final response; leave its field lines to the library's parser.
 
         The library skips interim responses with status 100 only.
         """
         while True:
             version, status, reason = super()._read_status()
-            if status == SWITCHING_PROTOCOLS or not 100 < status < 200:
+            lines = read_field_lines(self.fp)
+            if status == SWITCHING_PROTOCOLS or status >= 200:
+                self.fp.checked_lines.extend(lines)
                 return version, status, reason
-            while self.fp.readline() not in (b"\r\n", b"\n"):
-                pass
 
 
 def check_framing(headers):
@@ -113,20 +120,23 @@
         headers: The ``http.client.HTTPMessage`` of a response.
 
     Raises:
-        HTTPException: If a line is no header, or the headers of the length contradict each other.
+        MalformedResponseError: If a line is no header, or the headers of the length contradict
+            each other.
 
     References:
         RFC 9112, HTTP/1.1, section 6.3.
     """
     if headers.defects:
         # The parser takes the lines after a malformed one for a part of the body.
-        raise HTTPException(f"malformed head: {type(headers.defects[0]).__name__}")
+        raise MalformedResponseError(f"malformed head: {type(headers.defects[0]).__name__}")
     lengths = set(headers.get_all("Content-Length", ()))
     encodings = headers.get_all("Transfer-Encoding", ())
     if len(lengths) > 1 or not all(text.isascii() and text.isdigit() for text in lengths):
-        raise HTTPException("malformed or contradictory Content-Length")
+        raise MalformedResponseError("malformed or contradictory Content-Length")
     if encodings and (lengths or [text.lower() for text in encodings] != ["chunked"]):
-        raise HTTPException("Transfer-Encoding is not chunked, or comes with a Content-Length")
+        raise MalformedResponseError(
+            "Transfer-Encoding is not chunked, or comes with a Content-Length"
+        )
 
 
 class StrictConnection(HTTPConnection):
--- /dev/null
+++ b/greengagerock/web/tests/test_response_head.py
@@ -0,0 +1,96 @@
+"""Which heads of an endpoint reach callers, and that the body is the endpoint's."""
+
+import pytest
+
+from greengagerock.core.interface import AttemptFailed
+from greengagerock.testing.raw_endpoint import RawEndpoint
+from greengagerock.testing.response_heads import (
+    BODY,
+    MALFORMED_FIELDS,
+    VALID_FIELDS,
+    response,
+)
+from greengagerock.testing.stub_router import StubRouter
+from greengagerock.testing.uploading_caller import send_bytes
+
+ROUTER = ("127.37.0.48", 8648)
+RELAYING_ROUTER = ("127.37.0.48", 8649)
+RELAY = ("127.37.0.49", 8650)
+ENDPOINT_IP = "127.37.0.50"
+REQUEST = b"GET /prices/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n"
+POSITIONS = {
+    "first": lambda line: [line, b"X-B: c"],
+    "middle": lambda line: [b"X-B: c", line, b"X-C: d"],
+    "last": lambda line: [b"X-B: c", line],
+}
+
+
+@pytest.fixture(scope="module")
+def relay():
+    """Start a router that forwards requests of another one."""
+    with StubRouter(*RELAY, serves_router=True) as router:
+        yield router
+
+
+@pytest.fixture(scope="module", params=["direct", "relayed"])
+def router(request, relay):
+    """Start a router that reaches the endpoint on an own connection, or through another one."""
+    if request.param == "direct":
+        with StubRouter(*ROUTER) as built:
+            yield built
+    else:
+        with StubRouter(*RELAYING_ROUTER, relay="{}:{}".format(*RELAY)) as built:
+            yield built
+
+
+def call(router, relay, data):
+    """Return the bytes that a caller gets if an endpoint sends ``data``."""
+    with RawEndpoint(ENDPOINT_IP, data) as endpoint:
+        router.reach(endpoint.address)
+        relay.reach(endpoint.address)
+        return send_bytes(router.address, REQUEST)
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("line", VALID_FIELDS)
+def test_valid_field_is_passed_on(router, relay, line, position):
+    received = call(router, relay, response(fields=POSITIONS[position](line)))
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"\r\nX-A: %s\r\n" % VALID_FIELDS[line] in received
+    assert received.endswith(b"\r\n\r\n" + BODY)
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("line", MALFORMED_FIELDS)
+def test_malformed_field_reaches_no_caller(router, relay, line, position):
+    received = call(router, relay, response(fields=POSITIONS[position](line)))
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert not received.endswith(BODY)
+    assert router.wait_for(AttemptFailed).has_sent_bytes
+
+
+def test_malformed_field_is_logged_without_its_bytes(router, relay):
+    call(router, relay, response(fields=[b"Secret: va\rlue"]))
+    logs = [
+        fields for r in (router, relay) for e, fields in r.log.lines if e == "response-malformed"
+    ]
+    assert logs[-1]["detail"] == "malformed field line"
+    assert "Secret" not in str(logs)
+
+
+@pytest.mark.parametrize("line", [b" X-A: b", b"\tX-A: b", b" "])
+def test_whitespace_before_the_first_field_is_malformed(router, relay, line):
+    assert call(router, relay, response(fields=[line])).startswith(b"HTTP/1.1 502 ")
+
+
+def test_lines_may_end_with_a_line_feed_alone(router, relay):
+    data = response(fields=[b"X-A: b"]).replace(b"\r\n", b"\n")
+    received = call(router, relay, data)
+    assert b"\r\nX-A: b\r\n" in received
+    assert received.endswith(b"\r\n\r\n" + BODY)
+
+
+def test_interim_head_is_checked_like_the_final_one(router, relay):
+    interim = b"HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n"
+    assert call(router, relay, interim % b"X-A: b" + response()).startswith(b"HTTP/1.1 200 ")
+    assert call(router, relay, interim % b"X-A: b\rc" + response()).startswith(b"HTTP/1.1 502 ")
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -12,7 +12,7 @@
 
 from greengagerock.core.interface import AttemptFailed
 from greengagerock.routing.failures import REASON_CALLER, REASON_CONNECTION_LOST
-from greengagerock.web.connection_errors import reason_of
+from greengagerock.web.connection_errors import fault_of, reason_of
 from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
 from greengagerock.web.strict_response import StrictConnection
 
@@ -65,6 +65,7 @@
         connection: The ``TrackedConnection`` in use, or ``None``.
         connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
             none was opened.
+        fault: What is malformed in the response, or an empty string.
         has_head: Whether the head of the response has arrived.
         has_sent_bytes: Whether any byte may have left this host.
         is_answered: Whether the caller may have got a part of the response.
@@ -81,6 +82,7 @@
         "_is_watched",
         "connect_s",
         "connection",
+        "fault",
         "has_head",
         "has_sent_bytes",
         "is_answered",
@@ -94,6 +96,7 @@
     def __init__(self, caller_descriptor=None, request_id=""):
         self.connect_s = None
         self.connection = None
+        self.fault = ""
         self.request_id = request_id
         self._caller_descriptor = caller_descriptor
         self._lock = threading.Lock()
@@ -461,5 +464,6 @@
 
     def _failure(self, forward, error, attempt, body):
         reason = reason_of(error, attempt.is_cancelled)
+        attempt.fault = fault_of(error)
         is_consumed = bool(body and body.is_consumed)
         return AttemptFailed(forward.token, reason, attempt.has_sent_bytes, is_consumed)
