Refuse fields whose name is no token or whose value holds NUL

Seen by callers: names such as `X(A)` and `X@A`, and NUL in a value, were passed on as an endpoint in trouble had sent them. A first line that begins with `From `, whose name holds a blank, was dropped, and the rest of the head was passed on.

Cause: the parser of http.client takes any printable character for one of a name, checks no value, and knows the line `From ` of mailboxes.

Change: a field line has the grammar of RFC 9110, sections 5.1, 5.5 and 5.6.2. Other control characters in a value are passed on as before, which 5.5 allows.

--- a/greengagerock/web/response_head.py
+++ b/greengagerock/web/response_head.py
@@ -4,14 +4,16 @@
 for mail, takes a carriage return for the end of a line, so it gets lines that have been checked.
 
 References:
-    RFC 9110, HTTP Semantics, section 5.5; RFC 9112, HTTP/1.1, sections 2.2 and 5.
+    RFC 9110, HTTP Semantics, sections 5.1, 5.5 and 5.6.2; RFC 9112, HTTP/1.1, sections 2.2
+    and 5.
 """
 
 import re
 from http.client import HTTPException
 
-_FIELD_LINE = re.compile(rb"([^:\r\n]*):([^\r\n]*)")
-_CONTINUATION = re.compile(rb"[ \t][^\r\n]*")
+# Control characters other than NUL, CR and LF are passed on, which RFC 9110, section 5.5, allows.
+_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\r\n]*")
+_CONTINUATION = re.compile(rb"[ \t][^\x00\r\n]*")
 END_OF_HEAD = b"\r\n"
 
 
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -70,7 +70,7 @@
 
 
 def test_malformed_field_is_logged_without_its_bytes(router, relay):
-    call(router, relay, response(fields=[b"Secret: va\rlue"]))
+    call(router, relay, response(fields=[b"Secret@Name: value"]))
     logs = [
         fields for r in (router, relay) for e, fields in r.log.lines if e == "response-malformed"
     ]
