Read fields without the whitespace around their values

Seen by callers: whitespace after a value, and a value that begins or ends with an empty line of a folded field, were passed on as a part of the value. A Content-Length with whitespace after it was refused, and with it a whole response.

Cause: whitespace around a value is no part of it (RFC 9110, 5.5; RFC 9112, 5.1); the parser of http.client removes only that in front of it.

Change: the lines that the parser gets have a value without whitespace around it, on one line. A line of whitespace before the first field is refused, as before.

--- a/greengagerock/testing/response_heads.py
+++ b/greengagerock/testing/response_heads.py
@@ -1,4 +1,8 @@
-"""Responses whose fields are valid or malformed."""
+"""Responses whose fields are valid, repairable or malformed."""
+
+import string
+
+from hypothesis import strategies
 
 BODY = b"hello"
 
@@ -6,12 +10,17 @@
 VALID_FIELDS = {
     b"X-A: b": b"b",
     b"X-A:b": b"b",
+    b"X-A: \t b \t": b"b",
     b"X-A:": b"",
     b"X-A: b\tc": b"b\tc",
     b"X-A: b:c": b"b:c",
     b"X-A: \x80\xff": b"\x80\xff",
     b"X-A: b\x01c": b"b\x01c",
     b"X-A: b\x0bc\x0cd\x85e": b"b\x0bc\x0cd\x85e",
+    b"X-A: b\r\n c": b"b c",
+    b"X-A: b\r\n\t  c\r\n d": b"b c d",
+    b"X-A:\r\n b": b"b",
+    b"X-A: b\r\n \t ": b"b",
 }
 MALFORMED_FIELDS = (
     b"X-A b",
@@ -44,8 +53,63 @@
     b"X-A: b\r\n c\rd",
 )
 
+TOKEN_CHARACTERS = "!#$%&'*+-.^_`|~" + string.digits + string.ascii_letters
+# The framing depends on these, and the connection on the third one.
+NAMES_WITH_MEANING = ("content-length", "transfer-encoding", "connection", "keep-alive")
+_VALUE_BYTES = bytes(sorted(set(range(256)) - set(b"\x00\r\n")))
+
 
 def response(status_line=b"HTTP/1.1 200 OK", fields=()):
     """Return a response with a length, the given lines and ``BODY``."""
     lines = [status_line, *fields, b"Content-Length: %d" % len(BODY), b"", BODY]
     return b"\r\n".join(lines)
+
+
+def names():
+    """Draw the name of a field that says nothing about the length of the response."""
+    drawn = strategies.text(TOKEN_CHARACTERS, min_size=1, max_size=8)
+    return drawn.filter(lambda name: name.lower() not in NAMES_WITH_MEANING).map(str.encode)
+
+
+def values():
+    """Draw a value without whitespace around it."""
+    return (
+        strategies.lists(strategies.sampled_from(_VALUE_BYTES), max_size=12)
+        .map(bytes)
+        .map(lambda value: value.strip(b" \t"))
+    )
+
+
+@strategies.composite
+def valid_fields(draw):
+    """Draw a field line, possibly on several lines, and the name and value that it has."""
+    name, parts = draw(names()), draw(strategies.lists(values(), min_size=1, max_size=3))
+    whitespace = strategies.sampled_from([b"", b" ", b"\t", b" \t "])
+    line = name + b":" + draw(whitespace) + parts[0] + draw(whitespace)
+    for part in parts[1:]:
+        line += b"\r\n" + draw(strategies.sampled_from([b" ", b"\t", b"  "])) + part
+    return line, (name, b" ".join(parts).strip(b" \t"))
+
+
+@strategies.composite
+def malformed_fields(draw):
+    """Draw a line that is no field line and continues none."""
+    name, value = draw(names()), draw(values())
+    position = draw(strategies.integers(0, len(name)))
+    other = draw(
+        strategies.sampled_from(sorted(set(range(256)) - set(TOKEN_CHARACTERS.encode()) - {10}))
+    )
+    dangerous = draw(strategies.sampled_from([b"\x00", b"\r"]))
+    kind = draw(strategies.sampled_from(["name", "value", "no colon", "no name"]))
+    match kind:
+        case "name":
+            # A colon ends the name, and whitespace in front of a line continues the one before.
+            position = max(position, 1)
+            other = other if other != ord(":") else ord("/")
+            return name[:position] + bytes([other]) + name[position:] + b": " + value
+        case "value":
+            return name + b": " + value + dangerous + b"x" + value
+        case "no colon":
+            return name
+        case "no name":
+            return b":" + value
--- a/greengagerock/web/response_head.py
+++ b/greengagerock/web/response_head.py
@@ -1,4 +1,4 @@
-"""Field lines of responses: which are read, and which are refused.
+"""Field lines of responses: which are read, repaired or refused.
 
 What a line is decides where the body begins. The parser of the standard library, which was made
 for mail, takes a carriage return for the end of a line, so it gets lines that have been checked.
@@ -11,9 +11,10 @@
 import re
 from http.client import HTTPException
 
-# Control characters other than NUL, CR and LF are passed on, which RFC 9110, section 5.5, allows.
-_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\r\n]*")
+# Control characters other than NUL, CR and LF are passed on, which section 5.5 allows.
+_FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\x00\r\n]*)")
 _CONTINUATION = re.compile(rb"[ \t][^\x00\r\n]*")
+_WHITESPACE = b" \t"
 END_OF_HEAD = b"\r\n"
 
 
@@ -22,7 +23,9 @@
 
 
 def read_field_lines(file):
-    """Read the field lines of a head up to the empty line, which is included.
+    r"""Read the field lines of a head up to the empty line, which is included.
+
+    Whitespace around a value is removed, and a value on several lines is joined.
 
     Args:
         file: A file with complete lines.
@@ -32,12 +35,24 @@
 
     Raises:
         MalformedResponseError: If a line is no field line and continues none.
+
+    Examples:
+        >>> import io
+        >>> read_field_lines(io.BytesIO(b"A:b\r\nC: d\r\n e\r\n\r\n"))
+        [b'A: b\r\n', b'C: d e\r\n', b'\r\n']
     """
-    lines = []
+    fields = []
     while line := strip_line_end(file.readline()):
-        if not _FIELD_LINE.fullmatch(line) and not (lines and _CONTINUATION.fullmatch(line)):
+        if _CONTINUATION.fullmatch(line):
+            if not fields:
+                raise MalformedResponseError("whitespace before the first field line")
+            fields[-1][1] += b" " + line.strip(_WHITESPACE)
+            continue
+        match = _FIELD_LINE.fullmatch(line)
+        if match is None:
             raise MalformedResponseError("malformed field line")
-        lines.append(line + b"\r\n")
+        fields.append([match[1], match[2].strip(_WHITESPACE)])
+    lines = [b"%s: %s\r\n" % (name, value.strip(_WHITESPACE)) for name, value in fields]
     return [*lines, END_OF_HEAD]
 
 
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -1,6 +1,10 @@
 """Which heads of an endpoint reach callers, and that the body is the endpoint's."""
 
+import socket
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from greengagerock.core.interface import AttemptFailed
 from greengagerock.testing.raw_endpoint import RawEndpoint
@@ -8,10 +12,15 @@
     BODY,
     MALFORMED_FIELDS,
     VALID_FIELDS,
+    malformed_fields,
     response,
+    valid_fields,
 )
 from greengagerock.testing.stub_router import StubRouter
 from greengagerock.testing.uploading_caller import send_bytes
+from greengagerock.web.connection_end import ConnectionState
+from greengagerock.web.response_head import MalformedResponseError
+from greengagerock.web.strict_response import StrictResponse
 
 ROUTER = ("127.37.0.48", 8648)
 RELAYING_ROUTER = ("127.37.0.48", 8649)
@@ -94,3 +103,49 @@
     interim = b"HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n"
     assert call(router, relay, interim % b"X-A: b" + response()).startswith(b"HTTP/1.1 200 ")
     assert call(router, relay, interim % b"X-A: b\rc" + response()).startswith(b"HTTP/1.1 502 ")
+
+
+def read(data):
+    """Return the response that the bytes of a connection are.
+
+    Raises:
+        MalformedResponseError: If they are none.
+    """
+    sock, peer = socket.socketpair()
+    with sock, peer:
+        peer.sendall(data)
+        peer.close()
+        read_response = StrictResponse(ConnectionState(sock), method="GET")
+        with read_response:
+            read_response.begin()
+            body = read_response.read()
+    return read_response, body
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(fields=st.lists(valid_fields(), max_size=5))
+def test_drawn_fields_are_passed_on(fields):
+    read_response, body = read(response(fields=[line for line, _ in fields]))
+    pairs = [(n.encode(), v.encode("latin-1")) for n, v in read_response.headers.items()]
+    assert pairs == [*(pair for _, pair in fields), (b"Content-Length", b"5")]
+    assert body == BODY
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    before=st.lists(valid_fields(), max_size=3),
+    malformed=malformed_fields(),
+    after=st.lists(valid_fields(), max_size=3),
+)
+def test_drawn_malformed_field_is_refused(before, malformed, after):
+    lines = [*(line for line, _ in before), malformed, *(line for line, _ in after)]
+    with pytest.raises(MalformedResponseError):
+        read(response(fields=lines))
+
+
+def test_length_with_whitespace_after_it(router, relay):
+    received = call(
+        router, relay, response().replace(b"Content-Length: 5", b"Content-Length: 5 \t")
+    )
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.endswith(b"\r\n\r\n" + BODY)
