Refuse status lines that are none of HTTP/1

Seen by callers: status 600 and 999, and lines such as `HTTP/1.1 +200 OK`, `HTTP/0.9 200 OK`, `HTTP/1.10 200 OK`, with whitespace where there has to be one space, or with a control character in the reason, were passed on as responses, with the seal. Status 000 was refused before as well.

Cause: http.client splits the line at any whitespace and reads the status with int().

Change: a status line has the grammar of RFC 9112, section 4, with a status from 100 to 599 (RFC 9110, section 15); a minor version above 1 is read as 1 (2.5). The space after the status may be missing. The looser reading that section 4 permits is not used: such a line comes from an endpoint that fails.

--- a/greengagerock/testing/response_heads.py
+++ b/greengagerock/testing/response_heads.py
@@ -1,4 +1,4 @@
-"""Responses whose fields are valid, repairable or malformed."""
+"""Responses whose status line or fields are valid, repairable or malformed."""
 
 import string
 
@@ -6,6 +6,57 @@
 
 BODY = b"hello"
 
+# Status lines that are read, with the status and the reason phrase that a caller gets.
+VALID_STATUS_LINES = {
+    b"HTTP/1.1 200 OK": (200, b"OK"),
+    b"HTTP/1.1 200 All is\twell": (200, b"All is\twell"),
+    b"HTTP/1.1 200 Gr\xc3\xbcn": (200, b"Gr\xc3\xbcn"),
+    b"HTTP/1.1 200 ": (200, b"OK"),
+    b"HTTP/1.1 200": (200, b"OK"),
+    b"HTTP/1.1 299 Odd": (299, b"Odd"),
+    b"HTTP/1.1 599 Odd": (599, b"Odd"),
+    b"HTTP/1.0 200 OK": (200, b"OK"),
+    b"HTTP/1.2 200 OK": (200, b"OK"),
+}
+MALFORMED_STATUS_LINES = (
+    b"",
+    b"HTTP/1.1",
+    b"HTTP/1.1 ",
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 00 OK",
+    b"HTTP/1.1 0 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 2_0 OK",
+    b"HTTP/1.1 2e2 OK",
+    b"HTTP/1.1 \xb2\xb2\xb2 OK",
+    b"HTTP/1.1 OK 200",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1 200\tOK",
+    b"HTTP/1.1 \t200 OK",
+    b" HTTP/1.1 200 OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 O\x01K",
+    b"HTTP/1.1 200 O\x0bK",
+    b"HTTP/1.1 200 O\x7fK",
+    b"HTTP/1.1 200 OK\rX-A: b",
+    b"HTTP/1.1 200 OK\r",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.x 200 OK",
+    b"HTTP/1.10 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/1 200 OK",
+    b"http/1.1 200 OK",
+    b"ICY 200 OK",
+    b"garbage",
+)
+
 # Field lines that are read, with the value of ``X-A`` that a caller gets.
 VALID_FIELDS = {
     b"X-A: b": b"b",
--- a/greengagerock/web/response_head.py
+++ b/greengagerock/web/response_head.py
@@ -1,16 +1,19 @@
-"""Field lines of responses: which are read, repaired or refused.
+"""Status lines and field lines of responses: which are read, repaired or refused.
 
 What a line is decides where the body begins. The parser of the standard library, which was made
 for mail, takes a carriage return for the end of a line, so it gets lines that have been checked.
 
 References:
-    RFC 9110, HTTP Semantics, sections 5.1, 5.5 and 5.6.2; RFC 9112, HTTP/1.1, sections 2.2
-    and 5.
+    RFC 9110, HTTP Semantics, sections 5.1, 5.5, 5.6.2 and 15; RFC 9112, HTTP/1.1, sections 2.2,
+    4 and 5.
 """
 
 import re
 from http.client import HTTPException
 
+# A higher minor version is read as the highest known one (RFC 9110, section 2.5). The space after
+# the status may be missing if there is no reason phrase.
+_STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?")
 # Control characters other than NUL, CR and LF are passed on, which section 5.5 allows.
 _FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\x00\r\n]*)")
 _CONTINUATION = re.compile(rb"[ \t][^\x00\r\n]*")
@@ -22,6 +25,26 @@
     """A response that is no response of HTTP/1; its text names the fault without its bytes."""
 
 
+def parse_status_line(line):
+    r"""Return version, status and reason phrase of a status line.
+
+    Args:
+        line: The line with its end.
+
+    Raises:
+        MalformedResponseError: If it is no status line of HTTP/1.
+
+    Examples:
+        >>> parse_status_line(b"HTTP/1.1 200 OK\r\n")
+        ('HTTP/1.1', 200, 'OK')
+    """
+    match = _STATUS_LINE.fullmatch(strip_line_end(line))
+    if match is None:
+        raise MalformedResponseError("malformed status line")
+    version, status, reason = match.groups(b"")
+    return version.decode(), int(status), reason.decode("latin-1")
+
+
 def read_field_lines(file):
     r"""Read the field lines of a head up to the empty line, which is included.
 
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -2,12 +2,16 @@
 
 import io
 from collections import deque
-from http.client import SWITCHING_PROTOCOLS, HTTPResponse
+from http.client import SWITCHING_PROTOCOLS, HTTPResponse, RemoteDisconnected
 
 from urllib3.connection import HTTPConnection
 
 from greengagerock.web.connection_end import ConnectionState, ObservedSocketIO
-from greengagerock.web.response_head import MalformedResponseError, read_field_lines
+from greengagerock.web.response_head import (
+    MalformedResponseError,
+    parse_status_line,
+    read_field_lines,
+)
 
 # Largest head of a response, interim responses included.
 MAX_HEAD_BYTES = 64 * 1024
@@ -106,7 +110,10 @@
         The library skips interim responses with status 100 only.
         """
         while True:
-            version, status, reason = super()._read_status()
+            line = self.fp.readline()
+            if not line:
+                raise RemoteDisconnected("connection closed without a response")
+            version, status, reason = parse_status_line(line)
             lines = read_field_lines(self.fp)
             if status == SWITCHING_PROTOCOLS or status >= 200:
                 self.fp.checked_lines.extend(lines)
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -11,7 +11,9 @@
 from greengagerock.testing.response_heads import (
     BODY,
     MALFORMED_FIELDS,
+    MALFORMED_STATUS_LINES,
     VALID_FIELDS,
+    VALID_STATUS_LINES,
     malformed_fields,
     response,
     valid_fields,
@@ -60,6 +62,22 @@
         return send_bytes(router.address, REQUEST)
 
 
+@pytest.mark.parametrize("line", VALID_STATUS_LINES)
+def test_valid_status_line_is_passed_on(router, relay, line):
+    status, reason = VALID_STATUS_LINES[line]
+    received = call(router, relay, response(line))
+    assert received.startswith(b"HTTP/1.1 %d %s\r\n" % (status, reason))
+    assert received.endswith(b"\r\n\r\n" + BODY)
+
+
+@pytest.mark.parametrize("line", MALFORMED_STATUS_LINES)
+def test_malformed_status_line_reaches_no_caller(router, relay, line):
+    received = call(router, relay, response(line))
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert not received.endswith(BODY)
+    assert router.wait_for(AttemptFailed).has_sent_bytes
+
+
 @pytest.mark.parametrize("position", POSITIONS)
 @pytest.mark.parametrize("line", VALID_FIELDS)
 def test_valid_field_is_passed_on(router, relay, line, position):
@@ -143,6 +161,50 @@
         read(response(fields=lines))
 
 
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    line=st.one_of(
+        st.binary(max_size=30).filter(lambda line: b"\n" not in line),
+        st.builds(
+            lambda parts: b"".join(parts),
+            st.tuples(
+                st.sampled_from([b"HTTP/1.1", b"HTTP/1.0", b"HTTP/0.9", b"HTTP/1.x", b"HTTP/3.0"]),
+                st.sampled_from([b" ", b"  ", b"\t", b"", b"\r"]),
+                st.one_of(
+                    st.integers(0, 1200).map(lambda n: b"%d" % n),
+                    st.integers(0, 999).map(lambda n: b"%03d" % n),
+                    st.binary(max_size=4).filter(lambda text: b"\n" not in text),
+                ),
+                st.sampled_from([b" ", b"  ", b"\t", b"", b"\r"]),
+                st.sampled_from([b"", b"OK", b"O K", b"\x00", b"\x1f", b"\xff", b"\r"]),
+            ),
+        ),
+    )
+)
+def test_drawn_status_line_is_passed_on_or_refused(line):
+    """A line is valid if its characters, taken one by one, are those of the grammar."""
+    is_valid = (
+        line[:7] == b"HTTP/1."
+        and line[7:8] in (b"0", b"1")
+        and line[8:9] == b" "
+        and line[9:12].isdigit()
+        and b"100" <= line[9:12] <= b"599"
+        and line[12:13] in (b"", b" ")
+        and all(code == 9 or 32 <= code <= 126 or code >= 128 for code in line[13:])
+    )
+    if is_valid and line[9:10] == b"1":
+        # An interim response, after which the final one is missing.
+        return
+    try:
+        read_response, _ = read(response(line))
+    except MalformedResponseError:
+        assert not is_valid
+    else:
+        assert is_valid
+        assert read_response.status == int(line[9:12])
+        assert read_response.reason == line[13:].decode("latin-1").strip()
+
+
 def test_length_with_whitespace_after_it(router, relay):
     received = call(
         router, relay, response().replace(b"Content-Length: 5", b"Content-Length: 5 \t")
