Accept responses with a multipart body

Seen by callers: 502 for a whole response whose Content-Type was multipart, such as the one to a request for several ranges.

Cause: the parser of http.client, made for mail, looks for the parts of the body behind the head and notes a defect if there are none. Each defect counted as a malformed head.

Change: defects are not looked at any longer. What they were looked at for, a line that is no field line, is refused before that parser gets the head.

--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -127,15 +127,11 @@
         headers: The ``http.client.HTTPMessage`` of a response.
 
     Raises:
-        MalformedResponseError: If a line is no header, or the headers of the length contradict
-            each other.
+        MalformedResponseError: If the headers of the length contradict each other.
 
     References:
         RFC 9112, HTTP/1.1, section 6.3.
     """
-    if headers.defects:
-        # The parser takes the lines after a malformed one for a part of the body.
-        raise MalformedResponseError(f"malformed head: {type(headers.defects[0]).__name__}")
     lengths = set(headers.get_all("Content-Length", ()))
     encodings = headers.get_all("Transfer-Encoding", ())
     if len(lengths) > 1 or not all(text.isascii() and text.isdigit() for text in lengths):
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -211,3 +211,15 @@
     )
     assert received.startswith(b"HTTP/1.1 200 ")
     assert received.endswith(b"\r\n\r\n" + BODY)
+
+
+@pytest.mark.parametrize(
+    "content_type",
+    [b"multipart/byteranges; boundary=x", b"multipart/mixed", b"message/rfc822", b"garbage"],
+)
+def test_type_of_the_body_does_not_decide_whether_a_head_is_malformed(router, relay, content_type):
+    """The library's parser looks for the parts of a multipart body in the head."""
+    received = call(router, relay, response(fields=[b"Content-Type: " + content_type]))
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"\r\nContent-Type: %s\r\n" % content_type in received
+    assert received.endswith(b"\r\n\r\n" + BODY)
