Refuse responses that switch to another protocol

Seen by callers: status 101 with the bytes after it as a body. Routers send no request for another protocol, so an endpoint that answers so is in trouble.

Cause: 101 was left out of the interim responses and read as a final one.

Change: it is refused like a malformed status line (RFC 9110, section 15.2.2).

--- a/greengagerock/testing/response_heads.py
+++ b/greengagerock/testing/response_heads.py
@@ -28,6 +28,7 @@
     b"HTTP/1.1 099 OK",
     b"HTTP/1.1 20 OK",
     b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 101 Switching Protocols",
     b"HTTP/1.1 600 OK",
     b"HTTP/1.1 999 OK",
     b"HTTP/1.1 +200 OK",
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -114,8 +114,11 @@
             if not line:
                 raise RemoteDisconnected("connection closed without a response")
             version, status, reason = parse_status_line(line)
+            if status == SWITCHING_PROTOCOLS:
+                # No request asks for another protocol (RFC 9110, section 15.2.2).
+                raise MalformedResponseError("switch to another protocol")
             lines = read_field_lines(self.fp)
-            if status == SWITCHING_PROTOCOLS or status >= 200:
+            if status >= 200:
                 self.fp.checked_lines.extend(lines)
                 return version, status, reason
 
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -193,7 +193,7 @@
         and all(code == 9 or 32 <= code <= 126 or code >= 128 for code in line[13:])
     )
     if is_valid and line[9:10] == b"1":
-        # An interim response, after which the final one is missing.
+        # An interim response, after which the final one is missing, or a switch of the protocol.
         return
     try:
         read_response, _ = read(response(line))
