Read a response while the request is still being written

Seen by callers: an endpoint answered a long upload at once with a whole response, ended its side, and closed the connection a little later with the upload unread. After 0.3 s the caller got 502 for it; of a response of 200,000 bytes a part had arrived after 0.05 s.

Cause: the router read nothing before it had written the whole request. What did not fit into the buffers was lost with the connection, and where writing stood still, the time-out of the write ended the attempt.

Change: while a body is written, what the endpoint sends is read, up to 256 KiB, and kept for the response, with the way in which the stream ended behind it. Writing goes on as long as it progresses, since an endpoint may respond before it has read everything. If it stands still and the response has begun, the response is read instead, and the connection is not used again.

An endpoint that responds, reads on and writes more than 256 KiB and the system's buffers before it has read the request still stops.

--- a/greengagerock/testing/stub_router.py
+++ b/greengagerock/testing/stub_router.py
@@ -22,6 +22,7 @@
 from greengagerock.web.upstream import Upstream
 
 TIMEOUT_S = 5.0
+CONNECT_TIMEOUT_S = 0.15
 WAIT_S = 5.0
 WAIT_STEP_S = 0.01
 THREADS = 4
@@ -61,7 +62,7 @@
         application = CallerApplication(
             "h",
             self.bridge,
-            Upstream(LimitSettings()),
+            Upstream(LimitSettings(connect_timeout_s=CONNECT_TIMEOUT_S)),
             Metrics(),
             self.log,
             RelayDialect(dialect) if serves_router else dialect,
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -158,19 +158,38 @@
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.state = None
+        self._is_writing_body = False
+
+    @property
+    def is_connected(self):
+        """Whether another request can be sent on the connection."""
+        return super().is_connected and self.state.is_reusable
 
     def connect(self):
         """Open the connection."""
         super().connect()
         self.state = ConnectionState(self.sock)
 
+    def putrequest(self, *arguments, **options):
+        """Begin a request."""
+        self._is_writing_body = False
+        super().putrequest(*arguments, **options)
+
+    def endheaders(self, *arguments, **options):
+        """Send the head of a request."""
+        super().endheaders(*arguments, **options)
+        self._is_writing_body = True
+
     def send(self, data):
         """Send ``data``, and keep the error if that fails.
 
         urllib3 ignores a reset here, so that a response that was sent before it can be read.
         """
         try:
-            super().send(data)
+            if self._is_writing_body:
+                self.state.write_body(data)
+            else:
+                super().send(data)
         except OSError as error:
             if self.state is not None:
                 self.state.note_write_error(error)
--- a/greengagerock/web/tests/test_early_responses.py
+++ b/greengagerock/web/tests/test_early_responses.py
@@ -1,5 +1,7 @@
 """Responses that an endpoint sends while the request is still being written."""
 
+import time
+
 import pytest
 
 from greengagerock.core.interface import AttemptFailed, RequestEnded, ResponseInterrupted
@@ -74,6 +76,36 @@
     router.wait_for(AttemptFailed | ResponseInterrupted)
 
 
+@pytest.mark.parametrize("delay_s", [0.05, 0.3])
+@pytest.mark.parametrize("size", [SHORT_BYTES, LONG_BYTES])
+@pytest.mark.parametrize("head", [*UNBOUNDED_HEADS, "length"])
+def test_response_is_read_while_the_request_is_still_being_written(
+    router, relay, head, size, delay_s
+):
+    """The router wrote, or waited to write, until the endpoint closed the connection.
+
+    It then lost what did not fit into the buffers, or had given the request up.
+    """
+    bounded_head = f"HTTP/1.1 413 Content Too Large\r\nContent-Length: {size}\r\n\r\n".encode()
+    response = UNBOUNDED_HEADS.get(head, bounded_head) + b"x" * size
+    received = serve(router, relay, response, end_then_close_after(delay_s))
+    assert (received.status, received.is_whole) == (int(response.split()[1]), True)
+    assert received.body == b"x" * size
+    assert router.wait_for(RequestEnded).complete
+
+
+def test_connection_with_an_incomplete_request_is_not_used_again(router, relay):
+    """The endpoint would take the next request for the rest of the body."""
+    response = b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 2\r\n\r\nno"
+    with RawEndpoint(ENDPOINT_IP, response, lambda connection: time.sleep(1.0)) as endpoint:
+        router.reach(endpoint.address)
+        relay.reach(endpoint.address)
+        for number in (1, 2):
+            received = upload(router.address, BODY_BYTES)
+            assert (received.status, received.is_whole, received.body) == (413, True, b"no")
+            assert endpoint.accepted_count == number
+
+
 @pytest.mark.parametrize("ending", ["ended", *RESETS])
 @pytest.mark.parametrize("status", [200, 413])
 def test_whole_response_with_a_length_arrives(router, relay, status, ending):
