Refuse malformed field lines, methods and targets of callers at once

Seen by callers, and by endpoints: a request with a field whose name is no token, with whitespace before the colon or NUL in a value was forwarded. One with an empty name, or with control characters in method or target, got 502 after an attempt that could not be made.

Cause: the server of the caller's address checks the ends of lines only; what a field line is was said nowhere else.

Change: both sides use the grammar of web/message_head.py (formerly response_head.py). Such a request gets 400, not run (RFC 9112, 5.1). Targets may have any visible character, as before.

--- a/greengagerock/testing/response_heads.py
+++ b/greengagerock/testing/message_heads.py
@@ -1,4 +1,4 @@
-"""Responses whose status line or fields are valid, repairable or malformed."""
+"""Heads of messages whose status line or fields are valid, repairable or malformed."""
 
 import string
 
--- a/greengagerock/web/connection_errors.py
+++ b/greengagerock/web/connection_errors.py
@@ -12,7 +12,7 @@
     REASON_RESET,
     REASON_TIMEOUT,
 )
-from greengagerock.web.response_head import MalformedResponseError
+from greengagerock.web.message_head import MalformedResponseError
 
 
 def reason_of(error, is_cancelled):
--- a/greengagerock/web/response_head.py
+++ b/greengagerock/web/message_head.py
@@ -1,11 +1,11 @@
-"""Status lines and field lines of responses: which are read, repaired or refused.
+"""Lines of the heads of requests and responses: which are read, repaired or refused.
 
 What a line is decides where the body begins. The parser of the standard library, which was made
 for mail, takes a carriage return for the end of a line, so it gets lines that have been checked.
 
 References:
-    RFC 9110, HTTP Semantics, sections 5.1, 5.5, 5.6.2 and 15; RFC 9112, HTTP/1.1, sections 2.2,
-    4 and 5.
+    RFC 9110, HTTP Semantics, sections 5.1, 5.5, 5.6.2, 9.1 and 15; RFC 9112, HTTP/1.1, sections
+    2.2 and 3 to 5.
 """
 
 import re
@@ -14,8 +14,12 @@
 # A higher minor version is read as the highest known one (RFC 9110, section 2.5). The space after
 # the status may be missing if there is no reason phrase.
 _STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?")
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+_METHOD = re.compile(_TOKEN)
+# A target is passed on as it came, so it may have any visible character.
+_TARGET = re.compile(rb"[\x21-\x7e]+")
 # Control characters other than NUL, CR and LF are passed on, which section 5.5 allows.
-_FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\x00\r\n]*)")
+_FIELD_LINE = re.compile(rb"(%s):([^\x00\r\n]*)" % _TOKEN)
 _CONTINUATION = re.compile(rb"[ \t][^\x00\r\n]*")
 _WHITESPACE = b" \t"
 END_OF_HEAD = b"\r\n"
@@ -71,14 +75,41 @@
                 raise MalformedResponseError("whitespace before the first field line")
             fields[-1][1] += b" " + line.strip(_WHITESPACE)
             continue
-        match = _FIELD_LINE.fullmatch(line)
-        if match is None:
+        name_and_value = parse_field_line(line)
+        if name_and_value is None:
             raise MalformedResponseError("malformed field line")
-        fields.append([match[1], match[2].strip(_WHITESPACE)])
+        fields.append([*name_and_value])
     lines = [b"%s: %s\r\n" % (name, value.strip(_WHITESPACE)) for name, value in fields]
     return [*lines, END_OF_HEAD]
 
 
+def parse_field_line(line):
+    r"""Return name and value of a field line without its end, ``None`` if it is none.
+
+    Examples:
+        >>> parse_field_line(b"A: b "), parse_field_line(b"A : b")
+        ((b'A', b'b'), None)
+    """
+    match = _FIELD_LINE.fullmatch(line)
+    return None if match is None else (match[1], match[2].strip(_WHITESPACE))
+
+
+def has_valid_characters(method, target):
+    r"""Return whether the characters of a request's method and target are allowed there.
+
+    Args:
+        method: The method, as bytes.
+        target: Path and query, still encoded, as bytes.
+
+    Examples:
+        >>> has_valid_characters(b"GET", b"/a?b"), has_valid_characters(b"G(T", b"/a")
+        (True, False)
+        >>> has_valid_characters(b"GET", b"/a\x00")
+        False
+    """
+    return bool(_METHOD.fullmatch(method) and _TARGET.fullmatch(target))
+
+
 def strip_line_end(line):
     r"""Return a line without its end, a line feed that may follow a carriage return.
 
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -22,6 +22,12 @@
     ConnectionProgress,
     OpenConnections,
 )
+from greengagerock.web.message_head import (
+    END_OF_HEAD,
+    has_valid_characters,
+    parse_field_line,
+    strip_line_end,
+)
 from greengagerock.web.worker_pool import ElasticWorkerPool
 
 # Number of worker threads that a server keeps while it has no requests.
@@ -66,20 +72,26 @@
 
         Raises:
             ValueError: If it repeats a header of ``_UNIQUE_HEADERS``, continues the previous
-                line, contains a lone carriage return, or if the content length is not a number.
+                line, is malformed, or if the content length is not a number.
         """
         line = self.rfile.readline(*size)
         if line[:1] in (b" ", b"\t"):
             raise ValueError("header line is folded")
         if b"\r" in line[:-2]:
             raise ValueError("header line contains a lone carriage return")
-        name, _, value = line.partition(b":")
+        if not line.endswith(END_OF_HEAD) or line == END_OF_HEAD:
+            # The library refuses a truncated line.
+            return line
+        name_and_value = parse_field_line(strip_line_end(line))
+        if name_and_value is None:
+            raise ValueError("header line is malformed")
+        name, value = name_and_value
         name = name.lower()
         if name in _UNIQUE_HEADERS:
             if name in self.seen_names:
                 raise ValueError(f"header {name.decode()!r} is repeated")
             self.seen_names.add(name)
-            if name == b"content-length" and not value.strip().isdigit():
+            if name == b"content-length" and not value.isdigit():
                 raise ValueError("Content-Length is not a number")
         return line
 
@@ -180,6 +192,9 @@
         if is_valid and path_line.has_mark:
             self.uri = self.uri.removeprefix(PathLine.MARK)
             self.path = self.path.removeprefix(PathLine.MARK)
+        if is_valid and not has_valid_characters(self.method, self.uri):
+            self.simple_response("400 Bad Request", "malformed method or target")
+            return False
         return is_valid
 
     def read_request_headers(self):
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -7,7 +7,7 @@
 from urllib3.connection import HTTPConnection
 
 from greengagerock.web.connection_end import ConnectionState, ObservedSocketIO
-from greengagerock.web.response_head import (
+from greengagerock.web.message_head import (
     MalformedResponseError,
     parse_status_line,
     read_field_lines,
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -7,8 +7,7 @@
 from hypothesis import strategies as st
 
 from greengagerock.core.interface import AttemptFailed
-from greengagerock.testing.raw_endpoint import RawEndpoint
-from greengagerock.testing.response_heads import (
+from greengagerock.testing.message_heads import (
     BODY,
     MALFORMED_FIELDS,
     MALFORMED_STATUS_LINES,
@@ -18,10 +17,11 @@
     response,
     valid_fields,
 )
+from greengagerock.testing.raw_endpoint import RawEndpoint
 from greengagerock.testing.stub_router import StubRouter
 from greengagerock.testing.uploading_caller import send_bytes
 from greengagerock.web.connection_end import ConnectionState
-from greengagerock.web.response_head import MalformedResponseError
+from greengagerock.web.message_head import MalformedResponseError
 from greengagerock.web.strict_response import StrictResponse
 
 ROUTER = ("127.37.0.48", 8648)
