Fuzz the reader of responses

Cause: each reader of bytes from outside has a target; that of responses had none. Change: the target "response" checks that what is read would be read alike by the next reader.

--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -1,5 +1,8 @@
 """Fuzz targets for decoders of bytes from outside: invalid input must raise a typed error."""
 
+import socket
+from http.client import HTTPException
+
 import msgspec
 import urllib3
 
@@ -18,6 +21,7 @@
 from greengagerock.settings.checker import parse_settings
 from greengagerock.storage.frames import encode_frame, scan_frames
 from greengagerock.testing.launch_site import INITIAL_STATEMENTS
+from greengagerock.testing.message_heads import response
 from greengagerock.transport import Envelope, decode_envelope, encode_envelope
 from greengagerock.transport.monitor import MessageSequence
 from greengagerock.view import (
@@ -34,7 +38,9 @@
     pack_loads,
     unpack_loads,
 )
+from greengagerock.web.connection_end import ConnectionState
 from greengagerock.web.control_application import NativeControlDialect
+from greengagerock.web.message_head import parse_field_line
 from greengagerock.web.notice_headers import (
     MAX_LOAD_COUNT,
     MAX_PACE_PERCENT,
@@ -52,6 +58,7 @@
     read_relay_failure,
 )
 from greengagerock.web.route_dialect import NativeRouteDialect
+from greengagerock.web.strict_response import StrictResponse
 
 NATIVE_SETTINGS = """
 host: edge-1
@@ -199,6 +206,29 @@
         raise GreengageError("relay-unavailable", text)
 
 
+def check_response(data):
+    """Read bytes as the response of an endpoint that then ends the stream.
+
+    Raises:
+        AssertionError: If a field that is read would have another meaning for the next reader.
+    """
+    sock, peer = socket.socketpair()
+    with sock, peer:
+        peer.sendall(data)
+        peer.close()
+        try:
+            with StrictResponse(ConnectionState(sock), method="GET") as received:
+                received.begin()
+                body = received.read()
+        except HTTPException as error:
+            raise GreengageError("answer-lost", str(error)) from error
+    assert 200 <= received.status <= 599
+    assert received.chunked or body in data
+    for name, value in received.headers.items():
+        line = f"{name}: {value}".encode("latin-1")
+        assert parse_field_line(line) == (name.encode(), value.encode("latin-1"))
+
+
 def encode_accepted(patch):
     """Encode a patch for the log, and the items that it leads to as they are read back."""
     store = ItemStore()
@@ -277,6 +307,27 @@
         [b"endpoint", b"connect-failed not-run", b"answer-lost unknown"],
         (b"endpoint", b" ", b"not-run", b"unknown", b"connect-failed", b"\xff", b","),
     ),
+    "response": DecoderTarget(
+        check_response,
+        [
+            response(fields=[b"X-A: b", b"X-B: c\r\n d"]),
+            b"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.0 500 Error\r\nA: b\r\n\r\nbody",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nC: d\r\n\r\n",
+        ],
+        (
+            b"\r",
+            b"\n",
+            b"\r\n",
+            b"\x00",
+            b":",
+            b" ",
+            b"\t",
+            b"HTTP/1.1",
+            b"600",
+            b"\xff",
+            b"From ",
+        ),
+    ),
     "log": DecoderTarget(
         scan_frames, [encode_frame(b"one") + encode_frame(b"two" * 30)], _MSGPACK_TOKENS
     ),
