Refuse malformed chunks of responses

Seen by callers: a chunk that was longer than its size (`5\r\nhelloXY0\r\n\r\n`), or whose size was `+5`, `0x5`, `0_5`, ` 5` or `-0`, was passed on as a whole body. Readers of HTTP differ in what they make of such bytes, so that the body need not be the endpoint's.

Cause: urllib3 reads sizes with int() and drops two bytes behind each chunk, whatever they are.

Change: the file from which responses are read checks sizes and ends of chunks (RFC 9112, 7.1); such a body counts as interrupted, and the log line names the fault.

--- a/greengagerock/testing/message_heads.py
+++ b/greengagerock/testing/message_heads.py
@@ -105,6 +105,31 @@
     b"X-A: b\r\n c\rd",
 )
 
+# Bodies in chunks, of ``BODY``.
+VALID_CHUNKS = (
+    b"5\r\nhello\r\n0\r\n\r\n",
+    b"05\r\nhello\r\n000\r\n\r\n",
+    b"5;a=b\r\nhello\r\n0;c\r\n\r\n",
+    b"5 ;a\r\nhello\r\n0\r\n\r\n",
+    b"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    b"5\r\nhello\r\n0\r\nX-A: b\r\n\r\n",
+)
+MALFORMED_CHUNKS = (
+    b"5\r\nhelloXY0\r\n\r\n",
+    b"5\r\nhello\n\n0\r\n\r\n",
+    b"4\r\nhello\r\n0\r\n\r\n",
+    b"6\r\nhello\r\n0\r\n\r\n",
+    b"+5\r\nhello\r\n0\r\n\r\n",
+    b"-5\r\nhello\r\n0\r\n\r\n",
+    b"0x5\r\nhello\r\n0\r\n\r\n",
+    b"0_5\r\nhello\r\n0\r\n\r\n",
+    b" 5\r\nhello\r\n0\r\n\r\n",
+    b"5\x0b\r\nhello\r\n0\r\n\r\n",
+    b"5\r\nhello\r\n+0\r\n\r\n",
+    b"5\r\nhello\r\n-0\r\n\r\n",
+    b"5\r\nhello\r\n\r\n0\r\n\r\n",
+)
+
 TOKEN_CHARACTERS = "!#$%&'*+-.^_`|~" + string.digits + string.ascii_letters
 # The framing depends on these, and the connection on the third one.
 NAMES_WITH_MEANING = ("content-length", "transfer-encoding", "connection", "keep-alive")
--- a/greengagerock/web/message_head.py
+++ b/greengagerock/web/message_head.py
@@ -1,11 +1,11 @@
-"""Lines of the heads of requests and responses: which are read, repaired or refused.
+"""Lines of requests and responses: which are read, repaired or refused.
 
 What a line is decides where the body begins. The parser of the standard library, which was made
 for mail, takes a carriage return for the end of a line, so it gets lines that have been checked.
 
 References:
     RFC 9110, HTTP Semantics, sections 5.1, 5.5, 5.6.2, 9.1 and 15; RFC 9112, HTTP/1.1, sections
-    2.2 and 3 to 5.
+    2.2, 3 to 5 and 7.1.
 """
 
 import re
@@ -20,6 +20,8 @@
 _TARGET = re.compile(rb"[\x21-\x7e]+")
 # Control characters other than NUL, CR and LF are passed on, which section 5.5 allows.
 _FIELD_LINE = re.compile(rb"(%s):([^\x00\r\n]*)" % _TOKEN)
+# Extensions of a chunk are ignored. Whitespace may stand in front of them.
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\x00\r\n]*)?")
 _CONTINUATION = re.compile(rb"[ \t][^\x00\r\n]*")
 _WHITESPACE = b" \t"
 END_OF_HEAD = b"\r\n"
@@ -94,6 +96,25 @@
     return None if match is None else (match[1], match[2].strip(_WHITESPACE))
 
 
+def parse_chunk_size(line):
+    r"""Return the number of bytes of a chunk.
+
+    Args:
+        line: The line before the chunk, with its end.
+
+    Raises:
+        MalformedResponseError: If it does not begin with a hexadecimal number.
+
+    Examples:
+        >>> parse_chunk_size(b"1f;name=value\r\n")
+        31
+    """
+    match = _CHUNK_SIZE.fullmatch(strip_line_end(line))
+    if match is None:
+        raise MalformedResponseError("malformed size of a chunk")
+    return int(match[1], 16)
+
+
 def has_valid_characters(method, target):
     r"""Return whether the characters of a request's method and target are allowed there.
 
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -9,6 +9,7 @@
 from greengagerock.web.connection_end import ConnectionState, ObservedSocketIO
 from greengagerock.web.message_head import (
     MalformedResponseError,
+    parse_chunk_size,
     parse_status_line,
     read_field_lines,
 )
@@ -33,6 +34,9 @@
     Attributes:
         left_head_bytes: Number of bytes that the head may still have, ``None`` after the head.
         left_line_bytes: Number of bytes that lines may still have before the next data.
+        left_chunk_bytes: Number of bytes that are left of the current chunk, ``None`` between two
+            chunks and in a body without chunks.
+        is_chunked: Whether the lines before the next data are sizes of chunks.
         checked_lines: Lines of the head that have been read already.
     """
 
@@ -40,6 +44,8 @@
         self.file = file
         self.left_head_bytes = MAX_HEAD_BYTES
         self.left_line_bytes = MAX_TRAILER_BYTES
+        self.left_chunk_bytes = None
+        self.is_chunked = False
         self.checked_lines = deque()
 
     def readline(self, limit=MAX_LINE_BYTES):
@@ -47,8 +53,8 @@
 
         Raises:
             MalformedResponseError: If the line is truncated or longer than ``MAX_LINE_BYTES``,
-                the head is truncated or longer than ``MAX_HEAD_BYTES``, or the trailers are too
-                long.
+                the head is truncated or longer than ``MAX_HEAD_BYTES``, the trailers are too long,
+                or the size of a chunk is malformed.
         """
         if self.checked_lines:
             return self.checked_lines.popleft()
@@ -65,12 +71,28 @@
                 raise MalformedResponseError(f"trailers longer than {MAX_TRAILER_BYTES} bytes")
         if line and not line.endswith(b"\n"):
             raise MalformedResponseError(f"line truncated or too long: got {len(line)} bytes")
+        if line and self.is_chunked:
+            self.left_chunk_bytes = parse_chunk_size(line)
+            # Behind the last chunk there are trailers.
+            self.is_chunked = self.left_chunk_bytes > 0
         return line
 
     def read(self, size=-1):
-        """Read data, after which lines may follow again."""
+        """Read data, after which lines may follow again.
+
+        Raises:
+            MalformedResponseError: If a chunk is longer than its size.
+        """
         self.left_line_bytes = MAX_TRAILER_BYTES
-        return self.file.read(size)
+        data = self.file.read(size)
+        if self.is_chunked and self.left_chunk_bytes is not None:
+            if self.left_chunk_bytes:
+                self.left_chunk_bytes -= len(data)
+            elif data == b"\r\n":
+                self.left_chunk_bytes = None
+            elif len(data) == size:
+                raise MalformedResponseError("chunk longer than its size")
+        return data
 
     def __getattr__(self, name):
         return getattr(self.file, name)
@@ -102,6 +124,7 @@
         reader = self.fp = LineReader(self.fp)
         super().begin()
         reader.left_head_bytes = None
+        reader.is_chunked = self.chunked
         check_framing(self.headers)
 
     def _read_status(self):
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -9,17 +9,19 @@
 from greengagerock.core.interface import AttemptFailed
 from greengagerock.testing.message_heads import (
     BODY,
+    MALFORMED_CHUNKS,
     MALFORMED_FIELDS,
     MALFORMED_STATUS_LINES,
+    VALID_CHUNKS,
     VALID_FIELDS,
     VALID_STATUS_LINES,
     malformed_fields,
     response,
     valid_fields,
 )
-from greengagerock.testing.raw_endpoint import RawEndpoint
+from greengagerock.testing.raw_endpoint import RawEndpoint, end_then_close_after
 from greengagerock.testing.stub_router import StubRouter
-from greengagerock.testing.uploading_caller import send_bytes
+from greengagerock.testing.uploading_caller import send_bytes, upload
 from greengagerock.web.connection_end import ConnectionState
 from greengagerock.web.message_head import MalformedResponseError
 from greengagerock.web.strict_response import StrictResponse
@@ -223,3 +225,27 @@
     assert received.startswith(b"HTTP/1.1 200 ")
     assert b"\r\nContent-Type: %s\r\n" % content_type in received
     assert received.endswith(b"\r\n\r\n" + BODY)
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+
+
+def receive_chunks(router, relay, chunks):
+    """Return the response that a caller gets if an endpoint sends a body in chunks."""
+    with RawEndpoint(ENDPOINT_IP, CHUNKED + chunks, end_then_close_after(0.0)) as endpoint:
+        router.reach(endpoint.address)
+        relay.reach(endpoint.address)
+        return upload(router.address, 0)
+
+
+@pytest.mark.parametrize("chunks", VALID_CHUNKS)
+def test_body_in_chunks_is_passed_on(router, relay, chunks):
+    received = receive_chunks(router, relay, chunks)
+    assert (received.status, received.is_whole, received.body) == (200, True, BODY)
+
+
+@pytest.mark.parametrize("chunks", MALFORMED_CHUNKS)
+def test_malformed_chunks_are_not_taken_for_a_whole_body(router, relay, chunks):
+    received = receive_chunks(router, relay, chunks)
+    assert received.status in (200, 502)
+    assert received.status == 502 or not received.is_whole
