--- a/greengagerock/testing/fuzz/decoder_targets.py
+++ b/greengagerock/testing/fuzz/decoder_targets.py
@@ -38,7 +38,7 @@
     pack_loads,
     unpack_loads,
 )
-from greengagerock.web.connection_end import ConnectionState
+from greengagerock.web.connection_state import ConnectionState
 from greengagerock.web.control_application import NativeControlDialect
 from greengagerock.web.message_head import parse_field_line
 from greengagerock.web.notice_headers import (
--- a/greengagerock/web/connection_end.py
+++ b/greengagerock/web/connection_state.py
@@ -1,4 +1,4 @@
-"""How a connection to another process ended.
+"""What was read and written on a connection to another process, and how it ended.
 
 A response without a length is complete if its sender has ended the stream, and truncated if the
 connection ended in another way. The operating system reports a failure of a connection once, to
@@ -9,7 +9,6 @@
 import enum
 import select
 import socket
-import struct
 
 from greengagerock.web.bounded_input import TimedSocketIO
 
@@ -180,7 +179,7 @@
         except OSError:
             # The socket is none of TCP.
             return False
-        return struct.unpack("B", info)[0] == TCP_CLOSE
+        return info[0] == TCP_CLOSE
 
 
 class ObservedSocketIO(TimedSocketIO):
--- a/greengagerock/web/strict_response.py
+++ b/greengagerock/web/strict_response.py
@@ -6,7 +6,7 @@
 
 from urllib3.connection import HTTPConnection
 
-from greengagerock.web.connection_end import ConnectionState, ObservedSocketIO
+from greengagerock.web.connection_state import ConnectionState, ObservedSocketIO
 from greengagerock.web.message_head import (
     MalformedResponseError,
     parse_chunk_size,
--- a/greengagerock/web/tests/test_connection_end.py
+++ b/greengagerock/web/tests/test_connection_state.py
@@ -8,7 +8,7 @@
 import pytest
 
 from greengagerock.testing.raw_endpoint import reset
-from greengagerock.web.connection_end import ConnectionEnd, ConnectionState, ObservedSocketIO
+from greengagerock.web.connection_state import ConnectionEnd, ConnectionState, ObservedSocketIO
 
 TIMEOUT_S = 5.0
 
--- a/greengagerock/web/tests/test_response_head.py
+++ b/greengagerock/web/tests/test_response_head.py
@@ -22,7 +22,7 @@
 from greengagerock.testing.raw_endpoint import RawEndpoint, end_then_close_after
 from greengagerock.testing.stub_router import StubRouter
 from greengagerock.testing.uploading_caller import send_bytes, upload
-from greengagerock.web.connection_end import ConnectionState
+from greengagerock.web.connection_state import ConnectionState
 from greengagerock.web.message_head import MalformedResponseError
 from greengagerock.web.strict_response import StrictResponse
 
--- a/tests/test_outside_readers.py
+++ b/tests/test_outside_readers.py
@@ -26,7 +26,7 @@
         f"{WEB_TESTS}/test_bounded_input.py",
         "test_bytes_that_come_one_by_one_end_within_the_time_of_a_request",
     ),
-    "web/connection_end.py": (
+    "web/connection_state.py": (
         f"{WEB_TESTS}/test_bounded_client.py",
         "test_response_without_end_is_given_up",
     ),
