--- a/greengagerock/web/connection_state.py
+++ b/greengagerock/web/connection_state.py
@@ -11,6 +11,7 @@
 import socket
 
 from greengagerock.web.bounded_input import TimedSocketIO
+from greengagerock.web.message_head import has_final_head
 
 # Value of ``tcpi_state``, the first byte of the option ``TCP_INFO``, after a reset or a timeout.
 # A connection that the other side has ended is in the state ``CLOSE_WAIT`` (8) instead.
@@ -145,7 +146,7 @@
                 rest = rest[self.sock.send(rest) :]
             elif not events:
                 self.is_request_incomplete = True
-                if self.early_bytes or self.is_ended:
+                if self.is_ended or has_final_head(self.early_bytes):
                     raise BrokenPipeError("the other side responds and reads nothing more")
                 raise TimeoutError("timed out")
 
--- a/greengagerock/web/message_head.py
+++ b/greengagerock/web/message_head.py
@@ -14,6 +14,7 @@
 # A higher minor version is read as the highest known one (RFC 9110, section 2.5). The space after
 # the status may be missing if there is no reason phrase.
 _STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?")
+_INTERIM_HEADS = re.compile(rb"\A(?:HTTP/1\.[0-9] 1[^\n]*\r?\n(?:[^\r\n][^\n]*\n)*(?:\r?\n|\Z))+")
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _METHOD = re.compile(_TOKEN)
 # A target is passed on as it came, so it may have any visible character.
@@ -51,6 +52,21 @@
     return version.decode(), int(status), reason.decode("latin-1")
 
 
+def has_final_head(data):
+    r"""Return whether the bytes of a connection have more than interim responses.
+
+    Args:
+        data: The first bytes that the other side has sent after a request.
+
+    Examples:
+        >>> has_final_head(b"HTTP/1.1 100 Continue\r\n\r\n")
+        False
+        >>> has_final_head(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 413 Content Too Large\r\n")
+        True
+    """
+    return bool(_INTERIM_HEADS.sub(b"", data))
+
+
 def read_field_lines(file):
     r"""Read the field lines of a head up to the empty line, which is included.
 
--- a/greengagerock/web/tests/test_early_responses.py
+++ b/greengagerock/web/tests/test_early_responses.py
@@ -5,6 +5,7 @@
 import pytest
 
 from greengagerock.core.interface import AttemptFailed, RequestEnded, ResponseInterrupted
+from greengagerock.routing.failures import REASON_TIMEOUT
 from greengagerock.testing.raw_endpoint import (
     RawEndpoint,
     close_unread_after,
@@ -106,6 +107,17 @@
             assert endpoint.accepted_count == number
 
 
+@pytest.mark.parametrize("count", [1, 3])
+def test_interim_response_is_not_waited_for_like_a_final_one(router, relay, count):
+    """The endpoint reads nothing, so that no response follows before the deadline."""
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n" * count
+    with RawEndpoint(ENDPOINT_IP, interim, lambda connection: time.sleep(1.0)) as endpoint:
+        router.reach(endpoint.address)
+        relay.reach(endpoint.address)
+        assert upload(router.address, BODY_BYTES).status == 502
+    assert router.wait_for(AttemptFailed).reason != REASON_TIMEOUT
+
+
 @pytest.mark.parametrize("ending", ["ended", *RESETS])
 @pytest.mark.parametrize("status", [200, 413])
 def test_whole_response_with_a_length_arrives(router, relay, status, ending):
