--- a/greengagerock/testing/stub_router.py
+++ b/greengagerock/testing/stub_router.py
@@ -1,5 +1,6 @@
 """A router of which only the decisions are a stand-in: it forwards each call to one endpoint."""
 
+import contextlib
 import time
 
 from greengagerock.core import OUTCOME_UNKNOWN
@@ -36,7 +37,7 @@
     Args:
         ip: Loopback address to listen on.
         port: Port to listen on.
-        relay: ``IP:PORT`` of another ``StubRouter`` that reaches the endpoint, or empty.
+        relay: Another ``StubRouter``, which reaches the endpoint for this one, or ``None``.
         serves_router: Whether the requests come from another router.
 
     Attributes:
@@ -49,7 +50,7 @@
         log: The ``LogRecorder``.
     """
 
-    def __init__(self, ip, port, relay="", serves_router=False):
+    def __init__(self, ip, port, relay=None, serves_router=False):
         self.address = (ip, port)
         self.endpoint = self.range_endpoint = ""
         self.relay = relay
@@ -80,6 +81,8 @@
         """Forward the following calls to an endpoint, and drop the events of earlier ones."""
         self.endpoint, self.range_endpoint = endpoint, range_endpoint
         self.events = []
+        if self.relay is not None:
+            self.relay.reach(endpoint, range_endpoint)
 
     def wait_for(self, event_type):
         """Return the first event of a type, once it has come.
@@ -108,5 +111,28 @@
                 self.bridge.deliver(token, error)
 
     def _forward(self, token, endpoint):
-        forward = Forward(token, "e", endpoint, {}, TIMEOUT_S, relay=self.relay)
+        relay = "" if self.relay is None else "{}:{}".format(*self.relay.address)
+        forward = Forward(token, "e", endpoint, {}, TIMEOUT_S, relay=relay)
         self.bridge.deliver(token, forward)
+
+
+@contextlib.contextmanager
+def start_router(address, relay_address=None):
+    """Start a router that reaches the endpoint itself, or through another one.
+
+    Args:
+        address: IP address and port.
+        relay_address: Those of the other router, or ``None``.
+
+    Yields:
+        The ``StubRouter``.
+    """
+    if relay_address is None:
+        with StubRouter(*address) as router:
+            yield router
+    else:
+        with (
+            StubRouter(*relay_address, serves_router=True) as relay,
+            StubRouter(*address, relay=relay) as router,
+        ):
+            yield router
