--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -276,7 +276,14 @@
 
 
 class StopRequested(msgspec.Struct, frozen=True):
-    """A stop of the process was requested."""
+    """A stop of the process was requested.
+
+    Attributes:
+        since_s: Latest time at which it had certainly not been requested yet, in monotonic
+            seconds; ``None`` if the request is handled without delay.
+    """
+
+    since_s: float | None = None
 
 
 class SendMessage(msgspec.Struct, frozen=True):
--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -32,6 +32,8 @@
 from greengagerock.web.connection_keeper import ConnectionKeeper
 
 MAX_EVENTS_PER_ITERATION = 256
+# Longest wait of an idle loop: the arrival of a signal is known to that precision.
+MAX_WAIT_S = 0.25
 
 
 class EventLoop:
@@ -54,6 +56,7 @@
         apply_limits: Callable that receives the limits of an ``ApplyCallerLimits`` effect.
         stop_code: Error code with which the loop ended; empty after a planned stop.
         internal_error_count: Number of events and effects that raised an unexpected exception.
+        checked_s: When this thread last ran. A signal whose handler runs now arrived later.
     """
 
     def __init__(self, node, links, bridge, writer, upstream, log):
@@ -68,6 +71,7 @@
         self.stop_code = ""
         self.internal_error_count = 0
         self.is_running = True
+        self.checked_s = time.monotonic()
         self.drain = None
         self.end_s = None
         self.apply_limits = lambda limits: None
@@ -157,7 +161,9 @@
         self._is_polling = True
         # Events posted before the flag was set did not write to the wake-up descriptor.
         timeout_s = 0 if self._event_queue else self._poll_timeout_s()
+        self.checked_s = time.monotonic()
         ready_descriptors = [descriptor for descriptor, _ in self._poll.poll(timeout_s)]
+        self.checked_s = time.monotonic()
         self._is_polling = False
         if len(self._token_by_descriptor):
             self._queue_closed_callers(ready_descriptors)
@@ -180,7 +186,9 @@
         if self.end_s is not None:
             return CHECK_INTERVAL_S
         due_s = self.node.next_due_s()
-        return None if due_s is None else max(0.0, due_s - time.monotonic())
+        if due_s is None:
+            return MAX_WAIT_S
+        return min(MAX_WAIT_S, max(0.0, due_s - time.monotonic()))
 
     def _handle_messages(self):
         for received in self.links.receive():
@@ -204,8 +212,9 @@
             self._handle(TimeAdvanced())
 
     def _handle(self, event):
+        self.checked_s = time.monotonic()
         try:
-            effects = self.node.handle(event, time.monotonic())
+            effects = self.node.handle(event, self.checked_s)
         except Exception:
             # An error while one event is handled must not stop the processing of other events.
             self._handle_internal_error(event)
--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -125,8 +125,8 @@
         return self.loop.stop_code
 
     def stop(self):
-        """Start a planned stop; can be called from a signal handler."""
-        self.loop.post(StopRequested())
+        """Start a planned stop; called from a signal handler, which runs on the loop's thread."""
+        self.loop.post(StopRequested(self.loop.checked_s))
 
     def reload(self, settings):
         """Apply changed settings; only a change of the seeds takes effect while running."""
--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -129,6 +129,7 @@
         self.is_stopping = False
         self.is_stopped = False
         self.stop_due_s = float("inf")
+        self.stop_since_s = None
         self._poll()
 
     def next_due_s(self):
@@ -185,8 +186,8 @@
             case SeedsChanged(seeds):
                 self.finder.seeds = seeds
                 self.outbox.log("seeds-changed", seeds=",".join(seeds))
-            case StopRequested():
-                self._begin_stop()
+            case StopRequested(since_s):
+                self._begin_stop(now_s if since_s is None else since_s)
         # A call may end by any event, and by a timer.
         self._stop_if_idle()
         return self.outbox.drain()
@@ -388,24 +389,34 @@
 
     # --- Stopping ------------------------------------------------------------------
 
-    def _begin_stop(self):
+    def _begin_stop(self, since_s):
         """Report unready to the load balancer first, then finish requests in flight."""
         if self.is_stopping:
             return
         self.is_stopping = True
+        self.stop_since_s = since_s
         stop_s = self.config.stop_grace_s - STOP_MARGIN_S
         self.stop_due_s = self.timers.now_s + stop_s
         self.dispatcher.begin_closing(self.stop_due_s)
         self.relayed_calls.begin_closing(self.stop_due_s)
         self.replica.relay_address = ""
-        self.outbox.log("stopping", in_flight=len(self.dispatcher.calls))
+        self.outbox.log(
+            "stopping",
+            in_flight=len(self.dispatcher.calls),
+            signal_ms=self._stop_age_ms(),
+        )
         self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new_requests)
         closes_s = stop_s + MIN_DRAIN_S - LAST_ARRIVAL_S
         self.timers.subscribe(closes_s, lambda: self.outbox.add(StopAccepting()))
         self.timers.subscribe(stop_s, self._stop)
 
+    def _stop_age_ms(self):
+        """Return the longest time in milliseconds for which the stop may have been requested."""
+        return round(1000 * (self.timers.now_s - self.stop_since_s))
+
     def _refuse_new_requests(self):
         # A request accepted from now on may not finish before the process is killed.
+        self.outbox.log("refusing", signal_ms=self._stop_age_ms())
         self.dispatcher.is_stopping = True
         self.relayed_calls.is_stopping = True
         self._stop_if_idle()
@@ -421,7 +432,9 @@
             self.is_stopped = True
             # With a short grace period, requests were accepted until now.
             self.dispatcher.is_stopping = self.relayed_calls.is_stopping = True
-            self.outbox.log("stopped", cut_off=len(self.dispatcher.calls))
+            self.outbox.log(
+                "stopped", cut_off=len(self.dispatcher.calls), signal_ms=self._stop_age_ms()
+            )
             wait_s = self.stop_due_s + MIN_DRAIN_S - self.timers.now_s
             self.outbox.add(StopProcess(wait_s=max(LATE_DRAIN_S, wait_s)))
             self._end_calls()
