Count the times of a stop from its signal

Seen by callers: 502 for requests that they sent more than 3 s after the SIGTERM of a router, which took them for requests of its first 3 s. Class of fault: a time that belongs to an event outside is counted from the moment at which the process handles that event.

Cause: refusal, end of calls, close of ports and end of the process counted from the handling of StopRequested in the decision core. A router that is held up around its SIGTERM handles it late: it accepts requests for longer, and its grace period is over before it has ended their calls.

Change: node/stop_schedule.py states these times, node/router_stop.py carries them out. They count from the latest moment at which the event loop ran without the signal, so they are never late. Only the time in which the load balancer finds the host unready counts from the handling, and the process answers its callers until then.

A loop that waits has at most 0.25 s of uncertainty, by which its router refuses requests and ends calls earlier.

--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -20,12 +20,11 @@
     ResponseInterrupted,
     ResponseStarted,
     SeedsChanged,
-    StopAccepting,
-    StopProcess,
     StopRequested,
     TimeAdvanced,
 )
 from greengagerock.discovery import LeaderFinder
+from greengagerock.node.router_stop import RouterStop
 from greengagerock.routing.cold_endpoints import ColdEndpoints
 from greengagerock.routing.dispatcher import Dispatcher
 from greengagerock.routing.load_exchange import LoadExchange
@@ -47,22 +46,8 @@
 POLL_INTERVAL_S = 0.5
 # Interval of polls to all controllers while there is no known leader.
 SEARCH_INTERVAL_S = 0.2
-# The load balancer checks once per second and removes a host after two failed checks; the
-# next response on each open connection closes it. Requests that arrive later are refused.
-UNREADY_PERIOD_S = 3.0
 # Largest number of endpoint names in one field of a log line.
 MAX_LOGGED_NAMES = 16
-# The process ends at least this long before the end of the grace period.
-STOP_MARGIN_S = 0.6
-# Time that the HTTP servers get to answer what they have read, and at least, if the event loop was
-# late.
-MIN_DRAIN_S = 0.3
-LATE_DRAIN_S = 0.2
-# Interval in which the calls that are left at the end of a stop are ended.
-END_CALLS_INTERVAL_S = 0.1
-# The ports are closed this long before the process has to end, so that requests on the connections
-# accepted last can still arrive.
-LAST_ARRIVAL_S = 1.0
 
 
 class RouterNode:
@@ -126,10 +111,7 @@
         )
         self.router_count = RouterCount()
         self.had_leader = False
-        self.is_stopping = False
-        self.is_stopped = False
-        self.stop_due_s = float("inf")
-        self.stop_since_s = None
+        self.stop = RouterStop(self)
         self._poll()
 
     def next_due_s(self):
@@ -138,7 +120,7 @@
 
     def waits_for_requests(self):
         """Return whether a stop, or a call that waits for its turn, needs requests to end."""
-        return self.is_stopping or bool(self.dispatcher.sender.calls_awaiting_turns)
+        return self.stop.has_begun or bool(self.dispatcher.sender.calls_awaiting_turns)
 
     def start(self):
         """Return the effects of the node's creation."""
@@ -187,9 +169,9 @@
                 self.finder.seeds = seeds
                 self.outbox.log("seeds-changed", seeds=",".join(seeds))
             case StopRequested(since_s):
-                self._begin_stop(now_s if since_s is None else since_s)
+                self.stop.begin(since_s)
         # A call may end by any event, and by a timer.
-        self._stop_if_idle()
+        self.stop.end_if_idle()
         return self.outbox.drain()
 
     def abandon(self, event):
@@ -208,7 +190,7 @@
                 self.outbox.discard(token)
                 self.dispatcher.abandon(token)
                 self.relayed_calls.abandon(token)
-                self._stop_if_idle()
+                self.stop.end_if_idle()
 
     def _handle_relayed(self, event):
         """Handle an event of a request that is forwarded for another router."""
@@ -224,7 +206,7 @@
 
     def readiness(self):
         """Return an empty string if this host accepts callers, else an error code."""
-        if self.is_stopping:
+        if self.stop.has_begun:
             return "stopping"
         return "" if self.replica.has_configuration else "not-ready"
 
@@ -386,62 +368,3 @@
     def _report(self, report):
         if self.finder.leader:
             self.outbox.send(self.finder.leader, report)
-
-    # --- Stopping ------------------------------------------------------------------
-
-    def _begin_stop(self, since_s):
-        """Report unready to the load balancer first, then finish requests in flight."""
-        if self.is_stopping:
-            return
-        self.is_stopping = True
-        self.stop_since_s = since_s
-        stop_s = self.config.stop_grace_s - STOP_MARGIN_S
-        self.stop_due_s = self.timers.now_s + stop_s
-        self.dispatcher.begin_closing(self.stop_due_s)
-        self.relayed_calls.begin_closing(self.stop_due_s)
-        self.replica.relay_address = ""
-        self.outbox.log(
-            "stopping",
-            in_flight=len(self.dispatcher.calls),
-            signal_ms=self._stop_age_ms(),
-        )
-        self.timers.subscribe(UNREADY_PERIOD_S, self._refuse_new_requests)
-        closes_s = stop_s + MIN_DRAIN_S - LAST_ARRIVAL_S
-        self.timers.subscribe(closes_s, lambda: self.outbox.add(StopAccepting()))
-        self.timers.subscribe(stop_s, self._stop)
-
-    def _stop_age_ms(self):
-        """Return the longest time in milliseconds for which the stop may have been requested."""
-        return round(1000 * (self.timers.now_s - self.stop_since_s))
-
-    def _refuse_new_requests(self):
-        # A request accepted from now on may not finish before the process is killed.
-        self.outbox.log("refusing", signal_ms=self._stop_age_ms())
-        self.dispatcher.is_stopping = True
-        self.relayed_calls.is_stopping = True
-        self._stop_if_idle()
-
-    def _stop_if_idle(self):
-        if not self.dispatcher.is_stopping or self.is_stopped:
-            return
-        if not (self.dispatcher.calls or self.relayed_calls.by_token):
-            self._stop()
-
-    def _stop(self):
-        if not self.is_stopped:
-            self.is_stopped = True
-            # With a short grace period, requests were accepted until now.
-            self.dispatcher.is_stopping = self.relayed_calls.is_stopping = True
-            self.outbox.log(
-                "stopped", cut_off=len(self.dispatcher.calls), signal_ms=self._stop_age_ms()
-            )
-            wait_s = self.stop_due_s + MIN_DRAIN_S - self.timers.now_s
-            self.outbox.add(StopProcess(wait_s=max(LATE_DRAIN_S, wait_s)))
-            self._end_calls()
-
-    def _end_calls(self):
-        """Respond to the calls that the end of the process would cut off."""
-        if self.dispatcher.calls or self.relayed_calls.by_token:
-            self.timers.subscribe(END_CALLS_INTERVAL_S, self._end_calls)
-            self.dispatcher.ending.end_calls()
-            self.relayed_calls.end_calls()
--- a/greengagerock/node/tests/test_failed_events.py
+++ b/greengagerock/node/tests/test_failed_events.py
@@ -145,7 +145,7 @@
     node.config = replace(node.config, stop_grace_s=3.0)
     node.handle(StopRequested(), 10.0)
     node.handle(TimeAdvanced(), 12.41)
-    assert node.is_stopped
+    assert node.stop.is_stopped
     effects = node.handle(CALL, 12.45)
     assert not any(isinstance(effect, Forward) for effect in effects)
     assert any(isinstance(effect, RespondWithError) for effect in effects)
@@ -155,7 +155,7 @@
     node.handle(CallArrived(1, "r1", "GET", "shop.example", "/balance/x", "", 1.0, 7), 10.0)
     node.handle(StopRequested(), 10.0)
     node.handle(TimeAdvanced(), 13.1)
-    assert not node.is_stopped
+    assert not node.stop.is_stopped
     node.dispatcher.calls.clear()
     node.handle(CallerDisconnected(1), 13.2)
-    assert node.is_stopped
+    assert node.stop.is_stopped
--- a/greengagerock/routing/call_ending.py
+++ b/greengagerock/routing/call_ending.py
@@ -39,8 +39,6 @@
         Responses of which callers have got a part go on. An attempt that a worker thread is about
         to begin cannot be cancelled, so the method is to be called again while calls remain.
         """
-        if not self.has_begun:
-            self._log_calls()
         self.has_begun = self.sender.has_ended = True
         for token in list(self.calls):
             call = self.calls.get(token)
@@ -52,21 +50,6 @@
             else:
                 self.finish(call, "stopping", OUTCOME_NOT_RUN, DETAIL)
 
-    def _log_calls(self):
-        """Log how long ago each call arrived and was sent to its endpoint."""
-        now_s = self.sender.timers.now_s
-        for call in self.calls.values():
-            self.outbox.log(
-                "call-ended",
-                request_id=call.request_id,
-                service=call.service,
-                route=call.route.name,
-                endpoint=call.endpoint,
-                arrived_ms=round(1000 * (now_s - call.arrived_s)),
-                sent_ms=round(1000 * (now_s - call.sent_s)) if call.endpoint else "",
-                is_responding=call.has_stream,
-            )
-
     def on_attempt_failed(self, call, event):
         """Respond to a call whose attempt was cancelled or failed by itself.
 
