Do not send a request again whose caller has left

(job-charge) the client left at 21.598 s; the endpoint shed it at 22.430 s, and the router sent it again at 22.457 s and 22.500 s.

Cause: a request that is not idempotent is not cancelled when its caller leaves, since it may have run; but nothing noted that the caller had left, so that a refusal was answered by sending it again.

Change: the call is marked as abandoned whatever its route, and only an idempotent one is cancelled. An abandoned call ends with its attempt.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -284,7 +284,10 @@
         self.sender.end_turn(call, False)
 
     def on_caller_disconnected(self, event):
-        """End the wait of a caller that has disconnected, or its attempt if that is idempotent."""
+        """End the wait of a caller that has disconnected, or its attempt if that is idempotent.
+
+        An attempt that is not goes on to its end, and is not repeated.
+        """
         call = self.calls.get(event.token)
         if call is None:
             return
@@ -297,8 +300,9 @@
         if not call.endpoint:
             # It waits for a holder or its turn; nothing of it was sent.
             self._finish(call, "caller-gone", OUTCOME_NOT_RUN)
-        elif call.route.is_idempotent:
-            call.is_abandoned = True
+            return
+        call.is_abandoned = True
+        if call.route.is_idempotent:
             self.outbox.add(CancelAttempt(call.token))
 
     def on_notice(self, event):
