--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -99,7 +99,6 @@
         self.hinted_leader = ""
         self.hint_confirmed_s = float("-inf")
         self.is_leaving = False
-        self.ends_s = None
         self.requests = ControllerRequests(
             self.site_leader, self._leader_address, config.address, self.timers, self.outbox
         )
@@ -166,8 +165,8 @@
             case SeedsChanged(seeds):
                 self.seeds = seeds
                 self.outbox.log("seeds-changed", seeds=",".join(seeds))
-            case StopRequested(since_s):
-                self._begin_stop(self.timers.now_s if since_s is None else since_s)
+            case StopRequested():
+                self._begin_stop()
         return self._finish()
 
     def _finish(self):
@@ -296,15 +295,14 @@
 
     # --- Stopping ------------------------------------------------------------------
 
-    def _begin_stop(self, since_s):
+    def _begin_stop(self):
         if self.is_leaving:
             return
         self.is_leaving = True
-        self.ends_s = since_s + self.config.stop_grace_s - STOP_MARGIN_S
         self.outbox.log("stopping", leads=self.voter.is_leader)
         self.voter.transfer_leadership()
         self.timers.subscribe(STOP_DELAY_S, self._stop)
 
     def _stop(self):
-        wait_s = self.ends_s - self.timers.now_s
+        wait_s = self.config.stop_grace_s - STOP_DELAY_S - STOP_MARGIN_S
         self.outbox.add(StopProcess(wait_s=max(0.0, wait_s)))
