Let only the thread of the event loop take signals

Seen: a signal of a process that stood still may be taken by any of its threads that does not block it.

Change: all other threads block SIGTERM, SIGINT and SIGHUP. The main thread then runs the handler of the system before anything else, so checked_s is earlier than the signal.

--- a/greengagerock/daemon/site.py
+++ b/greengagerock/daemon/site.py
@@ -13,6 +13,7 @@
 
 from greengagerock.core import GreengageError
 from greengagerock.core.interface import SeedsChanged, StopRequested
+from greengagerock.core.signal_masks import block_signals
 from greengagerock.daemon.bridge import Bridge
 from greengagerock.daemon.log_writer import EventRateLimiter, LineWriter
 from greengagerock.daemon.logs import format_pairs
@@ -104,8 +105,9 @@
         Returns:
             The empty string after a planned stop, or an error code.
         """
-        for server in self.servers:
-            server.start()
+        with block_signals():
+            for server in self.servers:
+                server.start()
         settings = self.settings
         self.log(
             "started",
@@ -400,17 +402,19 @@
         The exit status 1 if the daemon could not start. After a stop it does not return: it
         ends the process.
     """
-    line_writer = LineWriter()
-    log = make_site_log(settings, line_writer)
-    threading.excepthook = make_thread_hook(log, line_writer)
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
-    try:
-        daemon = SiteDaemon(settings, log, dialect, control_dialect)
-    except GreengageError as error:
-        log("fatal", code=error.code, detail=error.detail)
-        line_writer.close()
-        return EXIT_FAILED
-    settings_watcher = SettingsWatcher(path, load, daemon.reload, log)
+    # Only the thread of the event loop takes signals.
+    with block_signals():
+        line_writer = LineWriter()
+        log = make_site_log(settings, line_writer)
+        threading.excepthook = make_thread_hook(log, line_writer)
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        try:
+            daemon = SiteDaemon(settings, log, dialect, control_dialect)
+        except GreengageError as error:
+            log("fatal", code=error.code, detail=error.detail)
+            line_writer.close()
+            return EXIT_FAILED
+        settings_watcher = SettingsWatcher(path, load, daemon.reload, log)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: daemon.stop())
     signal.signal(signal.SIGHUP, lambda *_: settings_watcher.request_reload())
--- a/greengagerock/web/connection_keeper.py
+++ b/greengagerock/web/connection_keeper.py
@@ -5,6 +5,8 @@
 
 from urllib3.exceptions import HTTPError
 
+from greengagerock.core.signal_masks import block_signals
+
 # An idle connection is replaced before the other router closes it for being idle, since a request
 # that is sent at that moment is lost.
 MAX_IDLE_S = 45.0
@@ -39,7 +41,8 @@
             self._orders.put(address)
         if self._thread is None:
             self._thread = threading.Thread(target=self._run, name="connections", daemon=True)
-            self._thread.start()
+            with block_signals():
+                self._thread.start()
 
     def _run(self):
         while True:
