Count the end of a controller's stop from its signal

Change: the end counts from the signal; the second in which it relays requests counts from the handling as before, within the grace period. The line stopping has signal_ms.

No run on real processes.

--- a/greengagerock/node/controller_node.py
+++ b/greengagerock/node/controller_node.py
@@ -36,6 +36,7 @@
 )
 from greengagerock.items import ItemStore
 from greengagerock.node.controller_requests import ControllerRequests
+from greengagerock.node.stop_schedule import LATE_DRAIN_S
 from greengagerock.replication import (
     AppendReply,
     AppendRequest,
@@ -165,8 +166,8 @@
             case SeedsChanged(seeds):
                 self.seeds = seeds
                 self.outbox.log("seeds-changed", seeds=",".join(seeds))
-            case StopRequested():
-                self._begin_stop()
+            case StopRequested(since_s):
+                self._begin_stop(now_s if since_s is None else since_s)
         return self._finish()
 
     def _finish(self):
@@ -295,14 +296,19 @@
 
     # --- Stopping ------------------------------------------------------------------
 
-    def _begin_stop(self):
+    def _begin_stop(self, since_s):
         if self.is_leaving:
             return
         self.is_leaving = True
-        self.outbox.log("stopping", leads=self.voter.is_leader)
+        now_s = self.timers.now_s
+        # The grace period begins with the signal, which may have waited.
+        ends_s = since_s + self.config.stop_grace_s - STOP_MARGIN_S
+        signal_ms = round(1000 * (now_s - since_s))
+        self.outbox.log("stopping", leads=self.voter.is_leader, signal_ms=signal_ms)
         self.voter.transfer_leadership()
-        self.timers.subscribe(STOP_DELAY_S, self._stop)
+        delay_s = max(0.0, min(STOP_DELAY_S, ends_s - now_s))
+        self.timers.subscribe(delay_s, lambda: self._stop(ends_s))
 
-    def _stop(self):
-        wait_s = self.config.stop_grace_s - STOP_DELAY_S - STOP_MARGIN_S
-        self.outbox.add(StopProcess(wait_s=max(0.0, wait_s)))
+    def _stop(self, ends_s):
+        wait_s = max(LATE_DRAIN_S, ends_s - self.timers.now_s)
+        self.outbox.add(StopProcess(wait_s=wait_s))
