Begin a stop although a timer fails in its event

Seen in a test: a timer whose handler raises when the router handles StopRequested ends the handling before the router looks at the event. The event is not repeated, so the router serves until it is killed. Change: abandon begins the stop. Found by reading; no run of a whole router has shown such a timer. Controllers have the same fault: open.

--- a/greengagerock/node/router_node.py
+++ b/greengagerock/node/router_node.py
@@ -191,6 +191,9 @@
                 self.dispatcher.abandon(token)
                 self.relayed_calls.abandon(token)
                 self.stop.end_if_idle()
+            case StopRequested(since_s):
+                # A timer may have failed before the node came to the event, which is not repeated.
+                self.stop.begin(since_s)
 
     def _handle_relayed(self, event):
         """Handle an event of a request that is forwarded for another router."""
