Let a process end although a step of its stop fails

Seen in a test: if begin_closing or the lines call-ended raise, the router never adds StopProcess: it had noted that its stop has begun, or is complete, before that step. It would run until it is killed, and a second SIGTERM has no effect. Change: the steps are timed first, and StopProcess is added before the calls are logged. Found by reading; no run of a whole router has raised there.

--- a/greengagerock/node/router_stop.py
+++ b/greengagerock/node/router_stop.py
@@ -45,12 +45,7 @@
         now_s = self.node.timers.now_s
         since_s = now_s if since_s is None else since_s
         self.schedule = schedule = StopSchedule(since_s, now_s, self.node.config.stop_grace_s)
-        self.node.dispatcher.begin_closing(schedule.ends_calls_s)
-        self.node.relayed_calls.begin_closing(schedule.ends_calls_s)
-        self.node.replica.relay_address = ""
-        self.node.outbox.log(
-            "stopping", in_flight=len(self.node.dispatcher.calls), signal_ms=schedule.age_ms(now_s)
-        )
+        # First of all, so that the process ends although something below fails.
         for due_s, handler in (
             (schedule.refuses_s, self._refuse_new_requests),
             (schedule.may_end_s, self._permit_end),
@@ -58,6 +53,12 @@
             (schedule.ends_calls_s, self._stop),
         ):
             self.node.timers.subscribe(max(0.0, due_s - now_s), handler)
+        self.node.dispatcher.begin_closing(schedule.ends_calls_s)
+        self.node.relayed_calls.begin_closing(schedule.ends_calls_s)
+        self.node.replica.relay_address = ""
+        self.node.outbox.log(
+            "stopping", in_flight=len(self.node.dispatcher.calls), signal_ms=schedule.age_ms(now_s)
+        )
         # Steps that are due already take effect before the next event.
         self.node.timers.advance(now_s)
 
@@ -86,8 +87,8 @@
             cut_off=len(self.node.dispatcher.calls),
             signal_ms=self.schedule.age_ms(now_s),
         )
-        self._log_calls()
         self.node.outbox.add(StopProcess(wait_s=self.schedule.drain_s(now_s)))
+        self._log_calls()
         self._end_calls()
 
     def _log_calls(self):
--- a/greengagerock/node/tests/test_failed_stops.py
+++ b/greengagerock/node/tests/test_failed_stops.py
@@ -2,11 +2,15 @@
 
 import pytest
 
-from greengagerock.core.interface import StopProcess, StopRequested, TimeAdvanced
+from greengagerock.core.interface import CallArrived, StopProcess, StopRequested, TimeAdvanced
 from greengagerock.node.router_node import RouterNode
+from greengagerock.node.router_stop import RouterStop
 from greengagerock.node.site_config import SiteConfig
+from greengagerock.routing.call_sender import CallSender
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 
+CALL = CallArrived(1, "r1", "GET", "shop.example", "/balance/x", "/balance/x", 9.0, 7)
+
 
 @pytest.fixture
 def node():
@@ -50,3 +54,14 @@
     handle(node, StopRequested(10.0), 10.0)
     assert node.stop.has_begun
     assert run_until_stopped(node) == pytest.approx(3.0)
+
+
+@pytest.mark.parametrize(
+    ("owner", "method"),
+    [(CallSender, "begin_closing"), (RouterStop, "_log_calls"), (RouterStop, "_end_calls")],
+)
+def test_process_ends_although_a_step_of_its_stop_fails(node, owner, method, monkeypatch):
+    handle(node, CALL, 10.0)
+    monkeypatch.setattr(owner, method, fail)
+    handle(node, StopRequested(10.0), 10.0)
+    assert run_until_stopped(node) == pytest.approx(5.4, abs=0.11)
