Bound writes to callers by their own progress, not by the header timeout

Callers saw a response cut off in the middle if they read nothing for the header timeout, or read too slowly, although that limit is for what callers send. A connection that was accepted under a short header timeout kept it.

Cause: writes used the time-out of the socket, which is set to the header timeout for reads. The system reports a socket as writable only once a third of its send buffer is free, so a caller that read 2 KiB each 30 ms was cut off as well.

A write now ends when the caller has acknowledged no byte for WRITE_STALL_S, 30 s, which counts from the last progress. Reads are unchanged, and a caller that reads nothing still frees its worker thread.

--- a/greengagerock/web/bounded_input.py
+++ b/greengagerock/web/bounded_input.py
@@ -9,9 +9,11 @@
 import string
 import time
 
-from cheroot.makefile import MakeFile, StreamReader
+from cheroot.makefile import StreamReader
 from cheroot.server import ChunkedRFile
 
+from greengagerock.web.bounded_output import PatientWriter
+
 # Longest line with the size of a chunk, extensions included, and all trailers together.
 MAX_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16 * 1024
@@ -68,7 +70,7 @@
 
 def make_file(sock, mode="r", buffer_size=_pyio.DEFAULT_BUFFER_SIZE):
     """Return the input or output file of a connection, as the server's own function does."""
-    return TimedReader(sock, buffer_size) if "r" in mode else MakeFile(sock, mode, buffer_size)
+    return (TimedReader if "r" in mode else PatientWriter)(sock, buffer_size)
 
 
 class BoundedChunks(ChunkedRFile):
--- /dev/null
+++ b/greengagerock/web/bounded_output.py
@@ -0,0 +1,79 @@
+"""The bound on how long a client may leave the bytes of a response unread.
+
+It answers clients that read nothing, each of which holds a worker thread. It is independent of the
+times that clients have for sending, and a client that reads slowly does not reach it.
+"""
+
+import _pyio
+import fcntl
+import os
+import select
+import socket
+import struct
+import termios
+import time
+
+from cheroot.makefile import StreamWriter
+
+# Longest time for which a client takes no byte of a response, in seconds. On a link that is cut
+# for half of it, the system sends lost bytes again within the other half, since it doubles its
+# pauses.
+WRITE_STALL_S = 30.0
+# Interval at which a write that waits checks whether the client has taken bytes, in seconds.
+WRITE_CHECK_S = 1.0
+
+_INT = struct.Struct("i")
+
+
+class PatientSocketIO(socket.SocketIO):
+    """A socket's file whose writes wait for as long as the other end takes bytes.
+
+    Whether a socket can be written to does not show that: on Linux it can be only once a third of
+    its send buffer is free, which a slow link takes long for.
+    """
+
+    def write(self, data):
+        """Write a part of some bytes; return how many.
+
+        Raises:
+            TimeoutError: If the other end takes nothing for ``WRITE_STALL_S``.
+        """
+        self._checkClosed()
+        descriptor = self._sock.fileno()
+        try:
+            # The socket has a time-out, so that its descriptor does not block.
+            return os.write(descriptor, data)
+        except BlockingIOError:
+            return _write_when_possible(descriptor, data)
+
+
+class PatientWriter(StreamWriter):
+    """The buffered output of a connection, whose bound counts from the last progress."""
+
+    def __init__(self, sock, buffer_size):
+        _pyio.BufferedWriter.__init__(self, PatientSocketIO(sock, "wb"), buffer_size)
+        self.bytes_written = 0
+
+
+def _write_when_possible(descriptor, data):
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    untaken_bytes = _count_untaken(descriptor)
+    progress_s = time.monotonic()
+    while True:
+        poll.poll(1000 * WRITE_CHECK_S)
+        try:
+            return os.write(descriptor, data)
+        except BlockingIOError:
+            earlier_bytes, untaken_bytes = untaken_bytes, _count_untaken(descriptor)
+        now_s = time.monotonic()
+        if untaken_bytes < earlier_bytes:
+            progress_s = now_s
+        elif now_s - progress_s >= WRITE_STALL_S:
+            raise TimeoutError("timed out")
+
+
+def _count_untaken(descriptor):
+    """Return the number of written bytes that the other end has not acknowledged."""
+    (count,) = _INT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size)))
+    return count
