Read a request under the limits that were in force when it began

Callers got 408 on a kept connection for a pause that the header timeout allows, if the connection had been accepted under a shorter one. They got 413 or 408 for a body that the limits allowed when its head was read, if a change lowered them in the moment after; bytes of the body were left unread then.

Cause: a request was read under limits of three moments: pauses under that of the acceptance of its connection, the head under that of its beginning, and the body under those of the end of its head.

A request now keeps the header timeout and the largest body of its beginning. The length of a body is checked once, with the head.

A body that is longer than the limit from the start is still answered with 413 while bytes of it are on their way.

--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -5,7 +5,7 @@
 import struct
 import threading
 
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest, KnownLengthRFile
 from cheroot.wsgi import Gateway_10
 from cherrypy._cpserver import Server
 from cherrypy._cpwsgi_server import CPWSGIServer
@@ -162,7 +162,15 @@
 
 
 class JsonErrorRequest(HTTPRequest):
-    """A request whose protocol errors get a response with an error code in a JSON body."""
+    """A request whose protocol errors get a response with an error code in a JSON body.
+
+    The limits that are in force when it begins to be read apply until it ends, since its caller
+    cannot know of a later change.
+
+    Attributes:
+        read_timeout_s: Time for the head, and for the body, in seconds.
+        max_body_bytes: Largest size of the body.
+    """
 
     header_reader = StrictHeaderReader()
 
@@ -172,9 +180,12 @@
         The application gives a body that it passes on the time of its request instead.
         """
         self.conn.progress.enter(READING)
-        self.conn.rfile.end_within(self.server.read_timeout_s)
+        self.read_timeout_s = self.server.read_timeout_s
+        self.max_body_bytes = self.server.max_request_body_size
+        self.conn.limit_pauses(self.read_timeout_s)
+        self.conn.rfile.end_within(self.read_timeout_s)
         super().parse_request()
-        self.conn.rfile.end_within(self.server.read_timeout_s)
+        self.conn.rfile.end_within(self.read_timeout_s)
         if self.ready:
             if self.server.is_closing:
                 self.close_connection = True
@@ -208,6 +219,19 @@
             return False
         return True
 
+    def respond(self):
+        """Send the response; the length of the body, if it is known, was checked with the head."""
+        if self.chunked_read:
+            self.rfile = BoundedChunks(self.conn.rfile, self.max_body_bytes)
+        else:
+            length = int(self.inheaders.get(b"Content-Length", 0))
+            self.rfile = KnownLengthRFile(self.conn.rfile, length)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
     def send_headers(self):
         """Send the headers; the last response on a connection closes it.
 
@@ -264,11 +288,6 @@
     ``greengage.progress`` the ``ConnectionProgress``.
     """
 
-    def __init__(self, req):
-        if req.chunked_read:
-            req.rfile = BoundedChunks(req.conn.rfile, req.server.max_request_body_size)
-        super().__init__(req)
-
     def get_environ(self):
         """Return the WSGI environment."""
         environ = super().get_environ()
@@ -309,6 +328,11 @@
         self.progress = ConnectionProgress()
         self._is_reset_on_close = False
 
+    def limit_pauses(self, pause_s):
+        """Let a read end if nothing arrives for ``pause_s`` seconds."""
+        if self.socket.gettimeout() != pause_s:
+            self.socket.settimeout(pause_s)
+
     def reset_on_close(self):
         """Let closing the connection reset it instead of ending the stream."""
         self._is_reset_on_close = True
