Keep a router whose settings file is invalid when it is read again

Callers saw all requests of a router cut off when its settings file was read again, by SIGHUP or after a change, while it had no role yet, as a file that is being written, or had a value like host: 2001-99-99. The platform's settings file, in JSON, is not affected.

Cause: the YAML library lets errors of Python's own conversions through, and a file without a role is one of another kind, without seeds. The thread of the settings ended with an exception, and the process with it.

Such files are faults of the settings now, with a line reload-failed.

--- a/greengagerock/daemon/main.py
+++ b/greengagerock/daemon/main.py
@@ -12,7 +12,7 @@
 from greengagerock.daemon.daemon import Daemon
 from greengagerock.daemon.logs import configure_logs, make_event_log
 from greengagerock.daemon.site import serve_site
-from greengagerock.settings.checker import SettingsError, load_settings
+from greengagerock.settings.checker import SettingsError, load_settings, load_site_settings
 from greengagerock.settings.site import SiteSettings
 
 EXIT_OK = 0
@@ -43,7 +43,7 @@
             print(f"{settings}: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     if isinstance(loaded_settings, SiteSettings):
-        return serve_site(loaded_settings, lambda: load_settings(settings), Path(settings))
+        return serve_site(loaded_settings, lambda: load_site_settings(settings), Path(settings))
     configure_logs(loaded_settings)
     log = make_event_log(loaded_settings)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
--- a/greengagerock/settings/checker.py
+++ b/greengagerock/settings/checker.py
@@ -10,6 +10,10 @@
 from greengagerock.settings.schema import Settings
 from greengagerock.settings.site import SiteSettings
 
+# Errors of the library at malformed text. Its conversions of tagged values and of dates let those
+# of Python's functions through.
+MALFORMED_YAML = (yaml.YAMLError, ValueError, AttributeError, RecursionError)
+
 
 class SettingsFault(msgspec.Struct, frozen=True):
     """One fault in a settings file.
@@ -65,6 +69,21 @@
     return parse_settings(text)
 
 
+def load_site_settings(path):
+    """Return the settings of a running host of a site, read again.
+
+    Args:
+        path: Path of the settings file.
+
+    Raises:
+        SettingsError: If the file has faults, or no role, as one that is being written.
+    """
+    settings = load_settings(path)
+    if not isinstance(settings, SiteSettings):
+        raise SettingsError([SettingsFault("role", 0, "missing field")])
+    return settings
+
+
 def parse_settings(text):
     r"""Parse and validate the text of a settings file.
 
@@ -85,7 +104,7 @@
     try:
         data = yaml.safe_load(text)
         lines = _lines_by_path(yaml.compose(text))
-    except yaml.YAMLError as error:
+    except MALFORMED_YAML as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 0
         fault = SettingsFault("", line, getattr(error, "problem", None) or str(error))
