Let the end of a server end the writes that wait for a caller

Cause: the library ends only the reads of a thread that outlasts the stop, and then waits for it.

The worker pool ends reads and writes now. Processes of a site do not stop their servers so; their end is the bound, as a new test of the drain shows.

--- a/greengagerock/web/tests/test_slow_callers.py
+++ b/greengagerock/web/tests/test_slow_callers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.items import CallerLimits
 from greengagerock.settings.schema import LimitSettings
 from greengagerock.web import bounded_output
@@ -111,3 +112,25 @@
         assert time.monotonic() < end_s
         time.sleep(CHECK_INTERVAL_S)
     assert read_rest(caller) < BODY_BYTES
+
+
+def test_planned_stop_waits_for_a_response_that_is_read_slowly(server, caller):
+    read_head(caller)
+    drain = ServerDrain([server])
+    assert not drain.is_drained(time.monotonic())
+    time.sleep(PAUSE_S)
+    assert not drain.is_drained(time.monotonic())
+    assert read_rest(caller) == BODY_BYTES
+    end_s = time.monotonic() + TIMEOUT_S
+    while not drain.is_drained(time.monotonic()):
+        assert time.monotonic() < end_s
+        time.sleep(CHECK_INTERVAL_S)
+
+
+def test_end_of_the_server_does_not_wait_for_a_caller_that_reads_nothing(server, caller):
+    read_head(caller)
+    server.server.shutdown_timeout = HEADER_TIMEOUT_S
+    begin_s = time.monotonic()
+    server.stop()
+    assert time.monotonic() - begin_s < bounded_output.WRITE_STALL_S / 2
+    assert len(server.open_connections) == 0
--- a/greengagerock/web/worker_pool.py
+++ b/greengagerock/web/worker_pool.py
@@ -1,6 +1,8 @@
 """Worker threads of an HTTP server, whose number follows the requests in progress."""
 
+import contextlib
 import queue
+import socket
 import threading
 import time
 
@@ -124,6 +126,16 @@
             self._busy.value = connection is not threadpool._SHUTDOWNREQUEST
             return connection
 
+    @staticmethod
+    def _force_close(conn):
+        """End the reads and writes of a connection whose thread outlasts the stop of the server.
+
+        The library ends reads only, and a write may wait for a caller for long.
+        """
+        if conn is not None and not conn.rfile.closed:
+            with contextlib.suppress(OSError):
+                conn.socket.shutdown(socket.SHUT_RDWR)
+
     def _is_surplus(self):
         """Return whether recent requests would have been served with one thread less."""
         count = len(self._threads)
