State which limit ends each stage of a connection

The stages reading-body and discarding are new in the log line connection-cut. ConnectionProgress has the end of the stage, which the selector, the deadline of reads and the lingering connections use.

--- a/greengagerock/routing/tests/test_link_schedule.py
+++ b/greengagerock/routing/tests/test_link_schedule.py
@@ -22,7 +22,7 @@
 )
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 from greengagerock.testing.item_builders import build_route
-from greengagerock.web.caller_application import LOOP_TIMEOUT_S
+from greengagerock.web.connection_limits import LOOP_TIMEOUT_S
 
 LINK_BYTES_PER_S = 250_000
 SCANS = build_route("scans", kind="download", objective_s=2.0, weighted_services=(("docs", 1),))
--- a/greengagerock/web/bounded_input.py
+++ b/greengagerock/web/bounded_input.py
@@ -65,7 +65,11 @@
 
     def end_within(self, limit_s):
         """Let all reads from now on end within ``limit_s`` seconds."""
-        self.raw.deadline_s = time.monotonic() + limit_s
+        self.end_at(time.monotonic() + limit_s)
+
+    def end_at(self, deadline_s):
+        """Let all reads from now on end at a monotonic time."""
+        self.raw.deadline_s = deadline_s
 
 
 def make_file(sock, mode="r", buffer_size=_pyio.DEFAULT_BUFFER_SIZE):
--- a/greengagerock/web/bounded_output.py
+++ b/greengagerock/web/bounded_output.py
@@ -15,10 +15,8 @@
 
 from cheroot.makefile import StreamWriter
 
-# Longest time for which a client takes no byte of a response, in seconds. On a link that is cut
-# for half of it, the system sends lost bytes again within the other half, since it doubles its
-# pauses.
-WRITE_STALL_S = 30.0
+from greengagerock.web.connection_limits import WRITE_STALL_S
+
 # Interval at which a write that waits checks whether the client has taken bytes, in seconds.
 WRITE_CHECK_S = 1.0
 
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -21,8 +21,14 @@
 from greengagerock.routing.failures import REASON_CONNECTION_LOST
 from greengagerock.web import own_requests
 from greengagerock.web.connection_errors import fault_of
+from greengagerock.web.connection_limits import BODY_GRACE_S, DISCARD_S, LOOP_TIMEOUT_S
 from greengagerock.web.connection_manager import make_farewell
-from greengagerock.web.connection_progress import DECIDING, FORWARDED, RESPONDING
+from greengagerock.web.connection_progress import (
+    DECIDING,
+    DISCARDING,
+    FORWARDED,
+    RESPONDING,
+)
 from greengagerock.web.native_dialect import NativeDialect
 from greengagerock.web.range_requests import read_byte_range
 from greengagerock.web.relay_dialect import RESULT_HEADER, add_relay_headers
@@ -33,16 +39,9 @@
     StreamedBody,
 )
 
-LOOP_TIMEOUT_S = 5.0
 # Longest request body that is read before routing, so that it can be sent more than once, and
 # longest response body that is read before it is relayed.
 SHORT_BODY_BYTES = 64 * 1024
-# Time after the deadline of a request until which its body is read. An endpoint may have responded
-# before it had the whole body, and that response is passed on.
-BODY_GRACE_S = 5.0
-# Time for which the rest of a body is read after the response, before its connection is closed.
-# On a link of 2 Mbit/s it is enough for a megabyte.
-DISCARD_S = 5.0
 
 
 class CallerApplication:
@@ -215,7 +214,7 @@
 
         The loop may let the request wait for its turn and watch the caller meanwhile.
         """
-        self.progress.enter(DECIDING)
+        self.progress.enter(DECIDING, LOOP_TIMEOUT_S)
         bridge = self.app.bridge
         watch = Attempt(self._watchable_descriptor())
         bridge.register_attempt(self.token, watch)
@@ -387,6 +386,7 @@
     def discard_body(self):
         """Read what is left of the caller's body after the response."""
         if self.has_unread_body():
+            self.progress.enter(DISCARDING, DISCARD_S)
             self.environ["greengage.end_reading_within"](DISCARD_S)
             self.body.discard(DISCARD_S)
 
--- a/greengagerock/web/connection_manager.py
+++ b/greengagerock/web/connection_manager.py
@@ -26,8 +26,7 @@
         lock: Held while connections are taken out of the selector. Its holder finds each open
             connection either there or with the worker threads.
         is_accepting: Whether the port is open.
-        lingering: Descriptor, connection and end time of connections that have had their last
-            response.
+        lingering: Descriptor and connection of those that have had their last response.
     """
 
     def __init__(self, server):
@@ -40,7 +39,7 @@
 
     def put(self, conn):
         """Wait for the next request on a connection."""
-        conn.progress.enter(IDLE)
+        conn.progress.enter(IDLE, conn.progress.idle_timeout_s)
         super().put(conn)
 
     def stop_accepting(self):
@@ -82,9 +81,9 @@
                     # A request has begun to arrive, or a long response is still being sent.
                     continue
                 self._selector.unregister(descriptor)
-                connection.progress.enter(LINGERING)
+                connection.progress.enter(LINGERING, linger_s, now_s)
                 if _send_last(connection.socket, farewell):
-                    self.lingering.append((descriptor, connection, now_s + linger_s))
+                    self.lingering.append((descriptor, connection))
                 else:
                     connection.close()
                 self.server.open_connections.closed_idle_count += 1
@@ -92,11 +91,11 @@
     def end_lingering(self, now_s):
         """Close the lingering connections that callers have closed, or that have lasted long."""
         remaining = []
-        for descriptor, connection, until_s in self.lingering:
-            if now_s >= until_s or _poll(descriptor, select.POLLRDHUP):
+        for descriptor, connection in self.lingering:
+            if now_s >= connection.progress.ends_s or _poll(descriptor, select.POLLRDHUP):
                 connection.close()
             else:
-                remaining.append((descriptor, connection, until_s))
+                remaining.append((descriptor, connection))
         self.lingering = remaining
 
     def close_idle(self):
@@ -112,9 +111,7 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        self._close_unread(
-            lambda progress: now_s - progress.stage_since_s > progress.idle_timeout_s
-        )
+        self._close_unread(lambda progress: now_s > progress.ends_s)
 
     def _close_unread(self, is_due):
         with self.lock:
--- a/greengagerock/web/connection_progress.py
+++ b/greengagerock/web/connection_progress.py
@@ -11,14 +11,18 @@
 IDLE = "idle"
 # The connection is readable and waits for a worker thread.
 QUEUED = "queued"
-# A worker thread reads the request.
+# A worker thread reads the head of the request.
 READING = "reading"
+# It reads a short body before the request is decided on.
+READING_BODY = "reading-body"
 # The worker thread waits for the decision core.
 DECIDING = "deciding"
 # An endpoint has the request, or may get it.
 FORWARDED = "forwarded"
 # The response is being written.
 RESPONDING = "responding"
+# The response has been written, and the rest of the body is read.
+DISCARDING = "discarding"
 # The connection has had its last response, and bytes of the caller may still arrive.
 LINGERING = "lingering"
 
@@ -31,6 +35,7 @@
         idle_timeout_s: Time after which the connection is closed if no request arrives.
         stage: One of the stages above.
         stage_since_s: When that stage began.
+        ends_s: When it ends at the latest; infinite if its limit counts from another moment.
         taken_s: When the connection was last found readable, or ``None`` if it never was.
         request_read_s: When the head of the latest request had been read, or ``None``.
         request_id: Id of the latest request, as far as it is known.
@@ -39,6 +44,7 @@
 
     __slots__ = (
         "accepted_s",
+        "ends_s",
         "idle_timeout_s",
         "request_count",
         "request_id",
@@ -54,14 +60,22 @@
         self.idle_timeout_s = float("inf")
         self.stage = IDLE
         self.stage_since_s = now_s
+        self.ends_s = float("inf")
         self.taken_s = None
         self.request_read_s = None
         self.request_id = ""
         self.request_count = 0
 
-    def enter(self, stage):
-        """Note that a stage begins."""
-        self.stage_since_s = time.monotonic()
+    def enter(self, stage, limit_s=float("inf"), now_s=None):
+        """Note that a stage begins.
+
+        Args:
+            stage: The stage.
+            limit_s: Its longest duration in seconds.
+            now_s: When it begins, in monotonic seconds; by default, now.
+        """
+        self.stage_since_s = time.monotonic() if now_s is None else now_s
+        self.ends_s = self.stage_since_s + limit_s
         self.stage = stage
         if stage == QUEUED:
             self.taken_s = self.stage_since_s
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -12,6 +12,7 @@
 
 from greengagerock.core import ERROR_KINDS, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.web.bounded_input import BoundedChunks, make_file
+from greengagerock.web.connection_limits import LINGER_S
 from greengagerock.web.connection_manager import (
     DeferringConnectionManager,
     make_farewell,
@@ -19,6 +20,7 @@
 from greengagerock.web.connection_progress import (
     DECIDING,
     READING,
+    READING_BODY,
     ConnectionProgress,
     OpenConnections,
 )
@@ -32,9 +34,6 @@
 
 # Number of worker threads that a server keeps while it has no requests.
 MIN_THREADS = 4
-# Time after its last response for which a connection stays open for bytes of the caller. A request
-# that was on its way has arrived by then, and the caller has closed the connection.
-LINGER_S = 1.0
 
 # ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -179,18 +178,23 @@
 
         The application gives a body that it passes on the time of its request instead.
         """
-        self.conn.progress.enter(READING)
         self.read_timeout_s = self.server.read_timeout_s
+        self.conn.progress.enter(READING, self.read_timeout_s)
         self.max_body_bytes = self.server.max_request_body_size
         self.conn.limit_pauses(self.read_timeout_s)
-        self.conn.rfile.end_within(self.read_timeout_s)
+        self.conn.rfile.end_at(self.conn.progress.ends_s)
         super().parse_request()
-        self.conn.rfile.end_within(self.read_timeout_s)
-        if self.ready:
-            if self.server.is_closing:
-                self.close_connection = True
-            self.conn.progress.note_request()
-            self.conn.progress.enter(DECIDING)
+        if not self.ready:
+            return
+        if self.server.is_closing:
+            self.close_connection = True
+        progress = self.conn.progress
+        progress.note_request()
+        if self.chunked_read or self.inheaders.get(b"Content-Length", b"0") != b"0":
+            progress.enter(READING_BODY, self.read_timeout_s)
+            self.conn.rfile.end_at(progress.ends_s)
+        else:
+            progress.enter(DECIDING)
 
     def read_request_line(self):
         """Read the request line."""
--- a/greengagerock/web/tests/test_server_stop.py
+++ b/greengagerock/web/tests/test_server_stop.py
@@ -13,8 +13,9 @@
 from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.items import CallerLimits
 from greengagerock.settings.schema import LimitSettings
+from greengagerock.web.connection_limits import LINGER_S
 from greengagerock.web.connection_progress import IDLE, LINGERING
-from greengagerock.web.server import LINGER_S, HttpServer
+from greengagerock.web.server import HttpServer
 
 ADDRESS = ("127.37.0.9", 8611)
 TIMEOUT_S = 10.0
