--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -5,13 +5,14 @@
 import struct
 import threading
 
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest, KnownLengthRFile
 from cheroot.wsgi import Gateway_10
 from cherrypy._cpserver import Server
 from cherrypy._cpwsgi_server import CPWSGIServer
 
 from greengagerock.core import ERROR_KINDS, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.web.bounded_input import BoundedChunks, make_file
+from greengagerock.web.connection_limits import LINGER_S
 from greengagerock.web.connection_manager import (
     DeferringConnectionManager,
     make_farewell,
@@ -19,6 +20,7 @@
 from greengagerock.web.connection_progress import (
     DECIDING,
     READING,
+    READING_BODY,
     ConnectionProgress,
     OpenConnections,
 )
@@ -32,9 +34,6 @@
 
 # Number of worker threads that a server keeps while it has no requests.
 MIN_THREADS = 4
-# Time after its last response for which a connection stays open for bytes of the caller. A request
-# that was on its way has arrived by then, and the caller has closed the connection.
-LINGER_S = 1.0
 
 # ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -162,7 +161,15 @@
 
 
 class JsonErrorRequest(HTTPRequest):
-    """A request whose protocol errors get a response with an error code in a JSON body."""
+    """A request whose protocol errors get a response with an error code in a JSON body.
+
+    The limits that are in force when it begins to be read apply until it ends, since its caller
+    cannot know of a later change.
+
+    Attributes:
+        read_timeout_s: Time for the head, and for the body, in seconds.
+        max_body_bytes: Largest size of the body.
+    """
 
     header_reader = StrictHeaderReader()
 
@@ -171,15 +178,23 @@
 
         The application gives a body that it passes on the time of its request instead.
         """
-        self.conn.progress.enter(READING)
-        self.conn.rfile.end_within(self.server.read_timeout_s)
+        self.read_timeout_s = self.server.read_timeout_s
+        self.conn.progress.enter(READING, self.read_timeout_s)
+        self.max_body_bytes = self.server.max_request_body_size
+        self.conn.limit_pauses(self.read_timeout_s)
+        self.conn.rfile.end_at(self.conn.progress.ends_s)
         super().parse_request()
-        self.conn.rfile.end_within(self.server.read_timeout_s)
-        if self.ready:
-            if self.server.is_closing:
-                self.close_connection = True
-            self.conn.progress.note_request()
-            self.conn.progress.enter(DECIDING)
+        if not self.ready:
+            return
+        if self.server.is_closing:
+            self.close_connection = True
+        progress = self.conn.progress
+        progress.note_request()
+        if self.chunked_read or self.inheaders.get(b"Content-Length", b"0") != b"0":
+            progress.enter(READING_BODY, self.read_timeout_s)
+            self.conn.rfile.end_at(progress.ends_s)
+        else:
+            progress.enter(DECIDING)
 
     def read_request_line(self):
         """Read the request line."""
@@ -208,6 +223,19 @@
             return False
         return True
 
+    def respond(self):
+        """Send the response; the length of the body, if it is known, was checked with the head."""
+        if self.chunked_read:
+            self.rfile = BoundedChunks(self.conn.rfile, self.max_body_bytes)
+        else:
+            length = int(self.inheaders.get(b"Content-Length", 0))
+            self.rfile = KnownLengthRFile(self.conn.rfile, length)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
     def send_headers(self):
         """Send the headers; the last response on a connection closes it.
 
@@ -264,11 +292,6 @@
     ``greengage.progress`` the ``ConnectionProgress``.
     """
 
-    def __init__(self, req):
-        if req.chunked_read:
-            req.rfile = BoundedChunks(req.conn.rfile, req.server.max_request_body_size)
-        super().__init__(req)
-
     def get_environ(self):
         """Return the WSGI environment."""
         environ = super().get_environ()
@@ -309,6 +332,11 @@
         self.progress = ConnectionProgress()
         self._is_reset_on_close = False
 
+    def limit_pauses(self, pause_s):
+        """Let a read end if nothing arrives for ``pause_s`` seconds."""
+        if self.socket.gettimeout() != pause_s:
+            self.socket.settimeout(pause_s)
+
     def reset_on_close(self):
         """Let closing the connection reset it instead of ending the stream."""
         self._is_reset_on_close = True
