Let the operating system send the rest of responses that a stopping router is writing

Class of fault: work that is complete is lost with the process that holds it.

Cause: on a slow link, the send buffer of a connection takes about 120 KB of a response; a worker thread keeps the rest until the caller has read, and the process ends with it.

Change: when a server begins to close, the send buffers of connections that have a request grow to 1 MiB. The worker threads that wait can write all the rest, which the operating system sends after the end of the process.

--- a/greengagerock/testing/raw_callers.py
+++ b/greengagerock/testing/raw_callers.py
@@ -11,6 +11,8 @@
 LONGEST_SPLIT_S = 0.3
 RECONNECT_PAUSE_S = 0.02
 SPLIT_AT_BYTES = 40
+SLOW_LINK_BUFFER_BYTES = 8192
+SLOW_LINK_SEGMENT_BYTES = 1448
 
 # Callers that keep connections, that open one for each request, and that send a request in two
 # pieces.
@@ -136,6 +138,16 @@
     return bool(lengths) and len(body) >= lengths[0]
 
 
+def connect_on_a_slow_link(address):
+    """Return a socket whose peer can send little before its bytes are read, as on a slow link."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_LINK_BUFFER_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SLOW_LINK_SEGMENT_BYTES)
+    sock.settimeout(SOCKET_TIMEOUT_S)
+    sock.connect(address)
+    return sock
+
+
 class ScheduledCaller:
     """A caller that sends one request at a given time.
 
--- a/greengagerock/web/connection_progress.py
+++ b/greengagerock/web/connection_progress.py
@@ -120,10 +120,14 @@
         with self._lock:
             self._connections.discard(connection)
 
+    def all(self):
+        """Return all connections."""
+        with self._lock:
+            return list(self._connections)
+
     def progress(self):
         """Return the ``ConnectionProgress`` of all connections."""
-        with self._lock:
-            return [connection.progress for connection in self._connections]
+        return [connection.progress for connection in self.all()]
 
 
 def _age_ms(since_s, now_s):
--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -1,5 +1,6 @@
 """HTTP servers on CherryPy's WSGI server, with error codes in JSON bodies."""
 
+import contextlib
 import json
 import socket
 import struct
@@ -18,6 +19,8 @@
 )
 from greengagerock.web.connection_progress import (
     DECIDING,
+    IDLE,
+    LINGERING,
     READING,
     ConnectionProgress,
     OpenConnections,
@@ -36,6 +39,10 @@
 # that was on its way has arrived by then, and the caller has closed the connection.
 LINGER_S = 1.0
 
+# Size of the send buffers of a server that stops. It holds the rest of a long response, which the
+# operating system sends after the end of the process.
+LAST_SEND_BUFFER_BYTES = 1024 * 1024
+
 # ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -178,6 +185,7 @@
         if self.ready:
             if self.server.is_closing:
                 self.close_connection = True
+                self.conn.buffer_response()
             self.conn.progress.note_request()
             self.conn.progress.enter(DECIDING)
 
@@ -313,6 +321,14 @@
         """Let closing the connection reset it instead of ending the stream."""
         self._is_reset_on_close = True
 
+    def buffer_response(self):
+        """Let the operating system take a whole response, however slowly the caller reads it."""
+        if self.progress.stage in (IDLE, LINGERING):
+            return
+        # The connection may be closed already.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+
     def close(self):
         """Close the connection; the server does not count it any longer."""
         try:
@@ -439,8 +455,10 @@
         return self.server.requests.pending
 
     def begin_closing(self):
-        """Let each response from now on close its connection."""
+        """Let each response from now on close its connection, and outlive this process."""
         self.server.is_closing = True
+        for connection in self.open_connections.all():
+            connection.buffer_response()
 
     def stop_accepting(self):
         """Close the port; requests on open connections are still served."""
--- a/greengagerock/web/tests/test_server_stop.py
+++ b/greengagerock/web/tests/test_server_stop.py
@@ -13,12 +13,14 @@
 from greengagerock.daemon.server_drain import ServerDrain
 from greengagerock.items import CallerLimits
 from greengagerock.settings.schema import LimitSettings
-from greengagerock.web.connection_progress import IDLE, LINGERING
+from greengagerock.testing.raw_callers import connect_on_a_slow_link
+from greengagerock.web.connection_progress import IDLE, LINGERING, RESPONDING
 from greengagerock.web.server import LINGER_S, HttpServer
 
 ADDRESS = ("127.37.0.9", 8611)
 TIMEOUT_S = 10.0
 CHECK_INTERVAL_S = 0.01
+LONG_BODY = bytes(range(256)) * 1600
 
 
 @pytest.fixture
@@ -307,6 +309,32 @@
     wait_until(lambda: not drain.is_drained(now_s) and connection.progress.stage == LINGERING)
 
 
+def test_rest_of_a_response_that_a_caller_reads_slowly_outlives_its_server(server):
+    """A response that was being written when the process ended was cut off."""
+    server.server.wsgi_app = respond_at_length
+    sock = connect_on_a_slow_link(ADDRESS)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    wait_until(lambda: RESPONDING in stages_of(server))
+    drain = ServerDrain([server])
+    wait_until(lambda: drain.is_drained(time.monotonic()))
+    received = b""
+    while piece := sock.recv(65_536):
+        received += piece
+    assert received.partition(b"\r\n\r\n")[2] == LONG_BODY
+
+
+def respond_at_length(environ, start_response):
+    """Respond with a body that is longer than the buffers of a connection on a slow link."""
+    environ["greengage.progress"].enter(RESPONDING)
+    start_response("200 OK", [("Content-Length", str(len(LONG_BODY))), ("Connection", "close")])
+    return [LONG_BODY]
+
+
+def stages_of(server):
+    """Return the stages of the open connections."""
+    return [progress.stage for progress in server.open_connections.progress()]
+
+
 def fill_send_buffer(sock):
     """Send until the buffers of both ends are full; return the number of bytes."""
     sent = 0
