--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -1,5 +1,6 @@
 """HTTP servers on CherryPy's WSGI server, with error codes in JSON bodies."""
 
+import contextlib
 import json
 import socket
 import struct
@@ -19,6 +20,8 @@
 )
 from greengagerock.web.connection_progress import (
     DECIDING,
+    IDLE,
+    LINGERING,
     READING,
     READING_BODY,
     ConnectionProgress,
@@ -35,6 +38,10 @@
 # Number of worker threads that a server keeps while it has no requests.
 MIN_THREADS = 4
 
+# Size of the send buffers of a server that stops. It holds the rest of a long response, which the
+# operating system sends after the end of the process.
+LAST_SEND_BUFFER_BYTES = 1024 * 1024
+
 # ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -188,6 +195,7 @@
             return
         if self.server.is_closing:
             self.close_connection = True
+            self.conn.buffer_response()
         progress = self.conn.progress
         progress.note_request()
         if self.chunked_read or self.inheaders.get(b"Content-Length", b"0") != b"0":
@@ -341,6 +349,14 @@
         """Let closing the connection reset it instead of ending the stream."""
         self._is_reset_on_close = True
 
+    def buffer_response(self):
+        """Let the operating system take a whole response, however slowly the caller reads it."""
+        if self.progress.stage in (IDLE, LINGERING):
+            return
+        # The connection may be closed already.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+
     def close(self):
         """Close the connection; the server does not count it any longer."""
         try:
@@ -467,8 +483,10 @@
         return self.server.requests.pending
 
     def begin_closing(self):
-        """Let each response from now on close its connection."""
+        """Let each response from now on close its connection, and outlive this process."""
         self.server.is_closing = True
+        for connection in self.open_connections.all():
+            connection.buffer_response()
 
     def stop_accepting(self):
         """Close the port; requests on open connections are still served."""
