Count the time of a request from its arrival

Seen: endpoints and relays were handed more time than the caller had left, and callers of a busy router got the error of their deadline late, by as long as the request had waited for a worker thread and the event loop. Change: it counts from the moment at which its first bytes were found on the connection.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -78,6 +78,8 @@
         key: Key of the request, or ``None``.
         body_digest: Digest of a short body; for a longer body, its declared length.
         body_bytes: Size of a short body, which this host holds; 0 for a longer one.
+        received_s: When its first bytes were found on the connection, in monotonic seconds;
+            ``None`` if it is handled without delay.
     """
 
     token: int
@@ -90,6 +92,7 @@
     key: int | None = None
     body_digest: str = ""
     body_bytes: int = 0
+    received_s: float | None = None
 
 
 class RelayArrived(msgspec.Struct, frozen=True):
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -10,7 +10,7 @@
         route: Its ``RouteItem``.
         service: Name of the service that it goes to.
         key: Its key, or ``None``.
-        arrived_s: When it arrived.
+        arrived_s: When its first bytes arrived at this host.
         deadline_s: When its time limit expires.
         fingerprint: Digest of the request.
         endpoint: Name of the endpoint of the current attempt, empty while there is none.
@@ -21,7 +21,8 @@
         delivery_count: Number of times that it may have reached an endpoint.
         awaited_unit: The (service, unit) whose holder it waits for, or ``None``.
         body_bytes: Size of its body as far as this host holds it.
-        event_s: When it arrived or its last attempt ended; a decision is due some time later.
+        event_s: When the decision core got it or its last attempt ended; a decision is due some
+            time later.
         known_load: The ``KnownLoad`` of the endpoint considered last, or ``None`` if unknown.
         verdict: ``Wait`` or ``Refuse`` by the load of endpoints, or ``None`` if one admits it.
         is_share_counted: Whether it has been counted for the least share of its route.
@@ -74,13 +75,13 @@
         "verdict",
     )
 
-    def __init__(self, event, route, service, now_s, deadline_s):
+    def __init__(self, event, route, service, now_s, deadline_s, arrived_s=None):
         self.token = event.token
         self.request_id = event.request_id
         self.route = route
         self.service = service
         self.key = event.key
-        self.arrived_s = now_s
+        self.arrived_s = now_s if arrived_s is None else arrived_s
         self.deadline_s = deadline_s
         self.event_s = now_s
         self.body_bytes = event.body_bytes
--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -178,8 +178,11 @@
         if route is None:
             self.error_responder.refuse_unrouted(event, "unknown-route")
             return
-        deadline_s = now_s + min(event.budget_s, route.timeout_s)
-        call = Call(event, route, self.service_picker.pick(route), now_s, deadline_s)
+        # The caller's time has run while the request waited for a thread and for the event loop.
+        arrived_s = now_s if event.received_s is None else min(now_s, event.received_s)
+        deadline_s = arrived_s + min(event.budget_s, route.timeout_s)
+        service = self.service_picker.pick(route)
+        call = Call(event, route, service, now_s, deadline_s, arrived_s)
         if self.sender.is_keyed(call):
             self.demand.count(call.service, call.key, call.route.name)
         call.fingerprint = fingerprint_call(event, route)
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -67,6 +67,7 @@
             parse_key(headers.get(self.key_header)),
             body_digest,
             0 if data is None else len(data),
+            environ["greengage.progress"].taken_s,
         )
 
     def is_identified(self, response, headers):
