--- a/greengagerock/web/bounded_output.py
+++ b/greengagerock/web/bounded_output.py
@@ -6,7 +6,6 @@
 
 import _pyio
 import fcntl
-import os
 import select
 import socket
 import struct
@@ -37,12 +36,27 @@
             TimeoutError: If the other end takes nothing for ``WRITE_STALL_S``.
         """
         self._checkClosed()
-        descriptor = self._sock.fileno()
-        try:
-            # The socket has a time-out, so that its descriptor does not block.
-            return os.write(descriptor, data)
-        except BlockingIOError:
-            return _write_when_possible(descriptor, data)
+        poll = select.poll()
+        poll.register(self, select.POLLOUT)
+        if not poll.poll(0):
+            self._wait_until_writable(poll)
+        return super().write(data)
+
+    def _wait_until_writable(self, poll):
+        untaken_bytes = self._count_untaken()
+        progress_s = time.monotonic()
+        while not poll.poll(1000 * WRITE_CHECK_S):
+            earlier_bytes, untaken_bytes = untaken_bytes, self._count_untaken()
+            now_s = time.monotonic()
+            if untaken_bytes < earlier_bytes:
+                progress_s = now_s
+            elif now_s - progress_s >= WRITE_STALL_S:
+                raise TimeoutError("timed out")
+
+    def _count_untaken(self):
+        """Return the number of written bytes that the other end has not acknowledged."""
+        (count,) = _INT.unpack(fcntl.ioctl(self, termios.TIOCOUTQ, bytes(_INT.size)))
+        return count
 
 
 class PatientWriter(StreamWriter):
@@ -51,27 +65,3 @@
     def __init__(self, sock, buffer_size):
         _pyio.BufferedWriter.__init__(self, PatientSocketIO(sock, "wb"), buffer_size)
         self.bytes_written = 0
-
-
-def _write_when_possible(descriptor, data):
-    poll = select.poll()
-    poll.register(descriptor, select.POLLOUT)
-    untaken_bytes = _count_untaken(descriptor)
-    progress_s = time.monotonic()
-    while True:
-        poll.poll(1000 * WRITE_CHECK_S)
-        try:
-            return os.write(descriptor, data)
-        except BlockingIOError:
-            earlier_bytes, untaken_bytes = untaken_bytes, _count_untaken(descriptor)
-        now_s = time.monotonic()
-        if untaken_bytes < earlier_bytes:
-            progress_s = now_s
-        elif now_s - progress_s >= WRITE_STALL_S:
-            raise TimeoutError("timed out")
-
-
-def _count_untaken(descriptor):
-    """Return the number of written bytes that the other end has not acknowledged."""
-    (count,) = _INT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size)))
-    return count
