Let responses that have begun to arrive at the end of a stop become complete

Seen by callers: the router's own 502, 5.15 s to 5.4 s after its SIGTERM, for requests whose endpoints had finished and whose responses were on their way. Class of fault: what is nearly complete is ended like what has not begun.

Cause: at the end of the grace period all attempts were cancelled of which the caller had got nothing, including short responses, which a router reads wholly before it passes them on.

Change: attempts whose endpoint has sent the head of a response go on for 0.15 s of the 0.3 s that the HTTP servers then have; after that they are cancelled as before. StopSchedule.ends_responses_s states the time.

The test of the response that arrives 0.05 s after the end of calls fails without the change.

--- a/greengagerock/node/router_stop.py
+++ b/greengagerock/node/router_stop.py
@@ -109,5 +109,6 @@
         """Respond to the calls that the end of the process would cut off."""
         if self.node.dispatcher.calls or self.node.relayed_calls.by_token:
             self.node.timers.subscribe(END_CALLS_INTERVAL_S, self._end_calls)
-            self.node.dispatcher.ending.end_calls()
-            self.node.relayed_calls.end_calls()
+            spares_heads = self.node.timers.now_s < self.schedule.ends_responses_s
+            self.node.dispatcher.ending.end_calls(spares_heads)
+            self.node.relayed_calls.end_calls(spares_heads)
--- a/greengagerock/node/stop_schedule.py
+++ b/greengagerock/node/stop_schedule.py
@@ -14,6 +14,8 @@
 # late.
 MIN_DRAIN_S = 0.3
 LATE_DRAIN_S = 0.2
+# Part of ``MIN_DRAIN_S`` in which responses that have begun to arrive may still become complete.
+ARRIVAL_S = 0.15
 # The ports are closed this long before the process has to end, so that requests on the connections
 # accepted last can still arrive.
 LAST_ARRIVAL_S = 1.0
@@ -32,7 +34,8 @@
         refuses_s: When requests begin to be refused.
         may_end_s: When the process may end if it has no request. The load balancer sends callers
             until it has found the host unready; a response serves them better than a closed port.
-        ends_calls_s: When the calls in progress get an error.
+        ends_calls_s: When the calls in progress whose endpoint has sent nothing get an error.
+        ends_responses_s: When the others get one of which the caller has got nothing.
         closes_ports_s: When the ports close.
         ends_s: When the process ends, with the connections that are still open.
 
@@ -47,6 +50,7 @@
     __slots__ = (
         "closes_ports_s",
         "ends_calls_s",
+        "ends_responses_s",
         "ends_s",
         "may_end_s",
         "refuses_s",
@@ -56,6 +60,7 @@
     def __init__(self, since_s, taken_s, grace_s):
         self.since_s = since_s
         self.ends_calls_s = since_s + grace_s - STOP_MARGIN_S
+        self.ends_responses_s = self.ends_calls_s + ARRIVAL_S
         self.ends_s = self.ends_calls_s + MIN_DRAIN_S
         self.refuses_s = min(since_s + UNREADY_PERIOD_S, self.ends_calls_s)
         self.may_end_s = min(taken_s + UNREADY_PERIOD_S, self.ends_calls_s)
--- a/greengagerock/node/tests/test_late_stops.py
+++ b/greengagerock/node/tests/test_late_stops.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from greengagerock.core.interface import StopRequested
+from greengagerock.core.interface import CancelAttempt, StopRequested
 from greengagerock.items import Patch
 from greengagerock.testing.fake_site import build_fake_site
 from greengagerock.testing.item_builders import build_route
@@ -56,3 +56,27 @@
     site.feed("edge-1", StopRequested(signalled_s))
     site.run_for(max(0.5, signalled_s + GRACE_S - 0.5 - site.now_s))
     assert site.outcome(token) == "answer-lost"
+
+
+@pytest.mark.parametrize(("duration_s", "outcome"), [(2.95, "ok"), (3.2, "answer-lost")])
+def test_response_whose_head_has_arrived_at_the_end_of_the_grace_gets_a_moment(
+    duration_s, outcome
+):
+    """Its caller got an error although the endpoint had finished long before."""
+    site = build_site_with_slow_endpoints(duration_s)
+    carry_out = site._carry_out
+
+    def carry_out_with_heads(host, effects):
+        carry_out(host, [e for e in effects if not is_for_attempts_without_a_head(e)])
+
+    site._carry_out = carry_out_with_heads
+    site.feed("edge-1", StopRequested(site.now_s))
+    site.run_for(2.5)
+    token = site.call("edge-1", "prices", budget_s=9.0)
+    site.run_for(3.3)
+    assert site.outcome(token) == outcome
+
+
+def is_for_attempts_without_a_head(effect):
+    """Return whether an effect ends an attempt only if no head has arrived."""
+    return isinstance(effect, CancelAttempt) and effect.only_waiting
--- a/greengagerock/routing/call_ending.py
+++ b/greengagerock/routing/call_ending.py
@@ -33,11 +33,14 @@
         self.finish = finish
         self.has_begun = False
 
-    def end_calls(self):
+    def end_calls(self, spares_heads=False):
         """Respond to calls that are not at an endpoint, and cancel the attempts of the others.
 
         Responses of which callers have got a part go on. An attempt that a worker thread is about
         to begin cannot be cancelled, so the method is to be called again while calls remain.
+
+        Args:
+            spares_heads: Whether attempts go on whose endpoint has sent the head of a response.
         """
         self.has_begun = self.sender.has_ended = True
         for token in list(self.calls):
@@ -46,7 +49,9 @@
                 # The end of another call has ended its wait.
                 continue
             if call.endpoint:
-                self.outbox.add(CancelAttempt(token, only_unanswered=True))
+                self.outbox.add(
+                    CancelAttempt(token, only_waiting=spares_heads, only_unanswered=True)
+                )
             else:
                 self.finish(call, "stopping", OUTCOME_NOT_RUN, DETAIL)
 
--- a/greengagerock/routing/relayed_calls.py
+++ b/greengagerock/routing/relayed_calls.py
@@ -111,10 +111,14 @@
         self.is_closing = True
         self.closes_s = closes_s
 
-    def end_calls(self):
-        """Cancel the requests without a response, at the end of a planned stop."""
+    def end_calls(self, spares_heads=False):
+        """Cancel the requests without a response, at the end of a planned stop.
+
+        Args:
+            spares_heads: Whether requests go on whose endpoint has sent the head of a response.
+        """
         for token in self.by_token:
-            self.outbox.add(CancelAttempt(token, only_unanswered=True))
+            self.outbox.add(CancelAttempt(token, only_waiting=spares_heads, only_unanswered=True))
 
     def on_arrival(self, event):
         """Process a ``RelayArrived``."""
--- a/greengagerock/routing/tests/test_call_ending.py
+++ b/greengagerock/routing/tests/test_call_ending.py
@@ -49,6 +49,11 @@
     assert dispatcher.calls == {}
 
 
+def test_forwarded_call_can_be_cancelled_only_while_it_waits_for_a_head(harness):
+    harness.dispatcher.ending.end_calls(spares_heads=True)
+    assert harness.outbox.drain() == [CancelAttempt(1, only_waiting=True, only_unanswered=True)]
+
+
 def test_call_that_may_have_run_before_is_not_reported_as_not_run(harness):
     dispatcher = harness.dispatcher
     dispatcher.calls[1].may_have_run = True
