Name the test of the bound on writes among those of readers and writers of outside bytes

Cause: tests/test_outside_readers.py wants a test for each module that waits for bytes of others, and bounded_output.py was new. Change: its entry. Result: test_outside_readers.py passes.

--- a/tests/test_outside_readers.py
+++ b/tests/test_outside_readers.py
@@ -22,6 +22,10 @@
         f"{WEB_TESTS}/test_bounded_input.py",
         "test_bytes_that_come_one_by_one_end_within_the_time_of_a_request",
     ),
+    "web/bounded_output.py": (
+        f"{WEB_TESTS}/test_slow_callers.py",
+        "test_caller_that_reads_nothing_does_not_keep_its_thread",
+    ),
     "web/caller_application.py": (
         f"{WEB_TESTS}/test_bounded_input.py",
         "test_bytes_that_come_one_by_one_end_within_the_time_of_a_request",
