Proposal: end calls later if the signal may be younger than its earliest time

Fault of: a loop that stood still before its signal counts the grace period from up to that time too early, and ends calls before its last sixth. Seen on real processes at: a router that stands still from 0.7 s or 0.9 s before its SIGTERM to 0.05 s after it ends calls with 502 whose endpoints would have responded 4.75 s and 4.85 s after the SIGTERM.

Change: calls are ended up to 0.3 s later, 0.3 s instead of 0.6 s before the earliest end of the grace period, as far as the lateness needs it. That covers 0.7 s; beyond that, no time is right for both ends.

--- a/greengagerock/node/stop_schedule.py
+++ b/greengagerock/node/stop_schedule.py
@@ -10,6 +10,12 @@
 UNREADY_PERIOD_S = 3.0
 # Calls are ended this long before the end of the grace period.
 STOP_MARGIN_S = 0.6
+# The least such time. It applies if the signal may be so much younger than its earliest time that
+# calls would be ended before the last sixth of its grace period.
+LATE_STOP_MARGIN_S = 0.3
+LAST_SHARE = 1 / 6
+# The process ends this long before the end of the grace period, or earlier.
+END_MARGIN_S = 0.1
 # Time that the HTTP servers get to answer what they have read, and at least, if the event loop was
 # late.
 MIN_DRAIN_S = 0.3
@@ -37,11 +43,13 @@
         ends_s: When the process ends, with the connections that are still open.
 
     Examples:
-        >>> schedule = StopSchedule(100.0, 100.5, 6.0)
+        >>> schedule = StopSchedule(100.0, 100.25, 6.0)
         >>> schedule.refuses_s, schedule.may_end_s, schedule.ends_calls_s
-        (103.0, 103.5, 105.4)
+        (103.0, 103.25, 105.4)
         >>> round(schedule.drain_s(105.0), 3), schedule.drain_s(106.0)
         (0.7, 0.2)
+        >>> round(StopSchedule(100.0, 100.6, 6.0).ends_calls_s, 3)
+        105.6
     """
 
     __slots__ = (
@@ -55,8 +63,11 @@
 
     def __init__(self, since_s, taken_s, grace_s):
         self.since_s = since_s
-        self.ends_calls_s = since_s + grace_s - STOP_MARGIN_S
-        self.ends_s = self.ends_calls_s + MIN_DRAIN_S
+        kill_s = since_s + grace_s
+        tolerated_s = max(0.0, LAST_SHARE * grace_s - STOP_MARGIN_S)
+        later_s = max(0.0, taken_s - since_s - tolerated_s)
+        self.ends_calls_s = min(kill_s - STOP_MARGIN_S + later_s, kill_s - LATE_STOP_MARGIN_S)
+        self.ends_s = min(self.ends_calls_s + MIN_DRAIN_S, kill_s - END_MARGIN_S)
         self.refuses_s = min(since_s + UNREADY_PERIOD_S, self.ends_calls_s)
         self.may_end_s = min(taken_s + UNREADY_PERIOD_S, self.ends_calls_s)
         self.closes_ports_s = self.ends_s - LAST_ARRIVAL_S
