Merge the end of calls after a standstill, and what an idle loop knows of a signal

Seen: a router that stood still for 0.5 s before its SIGTERM ended calls that their endpoints would have answered 4.85 s after it (real processes), since the times of a stop count from the earliest moment of the signal.

--- a/greengagerock/daemon/loop.py
+++ b/greengagerock/daemon/loop.py
@@ -33,7 +33,7 @@
 
 MAX_EVENTS_PER_ITERATION = 256
 # Longest wait of an idle loop: the arrival of a signal is known to that precision.
-MAX_WAIT_S = 0.25
+MAX_WAIT_S = 0.05
 
 
 class EventLoop:
--- a/greengagerock/node/router_stop.py
+++ b/greengagerock/node/router_stop.py
@@ -4,7 +4,7 @@
 from greengagerock.node.stop_schedule import StopSchedule
 
 # Interval in which the calls that are left at the end of a stop are ended.
-END_CALLS_INTERVAL_S = 0.1
+END_CALLS_INTERVAL_S = 0.04
 
 
 class RouterStop:
