Count failures of unsafe requests against endpoints although their callers have left

Seen in a review of: 4 unsafe requests whose callers had left, and whose connections were then lost or silent, left no failure and no crash report of their endpoint; an endpoint that hangs longer than its callers wait was not avoided. Change: only attempts that might be repeated end so. Result: the two cases of the new test fail without it and pass; no request of a caller that has left is sent again in the 21 cases beside them. Open: refusals and connections that could not be opened are not noted for such calls.

--- a/greengagerock/routing/dispatcher.py
+++ b/greengagerock/routing/dispatcher.py
@@ -204,7 +204,13 @@
         self._report_attempt(call, relay, event.reason, event.connect_s)
         call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
         self.error_responder.log_failed_attempt(call, event, endpoint, relay)
-        if call.is_abandoned:
+        # Other failures end a call that is not idempotent, and say something of the endpoint.
+        may_be_repeated = (
+            call.route.is_idempotent
+            or not event.has_sent_bytes
+            or event.reason in (REASON_REFUSED, REASON_NOT_OWNER)
+        )
+        if call.is_abandoned and may_be_repeated:
             self._finish(call, *abandoned_result(call, event))
             return
         if self.ending.has_begun:
--- a/greengagerock/routing/tests/test_callers_that_leave.py
+++ b/greengagerock/routing/tests/test_callers_that_leave.py
@@ -6,7 +6,9 @@
 from greengagerock.testing.dispatcher_harness import DispatcherHarness
 
 
-@pytest.mark.parametrize("reason", ["refused", "not-owner", "connect", "lost"])
+@pytest.mark.parametrize(
+    "reason", ["refused", "not-owner", "connect", "lost", "reset", "timeout", "relay"]
+)
 @pytest.mark.parametrize("route", ["balance", "charge", "prices"])
 def test_request_of_a_caller_that_has_left_is_not_sent_again(route, reason):
     harness = DispatcherHarness()
@@ -26,3 +28,18 @@
     harness.effects()
     harness.dispatcher.on_caller_disconnected(CallerDisconnected(token))
     assert CancelAttempt(token) not in harness.effects()
+
+
+@pytest.mark.parametrize("reason", ["lost", "timeout"])
+def test_failure_counts_against_the_endpoint_although_the_caller_has_left(reason, monkeypatch):
+    """An endpoint that hung longer than its callers waited was not avoided."""
+    harness = DispatcherHarness()
+    failures = []
+    health = type(harness.dispatcher.health)
+    monkeypatch.setattr(health, "note_failure", lambda self, name, now_s: failures.append(name))
+    token = harness.call("charge")
+    harness.effects()
+    harness.dispatcher.on_caller_disconnected(CallerDisconnected(token))
+    harness.fail(token, reason)
+    assert failures
+    assert harness.dispatcher.calls == {}
