--- a/greengagerock/web/server.py
+++ b/greengagerock/web/server.py
@@ -13,6 +13,7 @@
 
 from greengagerock.core import ERROR_KINDS, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from greengagerock.web.bounded_input import BoundedChunks, make_file
+from greengagerock.web.bounded_output import grow_send_buffer
 from greengagerock.web.connection_limits import LINGER_S
 from greengagerock.web.connection_manager import (
     DeferringConnectionManager,
@@ -38,10 +39,6 @@
 # Number of worker threads that a server keeps while it has no requests.
 MIN_THREADS = 4
 
-# Size of the send buffers of a server that stops. It holds the rest of a long response, which the
-# operating system sends after the end of the process.
-LAST_SEND_BUFFER_BYTES = 1024 * 1024
-
 # ``SO_LINGER`` with a time of 0, with which closing a socket resets its connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -355,7 +352,7 @@
             return
         # The connection may be closed already.
         with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+            grow_send_buffer(self.socket)
 
     def close(self):
         """Close the connection; the server does not count it any longer."""
--- a/greengagerock/web/worker_pool.py
+++ b/greengagerock/web/worker_pool.py
@@ -128,13 +128,14 @@
 
     @staticmethod
     def _force_close(conn):
-        """End the reads and writes of a connection whose thread outlasts the stop of the server.
+        """End the reads of a connection whose thread outlasts the stop of the server.
 
-        The library ends reads only, and a write may wait for a caller for long.
+        A write that waits for the caller ends too; other responses are still sent.
         """
         if conn is not None and not conn.rfile.closed:
+            conn.wfile.raw.may_wait = False
             with contextlib.suppress(OSError):
-                conn.socket.shutdown(socket.SHUT_RDWR)
+                conn.socket.shutdown(socket.SHUT_RD)
 
     def _is_surplus(self):
         """Return whether recent requests would have been served with one thread less."""
