Do not count the time in which a caller sends its request

Seen in a review of: the time of a request ran from its first byte, so that a caller that sent its head and a short body for longer than the timeout of the route was refused; before, it was served. Change: the arrival of a request is when it had been read, less the time for which it waited for a worker thread; the wait for the event loop counts by itself.

--- a/greengagerock/core/interface.py
+++ b/greengagerock/core/interface.py
@@ -78,8 +78,8 @@
         key: Key of the request, or ``None``.
         body_digest: Digest of a short body; for a longer body, its declared length.
         body_bytes: Size of a short body, which this host holds; 0 for a longer one.
-        received_s: When its first bytes were found on the connection, in monotonic seconds;
-            ``None`` if it is handled without delay.
+        received_s: When it arrived, in monotonic seconds, without the time for which its caller
+            was sending it; ``None`` if it is handled without delay.
     """
 
     token: int
--- a/greengagerock/routing/calls.py
+++ b/greengagerock/routing/calls.py
@@ -10,7 +10,7 @@
         route: Its ``RouteItem``.
         service: Name of the service that it goes to.
         key: Its key, or ``None``.
-        arrived_s: When its first bytes arrived at this host.
+        arrived_s: When it arrived at this host.
         deadline_s: When its time limit expires.
         fingerprint: Digest of the request.
         endpoint: Name of the endpoint of the current attempt, empty while there is none.
--- a/greengagerock/web/connection_progress.py
+++ b/greengagerock/web/connection_progress.py
@@ -37,6 +37,7 @@
         stage_since_s: When that stage began.
         ends_s: When it ends at the latest; infinite if its limit counts from another moment.
         taken_s: When the connection was last found readable, or ``None`` if it never was.
+        queued_s: How long its latest request waited for a worker thread, in seconds.
         request_read_s: When the head of the latest request had been read, or ``None``.
         request_id: Id of the latest request, as far as it is known.
         request_count: Number of requests read.
@@ -46,6 +47,7 @@
         "accepted_s",
         "ends_s",
         "idle_timeout_s",
+        "queued_s",
         "request_count",
         "request_id",
         "request_read_s",
@@ -62,6 +64,7 @@
         self.stage_since_s = now_s
         self.ends_s = float("inf")
         self.taken_s = None
+        self.queued_s = 0.0
         self.request_read_s = None
         self.request_id = ""
         self.request_count = 0
@@ -74,9 +77,14 @@
             limit_s: Its longest duration in seconds.
             now_s: When it begins, in monotonic seconds; by default, now.
         """
+        earlier_stage, earlier_s = self.stage, self.stage_since_s
         self.stage_since_s = time.monotonic() if now_s is None else now_s
         self.ends_s = self.stage_since_s + limit_s
         self.stage = stage
+        if stage == READING:
+            # A request that follows another one without a pause has not waited.
+            was_queued = earlier_stage == QUEUED
+            self.queued_s = self.stage_since_s - earlier_s if was_queued else 0.0
         if stage == QUEUED:
             self.taken_s = self.stage_since_s
             self.request_read_s = None
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -1,5 +1,7 @@
 """Dialects for requests on named routes: the base class and the native dialect."""
 
+import time
+
 import xxhash
 
 from greengagerock.assignment.reports import KEY_COUNT
@@ -67,7 +69,7 @@
             parse_key(headers.get(self.key_header)),
             body_digest,
             0 if data is None else len(data),
-            environ["greengage.progress"].taken_s,
+            time.monotonic() - environ["greengage.progress"].queued_s,
         )
 
     def is_identified(self, response, headers):
