Log the connections on which error responses come

Cause: no line of a router says on which connection a refusal came, nor how many requests that connection had carried.

Change: error-response is logged for each response with a status of 400 or more, with the number of the connection and of the requests that it has carried; response-without-id has them too. Stand-ins for what follows: an endpoint that repeats refusals, and a stub router that sends a request again.

--- a/greengagerock/testing/stub_router.py
+++ b/greengagerock/testing/stub_router.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from collections import Counter
 
 from greengagerock.core import OUTCOME_UNKNOWN
 from greengagerock.core.interface import (
@@ -32,34 +33,42 @@
 class StubRouter:
     """An HTTP server for callers, or for another router, with connections to one endpoint.
 
-    Used as a context manager. A failed attempt ends its call with an error.
+    Used as a context manager. A failed attempt ends its call with an error, unless the request
+    has certainly not run and ``resend_relays`` says how to send it again.
 
     Args:
         ip: Loopback address to listen on.
         port: Port to listen on.
         relay: Another ``StubRouter``, which reaches the endpoint for this one, or ``None``.
         serves_router: Whether the requests come from another router.
+        dialect: Dialect of callers and endpoints; ``NativeRouteDialect`` by default.
 
     Attributes:
         address: IP address and port.
+        before_resend: Callable that is called before a request is sent again, or ``None``.
         bridge: The ``Bridge``.
         endpoint: ``IP:PORT`` of the endpoint.
         range_endpoint: ``IP:PORT`` of an endpoint that is asked once for the rest of an
             interrupted response, or empty.
         events: All events of calls since the endpoint was set, in order.
         log: The ``LogRecorder``.
+        resend_relays: For each further attempt of a call, the ``StubRouter`` through which the
+            request is sent again, ``None`` for an own connection.
     """
 
-    def __init__(self, ip, port, relay=None, serves_router=False):
+    def __init__(self, ip, port, relay=None, serves_router=False, dialect=None):
         self.address = (ip, port)
         self.endpoint = self.range_endpoint = ""
         self.relay = relay
         self.events = []
+        self.resend_relays = ()
+        self.before_resend = None
+        self.resend_counts = Counter()
         self.log = LogRecorder()
         self.bridge = Bridge()
         self.bridge.post = self.bridge.post_deferred = self._decide
         self.bridge.unwatch_caller = lambda descriptor: None
-        dialect = NativeRouteDialect()
+        dialect = dialect or NativeRouteDialect()
         application = CallerApplication(
             "h",
             self.bridge,
@@ -102,17 +111,26 @@
         self.events.append(event)
         match event:
             case CallArrived(token) | RelayArrived(token):
-                self._forward(token, self.endpoint)
+                self._forward(token, self.endpoint, self.relay)
+            case AttemptFailed(token, has_sent_bytes=False) if self._has_attempts_left(token):
+                if self.before_resend is not None:
+                    self.before_resend()
+                relay = self.resend_relays[self.resend_counts[token]]
+                self.resend_counts[token] += 1
+                self._forward(token, self.endpoint, relay)
             case ResponseInterrupted(token, is_resumable) if is_resumable and self.range_endpoint:
                 range_endpoint, self.range_endpoint = self.range_endpoint, ""
-                self._forward(token, range_endpoint)
+                self._forward(token, range_endpoint, self.relay)
             case AttemptFailed(token) | ResponseInterrupted(token):
                 error = RespondWithError(token, "answer-lost", OUTCOME_UNKNOWN, "", True)
                 self.bridge.deliver(token, error)
 
-    def _forward(self, token, endpoint):
-        relay = "" if self.relay is None else "{}:{}".format(*self.relay.address)
-        forward = Forward(token, "e", endpoint, {}, TIMEOUT_S, relay=relay)
+    def _has_attempts_left(self, token):
+        return self.resend_counts[token] < len(self.resend_relays)
+
+    def _forward(self, token, endpoint, relay):
+        relay_address = "" if relay is None else "{}:{}".format(*relay.address)
+        forward = Forward(token, "e", endpoint, {}, TIMEOUT_S, relay=relay_address)
         self.bridge.deliver(token, forward)
 
 
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -42,6 +42,8 @@
 # Longest request body that is read before routing, so that it can be sent more than once, and
 # longest response body that is read before it is relayed.
 SHORT_BODY_BYTES = 64 * 1024
+# First status of an error response (RFC 9110, section 15).
+FIRST_ERROR_STATUS = 400
 
 
 class CallerApplication:
@@ -121,9 +123,9 @@
         "current_attempt",
         "endpoint",
         "environ",
+        "forward",
         "headers",
         "is_answered",
-        "is_endpoint_limited",
         "progress",
         "request_id",
         "sent_at_s",
@@ -139,7 +141,7 @@
         self.start_response = start_response
         self.endpoint = ""
         self.sent_at_s = 0.0
-        self.is_endpoint_limited = False
+        self.forward = None
         self.body_attempt = None
         self.is_answered = False
         self.current_attempt = None
@@ -275,7 +277,7 @@
         self.progress.enter(FORWARDED)
         self.app.bridge.register_attempt(self.token, attempt)
         self.sent_at_s = time.monotonic()
-        self.is_endpoint_limited = forward.is_limited
+        self.forward = forward
         try:
             result = self.app.upstream.send(
                 forward,
@@ -348,12 +350,7 @@
             response, self.headers
         )
         if not is_identified:
-            self.app.log(
-                "response-without-id",
-                request_id=self.request_id,
-                status=response.status,
-                code="answer-lost",
-            )
+            self._log_response("response-without-id", response, code="answer-lost")
             return REASON_CONNECTION_LOST
         return self._inspect_relayed(response)
 
@@ -364,13 +361,29 @@
             A reason, or ``None`` if the response can be sent to the caller.
         """
         dialect = self.app.dialect
+        if response.status >= FIRST_ERROR_STATUS:
+            self._log_response("error-response", response)
         notice = dialect.read_notice(
-            self.token, response, self.request_id, self.is_endpoint_limited
+            self.token, response, self.request_id, self.forward.is_limited
         )
         if notice is not None:
             self.app.bridge.post_deferred(notice)
         return dialect.failure_reason(response, self.request_id)
 
+    def _log_response(self, event, response, **fields):
+        """Log which connection a response came on, and as which of its responses."""
+        attempt = self.current_attempt
+        self.app.log(
+            event,
+            request_id=self.request_id,
+            endpoint=self.forward.endpoint,
+            relay=self.forward.relay,
+            status=response.status,
+            connection=attempt.connection_number,
+            connection_requests=attempt.connection_requests,
+            **fields,
+        )
+
     def _headers_for(self, forward):
         headers = self.app.dialect.outgoing_headers(self.headers, forward, self.request_id)
         if forward.relay:
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -1,5 +1,6 @@
 """HTTP client for endpoints: connection pools, attempts and request bodies."""
 
+import itertools
 import queue
 import select
 import socket
@@ -65,6 +66,8 @@
         connection: The ``TrackedConnection`` in use, or ``None``.
         connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
             none was opened.
+        connection_number: Number of the connection on which the request was sent, 0 before that.
+        connection_requests: How many requests that connection has carried, this one included.
         fault: What is malformed in the response, or an empty string.
         has_head: Whether the head of the response has arrived.
         has_sent_bytes: Whether any byte may have left this host.
@@ -82,6 +85,8 @@
         "_is_watched",
         "connect_s",
         "connection",
+        "connection_number",
+        "connection_requests",
         "fault",
         "has_head",
         "has_sent_bytes",
@@ -96,6 +101,7 @@
     def __init__(self, caller_descriptor=None, request_id=""):
         self.connect_s = None
         self.connection = None
+        self.connection_number = self.connection_requests = 0
         self.fault = ""
         self.request_id = request_id
         self._caller_descriptor = caller_descriptor
@@ -141,14 +147,25 @@
 
     Attributes:
         idle_since_s: Since when no request is in progress on it, in monotonic seconds.
+        number: Tells the connections that this process has opened apart, 0 before it is connected.
         refused_ids: Ids of requests that were refused on this connection, newest last.
+        request_count: Number of requests that were sent on it.
     """
 
+    numbers = itertools.count(1)
+
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.idle_since_s = 0.0
+        self.number = self.request_count = 0
         self.refused_ids = deque(maxlen=MAX_REFUSED_IDS)
 
+    def connect(self):
+        """Open the connection."""
+        super().connect()
+        self.number = next(self.numbers)
+        self.request_count = 0
+
     def request(self, method, url, *arguments, **options):
         """Send a request with the unchanged target of the attempt, not normalised by urllib3."""
         attempt = getattr(_thread_state, "attempt", None)
@@ -181,6 +198,9 @@
                 self.close()
                 raise NewConnectionError(self, "the attempt was cancelled")
             attempt.has_sent_bytes = True
+            self.request_count += 1
+            attempt.connection_number = self.number
+            attempt.connection_requests = self.request_count
             self._limit_unacknowledged(UNACKNOWLEDGED_TIMEOUT_MS)
         super().send(data)
 
