Send a request id only once on a connection to an endpoint

Cause: an endpoint may repeat a refusal where the next response is expected. A connection remembered the requests that were refused on it and was closed before one was sent again, but only where the dialect calls the refusal a failure. A relay passes refusals on as responses, so its connection forgot them; the second attempt came on the same connection, and the copy, which has its id, was taken for the answer.

Change: web/carried_requests.py: each connection remembers the ids of the last 32 requests that were sent on it, whoever asked and whatever was answered, and is closed before one of them is sent again. This works since a response with the id of a request can then belong only to its one attempt on the connection, and a response with another id, or none, already closes it. On own connections requests that were refused get a new connection, as before; new are relayed ones and callers that use one id again.

--- a/greengagerock/testing/reporting_endpoint.py
+++ b/greengagerock/testing/reporting_endpoint.py
@@ -46,13 +46,18 @@
         freed: Handover token by unit, for units that it has released but not yet reported.
         runs: Number of runs by request id.
         refusals: Number of requests refused by ``response_fault``.
+        refused_ids: Ids of the requests refused by ``refused-then-again``.
+        misleading_copies: Number of refusals that came again before the response to another
+            attempt of the same request.
         bodies: Last request body by request id.
         response_fault: Fault of the following responses. ``whole``: none; ``torn``: the body
             ends early; ``extra``: a second response follows; ``late-extra``: a response with
             the id of the previous request comes before the next response; ``close``: the
             connection is closed without a response; ``full``: the request is refused;
             ``refused-again``: a refusal without an id comes before each response but the first
-            of a connection; ``torn-head``: the connection is closed within the head;
+            of a connection; ``refused-then-again``: the first attempt of each request is refused,
+            and the refusal comes again before the next response of its connection;
+            ``torn-head``: the connection is closed within the head;
             ``early``: the response is sent before the body is read, and the connection closed;
             ``early-reset``: a part of a response without a length is sent before the body is
             read, and the connection reset.
@@ -84,6 +89,8 @@
         self.freed = {}
         self.runs = Counter()
         self.refusals = 0
+        self.refused_ids = set()
+        self.misleading_copies = 0
         self.bodies = {}
         self.response_fault = "whole"
         self.retry_after = ""
@@ -252,6 +259,8 @@
     disable_nagle_algorithm = True
     delayed_request_id = ""
     has_responded = False
+    repeated_refusal = b""
+    refused_id = ""
 
     def log_message(self, format, *args):
         """Disable the access log."""
@@ -273,6 +282,12 @@
             self._reset_early()
             return
         body = self._read_body()
+        if self.repeated_refusal:
+            with endpoint.lock:
+                is_misleading = self.headers.get(REQUEST_ID_HEADER) == self.refused_id
+                endpoint.misleading_copies += is_misleading
+            self.wfile.write(self.repeated_refusal)
+            self.repeated_refusal = b""
         if endpoint.response_fault == "endless-refusal":
             self._send_without_end(b"HTTP/1.1 503 Busy\r\n" + REFUSED_LINE + b"\r\n", b"x" * 64)
             return
@@ -287,6 +302,8 @@
             self._send_response(503, b"", {REFUSED_HEADER: "full", **pause})
             return
         request_id = self.headers.get(REQUEST_ID_HEADER, "")
+        if endpoint.response_fault == "refused-then-again" and self._refuses_first(request_id):
+            return
         if endpoint.response_fault == "refused-again" and self.has_responded:
             self.wfile.write(
                 b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" + REFUSED_LINE + b"\r\n"
@@ -331,6 +348,19 @@
         elif endpoint.response_fault == "late-extra":
             self.delayed_request_id = request_id
 
+    def _refuses_first(self, request_id):
+        """Refuse the first attempt of a request; return whether it was that."""
+        endpoint = self.server.endpoint
+        with endpoint.lock:
+            if request_id in endpoint.refused_ids:
+                return False
+            endpoint.refused_ids.add(request_id)
+        self.refused_id = request_id
+        head = f"HTTP/1.1 503 Busy\r\n{REQUEST_ID_HEADER}: {request_id}\r\nContent-Length: 0\r\n"
+        self.repeated_refusal = head.encode() + REFUSED_LINE + b"\r\n"
+        self.wfile.write(self.repeated_refusal)
+        return True
+
     def _respond_early(self):
         """Respond, close this side, and read on for a moment, as RFC 9112, section 9.6, says."""
         self._send_response(200, b"early\n", {"Connection": "close"})
--- a/greengagerock/testing/uploading_caller.py
+++ b/greengagerock/testing/uploading_caller.py
@@ -56,6 +56,19 @@
     return body, False
 
 
+def send_charge(address, id_header, request_id):
+    """Send a short unsafe request on a new connection; return the ``CallerResponse``.
+
+    Args:
+        address: IP address and port of the router.
+        id_header: Name of the header with the id of the request.
+        request_id: The id.
+    """
+    head = f"POST /charge/1 HTTP/1.1\r\nHost: shop.example\r\n{id_header}: {request_id}\r\n"
+    data = f"{head}Content-Length: 2\r\nConnection: close\r\n\r\n11".encode()
+    return CallerResponse(send_bytes(address, data), True)
+
+
 def send_bytes(address, data):
     """Send a request on a new connection; return all bytes that the router sends."""
     received = b""
--- a/greengagerock/web/tests/test_upstream.py
+++ b/greengagerock/web/tests/test_upstream.py
@@ -236,6 +236,26 @@
     assert connections == expected
 
 
+@pytest.mark.parametrize(("second_id", "expected"), [("r-1", [0, 1]), ("r-2", [0, 0])])
+def test_request_id_is_sent_once_on_a_connection(second_id, expected):
+    """A relay passes a refusal on as a response, and the connection forgot the request."""
+    address, connections = serve_responses(REFUSAL, SUCCESS)
+    upstream = Upstream(LimitSettings())
+    for request_id, status in (("r-1", 503), (second_id, 200)):
+        response = upstream.send(
+            Forward(1, "e", address, {}, 5.0),
+            "POST",
+            "/",
+            {},
+            None,
+            Attempt(request_id=request_id),
+            lambda response: None,
+        )
+        assert response.status == status
+        response.drain_conn()
+    assert connections == expected
+
+
 def test_refusal_with_a_long_body_is_not_read_to_its_end():
     server = socket.create_server(("127.37.0.5", 8604))
     closed = threading.Event()
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -6,13 +6,13 @@
 import socket
 import threading
 import time
-from collections import deque
 
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from greengagerock.core.interface import AttemptFailed
 from greengagerock.routing.failures import REASON_CALLER, REASON_CONNECTION_LOST
+from greengagerock.web.carried_requests import CarriedRequests
 from greengagerock.web.connection_errors import fault_of, reason_of
 from greengagerock.web.relay_dialect import attribute_to_relay, read_relay_failure
 from greengagerock.web.strict_response import StrictConnection
@@ -21,9 +21,6 @@
 # Largest body of a refusal that is read; the bytes of a longer one may have no end.
 MAX_DISCARDED_BYTES = 4096
 BODY_CHUNK_BYTES = 64 * 1024
-# Number of refused requests that a connection remembers. An endpoint repeats a refusal soon, if
-# it does so at all.
-MAX_REFUSED_IDS = 32
 # urllib3 rejects a timeout of 0, which a request at its deadline would have.
 MIN_TIMEOUT_S = 0.001
 
@@ -63,7 +60,6 @@
         request_id: Id of the request, as the endpoint echoes it.
 
     Attributes:
-        connection: The ``TrackedConnection`` in use, or ``None``.
         connect_s: Time in seconds that opening a connection took or lasted in vain, ``None`` if
             none was opened.
         connection_number: Number of the connection on which the request was sent, 0 before that.
@@ -84,7 +80,6 @@
         "_lock",
         "_is_watched",
         "connect_s",
-        "connection",
         "connection_number",
         "connection_requests",
         "fault",
@@ -100,7 +95,6 @@
 
     def __init__(self, caller_descriptor=None, request_id=""):
         self.connect_s = None
-        self.connection = None
         self.connection_number = self.connection_requests = 0
         self.fault = ""
         self.request_id = request_id
@@ -146,10 +140,9 @@
     """A connection that records in the current ``Attempt`` whether bytes were sent.
 
     Attributes:
+        carried: The ``CarriedRequests`` since it was connected.
         idle_since_s: Since when no request is in progress on it, in monotonic seconds.
         number: Tells the connections that this process has opened apart, 0 before it is connected.
-        refused_ids: Ids of requests that were refused on this connection, newest last.
-        request_count: Number of requests that were sent on it.
     """
 
     numbers = itertools.count(1)
@@ -157,25 +150,23 @@
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.idle_since_s = 0.0
-        self.number = self.request_count = 0
-        self.refused_ids = deque(maxlen=MAX_REFUSED_IDS)
+        self.number = 0
+        self.carried = CarriedRequests()
 
     def connect(self):
         """Open the connection."""
         super().connect()
         self.number = next(self.numbers)
-        self.request_count = 0
+        self.carried = CarriedRequests()
 
     def request(self, method, url, *arguments, **options):
         """Send a request with the unchanged target of the attempt, not normalised by urllib3."""
         attempt = getattr(_thread_state, "attempt", None)
         if attempt is not None:
-            attempt.connection = self
             url = attempt.target or url
-            if attempt.request_id in self.refused_ids:
-                # A refusal that the endpoint repeats would have the id of this attempt, too.
+            if not self.carried.may_carry(attempt.request_id):
+                # The request is sent on a new connection.
                 self.close()
-                self.refused_ids.clear()
         return super().request(method, url, *arguments, **options)
 
     def send(self, data):
@@ -198,9 +189,9 @@
                 self.close()
                 raise NewConnectionError(self, "the attempt was cancelled")
             attempt.has_sent_bytes = True
-            self.request_count += 1
+            self.carried.add(attempt.request_id)
             attempt.connection_number = self.number
-            attempt.connection_requests = self.request_count
+            attempt.connection_requests = self.carried.count
             self._limit_unacknowledged(UNACKNOWLEDGED_TIMEOUT_MS)
         super().send(data)
 
@@ -477,8 +468,6 @@
             # Further data on this connection cannot be assigned to a request.
             response.close()
             return AttemptFailed(forward.token, reason, True, bool(body and body.is_consumed))
-        if attempt.connection is not None and attempt.request_id:
-            attempt.connection.refused_ids.append(attempt.request_id)
         discard_body(response)
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
--- a/tests/test_site_relays.py
+++ b/tests/test_site_relays.py
@@ -122,6 +122,27 @@
     assert response.headers["Greengage-Outcome"] == "unknown"
 
 
+def test_refusal_that_comes_again_behind_a_relay_does_not_answer_the_second_attempt(
+    partitioned_site,
+):
+    """An unsafe request ran twice, or was answered 503 and ran (review/11)."""
+    site = partitioned_site
+    site.wait_until(lambda: site.call("/charge/w", 77, 0, "POST", b"1").status == 200)
+    for endpoint in site.reporting_endpoints.values():
+        endpoint.response_fault = "refused-then-again"
+    ran = 0
+    for number in range(12):
+        request_id = f"again-{number}"
+        headers = {"Greengage-Request-Id": request_id}
+        response = site.call(f"/charge/{number}", 77, 0, "POST", b"1", headers)
+        runs = run_count(site, request_id)
+        assert runs <= 1
+        assert response.status != 503 or runs == 0
+        ran += runs
+    assert ran > 6
+    assert sum(e.misleading_copies for e in site.reporting_endpoints.values()) == 0
+
+
 def test_router_uses_own_connections_again_after_the_partition(site, router):
     assert router.logged("endpoint-unreachable")
 
