Compare the ids of responses of listed services as well

What callers could see: an unsafe request was answered as refused, or sent again, although it ran, if its endpoint wrote the refusal of an earlier request once more before the response.

Cause: docs/API.md says that a response with another id is never relayed.

Change: the comparison is in NativeDialect, from which the other inherits it. Endpoints that send no id are not affected.

Result: test_response_with_another_id_answers_no_request_of_a_listed_service fails before (the request counts as refused while it runs) and passes now (outcome unknown, connection closed).

--- a/greengagerock/testing/stub_router.py
+++ b/greengagerock/testing/stub_router.py
@@ -10,6 +10,7 @@
     CallArrived,
     Forward,
     RelayArrived,
+    RequestArrived,
     RespondWithError,
     ResponseInterrupted,
 )
@@ -112,6 +113,9 @@
         match event:
             case CallArrived(token) | RelayArrived(token):
                 self._forward(token, self.endpoint, self.relay)
+            case RequestArrived(token, request_id):
+                headers = {"Greengage-Request-Id": request_id}
+                self.bridge.deliver(token, Forward(token, "e", self.endpoint, headers, TIMEOUT_S))
             case AttemptFailed(token, has_sent_bytes=False) if self._has_attempts_left(token):
                 if self.before_resend is not None:
                     self.before_resend()
--- a/greengagerock/web/native_dialect.py
+++ b/greengagerock/web/native_dialect.py
@@ -6,7 +6,7 @@
 
 from greengagerock.core import ERROR_KINDS
 from greengagerock.core.interface import RequestArrived
-from greengagerock.routing.failures import REASON_REFUSED
+from greengagerock.routing.failures import REASON_CONNECTION_LOST, REASON_REFUSED
 from greengagerock.web.server import error_body, error_headers
 
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,64}")
@@ -25,6 +25,7 @@
     }
 )
 REFUSED_HEADER = "Greengage-Refused"
+REQUEST_ID_HEADER = "greengage-request-id"
 NATIVE_HEADER_PREFIX = "greengage-"
 
 
@@ -43,12 +44,12 @@
     """
 
     ready_path = "/-/ready"
-    dropped_response_headers = HOP_BY_HOP | {"greengage-request-id", "greengage-endpoint"}
+    dropped_response_headers = HOP_BY_HOP | {REQUEST_ID_HEADER, "greengage-endpoint"}
     buffers_short_bodies = False
 
     def request_id(self, headers, fallback):
         """Return the caller's id of the request, or ``fallback`` if it is missing or malformed."""
-        request_id = headers.get("greengage-request-id", "")
+        request_id = headers.get(REQUEST_ID_HEADER, "")
         return request_id if REQUEST_ID_PATTERN.fullmatch(request_id) else fallback
 
     def target(self, environ):
@@ -91,6 +92,9 @@
 
     def failure_reason(self, response, request_id):
         """Return why a response cannot be sent to the caller, or ``None`` if it can."""
+        if response.headers.get(REQUEST_ID_HEADER, request_id) != request_id:
+            # The response belongs to an earlier request on this connection.
+            return REASON_CONNECTION_LOST
         return REASON_REFUSED if REFUSED_HEADER in response.headers else None
 
     def is_identified(self, response, headers):
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -7,8 +7,13 @@
 from greengagerock.assignment.reports import KEY_COUNT
 from greengagerock.core import GreengageError
 from greengagerock.core.interface import CallArrived
-from greengagerock.routing.failures import REASON_CONNECTION_LOST, REASON_NOT_OWNER, REASON_REFUSED
-from greengagerock.web.native_dialect import REFUSED_HEADER, NativeDialect, origin_form
+from greengagerock.routing.failures import REASON_NOT_OWNER, REASON_REFUSED
+from greengagerock.web.native_dialect import (
+    REFUSED_HEADER,
+    REQUEST_ID_HEADER,
+    NativeDialect,
+    origin_form,
+)
 from greengagerock.web.notice_headers import make_notice
 
 # Set by an endpoint that is about to end.
@@ -19,7 +24,6 @@
 LOAD_HEADER = "greengage-load"
 KEY_HEADER = "greengage-key"
 TIMEOUT_HEADER = "greengage-timeout-ms"
-REQUEST_ID_HEADER = "greengage-request-id"
 # Value of ``REFUSED_HEADER`` in the response of an endpoint that does not hold the key.
 REFUSED_NOT_OWNER = "not-owner"
 
@@ -109,13 +113,10 @@
 
     def failure_reason(self, response, request_id):
         """Return why a response cannot be sent to the caller, or ``None`` if it can."""
-        if response.headers.get(REQUEST_ID_HEADER, request_id) != request_id:
-            # The response belongs to an earlier request on this connection.
-            return REASON_CONNECTION_LOST
+        reason = super().failure_reason(response, request_id)
         refusal = response.headers.get(REFUSED_HEADER)
-        if refusal is None:
-            return None
-        return REASON_NOT_OWNER if refusal == REFUSED_NOT_OWNER else REASON_REFUSED
+        is_not_owner = reason == REASON_REFUSED and refusal == REFUSED_NOT_OWNER
+        return REASON_NOT_OWNER if is_not_owner else reason
 
     def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
--- a/greengagerock/web/tests/test_repeated_refusals.py
+++ b/greengagerock/web/tests/test_repeated_refusals.py
@@ -4,16 +4,17 @@
 
 import pytest
 
-from greengagerock.core.interface import EndpointNoticed
+from greengagerock.core.interface import AttemptFailed, EndpointNoticed
 from greengagerock.testing.repeating_endpoint import RepeatingEndpoint, ResponseFormat
 from greengagerock.testing.stub_router import StubRouter
 from greengagerock.testing.uploading_caller import send_charge
-from greengagerock.web.native_dialect import REFUSED_HEADER
+from greengagerock.web.native_dialect import REFUSED_HEADER, NativeDialect
 from greengagerock.web.route_dialect import REQUEST_ID_HEADER
 
 ROUTER = ("127.37.0.60", 8660)
 RELAYS = {"relay-1": ("127.37.0.61", 8661), "relay-2": ("127.37.0.62", 8662)}
 ENDPOINT_IP = "127.37.0.63"
+NATIVE_ROUTER = ("127.37.0.64", 8664)
 REFUSED_LINE = f"{REFUSED_HEADER}: full\r\n"
 LONG_BODY = b"x" * 5000
 
@@ -136,3 +137,22 @@
         router = use_ways(routers, "own", "own", endpoint)
         assert [send(router, "same").status for _ in range(4)] == [200] * 4
         assert len({connection for connection, _ in endpoint.attempts}) == 4
+
+
+@pytest.fixture(scope="module")
+def native_router():
+    """Start a router of a system with listed hosts, whose endpoints need send no ids."""
+    with StubRouter(*NATIVE_ROUTER, dialect=NativeDialect()) as router:
+        yield router
+
+
+def test_response_with_another_id_answers_no_request_of_a_listed_service(native_router):
+    """The copy of a refusal was taken for the refusal of a request that ran."""
+    refusals = ResponseFormat(REQUEST_ID_HEADER, 503, REFUSED_LINE)
+    with RepeatingEndpoint(ENDPOINT_IP, refusals) as endpoint:
+        native_router.reach(endpoint.address)
+        send(native_router, "refused")
+        assert send(native_router, "other").status == 502
+        assert endpoint.runs["other"] == endpoint.copies == 1
+        failures = [e for e in native_router.events if isinstance(e, AttemptFailed)]
+        assert [failure.has_sent_bytes for failure in failures] == [False, True]
