End a connection with a refusal that names no request

What callers could see: an unsafe request to a listed service, whose endpoints need send no id, was answered as refused or sent again although it ran, if the endpoint wrote an earlier refusal once more before the response.

Change: such a refusal closes its connection, in the one place where refusals are read. Endpoints that send ids are not affected; one that does not costs a connection for each request that it refuses. With dialects that ask for ids, a copy no longer costs the next request its response (it got 502, outcome unknown).

Result: test_refusal_without_an_id_ends_the_connection_to_a_listed_service fails before (the request counts as refused while it runs) and passes now. test_repeated_refusal_without_an_id_answers_no_request, own connection, was written for the 502; it now asks for 200 and one run, which fails before.

--- a/greengagerock/platform/caller_dialect.py
+++ b/greengagerock/platform/caller_dialect.py
@@ -52,8 +52,8 @@
     request_id_header = REQUEST_ID_HEADER
 
     def is_identified(self, response, headers):
-        """Return whether a response says which request it belongs to, if that has an id."""
-        return REQUEST_ID_HEADER in response.headers or REQUEST_ID_HEADER not in headers
+        """Return whether a response names its request, if that has an id."""
+        return self.names_request(response) or REQUEST_ID_HEADER not in headers
 
     def request_id(self, headers, fallback):
         """Return the caller's id of the request, or ``fallback`` if there is none."""
--- a/greengagerock/web/caller_application.py
+++ b/greengagerock/web/caller_application.py
@@ -361,6 +361,7 @@
             A reason, or ``None`` if the response can be sent to the caller.
         """
         dialect = self.app.dialect
+        self.current_attempt.is_named = dialect.names_request(response)
         if response.status >= FIRST_ERROR_STATUS:
             self._log_response("error-response", response)
         notice = dialect.read_notice(
--- a/greengagerock/web/carried_requests.py
+++ b/greengagerock/web/carried_requests.py
@@ -5,6 +5,8 @@
 once**: a response with the id of the expected request then belongs to the only attempt that was
 sent on the connection with it, and after any other response the connection is closed. Who sends
 the request, for whom, and how an earlier attempt ended makes no difference.
+
+A refusal without an id ends its connection (``Upstream.send``), so that no copy of it can come.
 """
 
 from collections import deque
--- a/greengagerock/web/native_dialect.py
+++ b/greengagerock/web/native_dialect.py
@@ -101,6 +101,10 @@
         """Return whether a response may belong to the request; these endpoints need send no id."""
         return True
 
+    def names_request(self, response):
+        """Return whether a response says which request it belongs to."""
+        return REQUEST_ID_HEADER in response.headers
+
     def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         return None
--- a/greengagerock/web/relay_dialect.py
+++ b/greengagerock/web/relay_dialect.py
@@ -99,9 +99,13 @@
         return reason if reason == REASON_CONNECTION_LOST else None
 
     def is_identified(self, response, headers):
-        """Return whether a response says which request it belongs to."""
+        """Return whether a response on a kept connection may belong to the request."""
         return self.dialect.is_identified(response, headers)
 
+    def names_request(self, response):
+        """Return whether a response says which request it belongs to."""
+        return self.dialect.names_request(response)
+
     def read_notice(self, token, response, request_id, was_limited=False):
         """Return the ``EndpointNoticed`` event of a response, or ``None`` if it has no notice."""
         return self.dialect.read_notice(token, response, request_id, was_limited)
--- a/greengagerock/web/route_dialect.py
+++ b/greengagerock/web/route_dialect.py
@@ -77,12 +77,16 @@
         )
 
     def is_identified(self, response, headers):
-        """Return whether a response says which request it belongs to.
+        """Return whether a response on a kept connection may belong to the request.
 
         Args:
             response: The response of an endpoint.
             headers: The caller's headers by lower-case name.
         """
+        return self.names_request(response)
+
+    def names_request(self, response):
+        """Return whether a response says which request it belongs to."""
         return self.request_id_header in response.headers
 
     def service_label(self, event):
--- a/greengagerock/web/upstream.py
+++ b/greengagerock/web/upstream.py
@@ -71,6 +71,7 @@
         state: The ``ConnectionState`` in use, or ``None``. The library's connection drops its
             socket when a response is to end with the connection.
         is_cancelled: Whether the loop cancelled the attempt.
+        is_named: Whether the response names the request that it belongs to.
         is_new: Whether the connection was opened for this attempt.
         target: Path and query, still encoded.
     """
@@ -87,6 +88,7 @@
         "has_sent_bytes",
         "is_answered",
         "is_cancelled",
+        "is_named",
         "request_id",
         "state",
         "is_new",
@@ -106,6 +108,7 @@
         self.is_answered = False
         self.state = None
         self.is_cancelled = False
+        self.is_named = True
         self.is_new = False
         self.target = ""
 
@@ -468,7 +471,11 @@
             # Further data on this connection cannot be assigned to a request.
             response.close()
             return AttemptFailed(forward.token, reason, True, bool(body and body.is_consumed))
-        discard_body(response)
+        if attempt.is_named:
+            discard_body(response)
+        else:
+            # A copy of it would be taken for the response to the next request.
+            response.close()
         return AttemptFailed(forward.token, reason, False, bool(body and body.is_consumed))
 
     def _failure(self, forward, error, attempt, body):
