--- a/greengagerock/testing/raw_endpoint.py
+++ b/greengagerock/testing/raw_endpoint.py
@@ -75,14 +75,14 @@
 
 
 def read_head(connection):
-    """Read the head of a request; return whether there was one."""
+    """Read the head of a request; return it, empty if the connection ended before."""
     data = b""
     while b"\r\n\r\n" not in data and len(data) < MAX_REQUEST_BYTES:
         received = connection.recv(4096)
         if not received:
-            return False
+            return b""
         data += received
-    return True
+    return data
 
 
 def reset(connection):
--- a/greengagerock/testing/repeating_endpoint.py
+++ b/greengagerock/testing/repeating_endpoint.py
@@ -1,11 +1,9 @@
 """A stand-in endpoint that refuses requests once and repeats the refusal later."""
 
-import contextlib
-import socket
 import threading
 from collections import Counter
 
-MAX_REQUEST_BYTES = 64 * 1024
+from greengagerock.testing.raw_endpoint import RawEndpoint, read_head
 
 
 class ResponseFormat:
@@ -61,11 +59,11 @@
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
-class RepeatingEndpoint:
+class RepeatingEndpoint(RawEndpoint):
     """Refuses the first attempt of some requests, and repeats the refusal on its connection.
 
     The copy is written before the response to a later request of the same connection, when the
-    router has already sent that request. Used as a context manager.
+    router has already sent that request.
 
     Args:
         ip: Loopback address to listen on.
@@ -74,7 +72,6 @@
         responses_between: Number of responses on a connection between a refusal and its copy.
 
     Attributes:
-        address: ``IP:PORT`` where it listens.
         attempts: Pairs of the number of a connection and the id of a request, in order.
         copies: Number of copies that were written.
         runs: Number of runs by request id.
@@ -88,33 +85,11 @@
         self.copies = 0
         self.refused_ids = set()
         self.runs = Counter()
-        self.connections = []
         self.lock = threading.Lock()
-        self.listener = socket.create_server((ip, 0))
-        self.address = f"{ip}:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *exception):
-        self.listener.close()
-        for connection in self.connections:
-            with contextlib.suppress(OSError):  # the other side may have closed it
-                connection.shutdown(socket.SHUT_RDWR)
-            connection.close()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            self.connections.append(connection)
-            arguments = (connection, len(self.connections))
-            threading.Thread(target=self._serve, args=arguments, daemon=True).start()
-
-    def _serve(self, connection, number):
+        super().__init__(ip, b"")
+
+    def _serve(self, connection):
+        number = self.connections.index(connection) + 1
         copy, between = b"", 0
         try:
             while request_id := self._read_request_id(connection):
@@ -147,13 +122,7 @@
 
     def _read_request_id(self, connection):
         """Return the id of the next request, empty at the end of the connection."""
-        data = b""
-        while b"\r\n\r\n" not in data and len(data) < MAX_REQUEST_BYTES:
-            received = connection.recv(4096)
-            if not received:
-                return ""
-            data += received
-        for line in data.decode("latin-1").split("\r\n"):
+        for line in read_head(connection).decode("latin-1").split("\r\n"):
             name, _, value = line.partition(": ")
             if name.lower() == self.response_format.id_header.lower():
                 return value
