--- a/greengagerock/web/tests/test_error_response_lines.py
+++ b/greengagerock/web/tests/test_error_response_lines.py
@@ -12,7 +12,7 @@
 
 
 def test_error_responses_are_logged_with_their_connections():
-    """Neither router's log told a refusal that came again from a new one."""
+    """The logs of both routers did not distinguish a repeated refusal from a new one."""
     refusals = ResponseFormat(REQUEST_ID_HEADER, 503, f"{REFUSED_HEADER}: full\r\n")
     with (
         RepeatingEndpoint(ENDPOINT_IP, refusals, responses_between=9) as endpoint,
--- a/greengagerock/web/tests/test_repeated_refusals.py
+++ b/greengagerock/web/tests/test_repeated_refusals.py
@@ -131,7 +131,7 @@
 
 
 def test_requests_with_one_id_get_their_own_responses(routers):
-    """Each has a connection of its own, since an id does not tell their responses apart."""
+    """Each needs a new connection, since the id does not distinguish their responses."""
     refusals = ResponseFormat(REQUEST_ID_HEADER, 503, REFUSED_LINE)
     with RepeatingEndpoint(ENDPOINT_IP, refusals) as endpoint:
         router = use_ways(routers, "own", "own", endpoint)
